--- a/crates/anvil_command_line/src/anvilproxyd.rs
+++ b/crates/anvil_command_line/src/anvilproxyd.rs
@@ -28,6 +28,12 @@
                 value: None,
                 about: "check the settings file and exit",
             },
+            Opt {
+                long: "gateway",
+                short: None,
+                value: None,
+                about: "serve engines that drive their own pipelines, with the gateway's settings; their file may be named by ANVILPROXY_SETTINGS",
+            },
         ],
     }],
 };
--- /dev/null
+++ b/crates/anvil_core/src/entry/tests.rs
@@ -0,0 +1,86 @@
+use std::time::Duration;
+
+use googletest::prelude::*;
+
+use super::*;
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: "a.example".into(),
+        path_prefix: prefix.into(),
+        repetition: Repetition::Safe,
+        timeout: Duration::from_secs(1),
+        latency_objective: Duration::from_millis(100),
+        pause_objective: None,
+        priority: 0,
+        backends: vec![
+            Backend {
+                service: "one".into(),
+                weight: 90.0,
+            },
+            Backend {
+                service: "two".into(),
+                weight: 10.0,
+            },
+        ],
+        attempts_max: 2,
+        public: false,
+    }
+}
+
+fn table() -> Table {
+    let team = Team {
+        name: "team".into(),
+        priority: None,
+    };
+    Table::new(
+        7,
+        [route("short", "/a/"), route("long", "/a/b/")],
+        [],
+        Some(vec![(KeyDigest::of("secret"), team)]),
+        CallerLimits::default(),
+    )
+}
+
+#[gtest]
+fn route_takes_longest_prefix() {
+    let table = table();
+    let found = |path| {
+        table
+            .route("a.example", path)
+            .map(|route| route.name.as_str())
+    };
+    expect_that!(found("/a/b/c"), some(eq("long")));
+    expect_that!(found("/a/bc"), some(eq("short")));
+    expect_that!(found("/b/"), none());
+    expect_that!(table.route("b.example", "/a/").is_none(), eq(true));
+}
+
+#[gtest]
+fn route_ignores_port_of_host() {
+    expect_that!(table().route("a.example:80", "/a/").is_some(), eq(true));
+}
+
+#[gtest]
+fn team_needs_exact_key() {
+    let table = table();
+    expect_that!(table.team("secret").is_some(), eq(true));
+    expect_that!(table.team("secre").is_none(), eq(true));
+    expect_that!(table.needs_key(&route("any", "/")), eq(true));
+}
+
+#[gtest]
+fn choose_backend_follows_weights() {
+    let route = route("any", "/");
+    expect_that!(choose_backend(&route, 0.0).unwrap().as_str(), eq("one"));
+    expect_that!(choose_backend(&route, 0.89).unwrap().as_str(), eq("one"));
+    expect_that!(choose_backend(&route, 0.91).unwrap().as_str(), eq("two"));
+}
+
+#[gtest]
+fn choose_backend_skips_weight_of_zero() {
+    let mut route = route("any", "/");
+    route.backends[0].weight = 0.0;
+    expect_that!(choose_backend(&route, 0.0).unwrap().as_str(), eq("two"));
+}
--- /dev/null
+++ b/crates/anvil_core/src/layout.rs
@@ -0,0 +1,224 @@
+//! Chooses the layers that each accelerator of a pool holds.
+//!
+//! Answers the steady load of one service: every layer needs room for the requests in flight, and
+//! a path of accelerators that is fast enough. Layers are dealt in blocks of equal size, so that
+//! ranges of different accelerators begin and end together and one can stand in for another.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    engine_model::{
+        Engine,
+        Kind, //
+    },
+    id::{
+        DataCentreId,
+        Layer,
+        LayerRange,
+        TargetId, //
+    },
+};
+
+#[cfg(test)]
+mod tests;
+
+/// Blocks into which the layers are divided; a range is a run of blocks.
+const BLOCK_COUNT: usize = 16;
+/// Rounds of improvement after which the search ends even if it could go on.
+const ROUNDS_MAX: usize = 12;
+/// Gain below which a change is not worth making, as a share of the price.
+const GAIN_MIN: f64 = 1e-6;
+/// Supply assumed for a block that no accelerator holds, in tokens; keeps prices finite.
+const SUPPLY_MIN_TOKENS: f64 = 100.0;
+
+/// An accelerator to place layers on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Card {
+    /// The target that owns it.
+    pub target: TargetId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Its kind.
+    pub kind: Kind,
+    /// The layers that it holds now.
+    pub holds: Option<LayerRange>,
+}
+
+/// Layers for each target.
+pub type Layout = BTreeMap<TargetId, LayerRange>;
+
+/// Chooses layers for every card, each data centre by itself. Cards for which `movable` is false
+/// keep what they hold.
+pub fn choose(engine: &Engine, cards: &[Card], movable: impl Fn(&Card) -> bool) -> Layout {
+    let mut pools: BTreeMap<&DataCentreId, Vec<&Card>> = BTreeMap::new();
+    for card in cards {
+        pools.entry(&card.data_centre).or_default().push(card);
+    }
+    let mut layout = Layout::new();
+    for pool in pools.values_mut() {
+        // Larger accelerators first: they have fewer places to go.
+        pool.sort_by(|left, right| {
+            right
+                .kind
+                .memory_megabytes
+                .total_cmp(&left.kind.memory_megabytes)
+                .then_with(|| left.target.cmp(&right.target))
+        });
+        Search::new(engine, pool, &movable).run(&mut layout);
+    }
+    layout
+}
+
+/// A run of blocks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Run {
+    first: usize,
+    end: usize,
+}
+
+struct Search<'a> {
+    engine: &'a Engine,
+    cards: &'a [&'a Card],
+    /// Whether each card's run may be chosen.
+    free: Vec<bool>,
+    runs: Vec<Option<Run>>,
+    /// Tokens that the cards can serve, by block.
+    supply: [f64; BLOCK_COUNT],
+    /// Boundaries of the blocks.
+    boundaries: [Layer; BLOCK_COUNT + 1],
+}
+
+impl<'a> Search<'a> {
+    fn new(engine: &'a Engine, cards: &'a [&'a Card], movable: impl Fn(&Card) -> bool) -> Self {
+        let mut boundaries = [0; BLOCK_COUNT + 1];
+        for (index, boundary) in boundaries.iter_mut().enumerate() {
+            let layers = usize::from(engine.layer_count) * index / BLOCK_COUNT;
+            *boundary = Layer::try_from(layers).unwrap_or(Layer::MAX);
+        }
+        let mut search = Self {
+            engine,
+            cards,
+            free: cards.iter().map(|card| movable(card)).collect(),
+            runs: vec![None; cards.len()],
+            supply: [0.0; BLOCK_COUNT],
+            boundaries,
+        };
+        for index in 0..cards.len() {
+            if !search.free[index] {
+                let run = cards[index].holds.and_then(|range| search.run_of(range));
+                search.set(index, run);
+            }
+        }
+        search
+    }
+
+    fn run(mut self, layout: &mut Layout) {
+        for index in 0..self.cards.len() {
+            if self.free[index] {
+                self.improve(index);
+            }
+        }
+        for _ in 0..ROUNDS_MAX {
+            let mut changed = false;
+            for index in 0..self.cards.len() {
+                if self.free[index] {
+                    changed |= self.improve(index);
+                }
+            }
+            if !changed {
+                break;
+            }
+        }
+        for (index, card) in self.cards.iter().enumerate() {
+            let range = match (self.free[index], self.runs[index]) {
+                (true, Some(run)) => Some(self.range_of(run)),
+                (true, None) => None,
+                (false, _) => card.holds,
+            };
+            if let Some(range) = range {
+                layout.insert(card.target.clone(), range);
+            }
+        }
+    }
+
+    /// Gives a card its best run under the others' present ones.
+    fn improve(&mut self, index: usize) -> bool {
+        let before = self.runs[index];
+        let before_price = self.price();
+        self.set(index, None);
+        let mut best = before;
+        let mut best_price = f64::INFINITY;
+        for first in 0..BLOCK_COUNT {
+            for end in first + 1..=BLOCK_COUNT {
+                let run = Run { first, end };
+                if !self.fits(index, run) {
+                    break;
+                }
+                self.set(index, Some(run));
+                let price = self.price();
+                self.set(index, None);
+                if price < best_price {
+                    best_price = price;
+                    best = Some(run);
+                }
+            }
+        }
+        if before.is_some() && best_price >= before_price * (1.0 - GAIN_MIN) {
+            best = before;
+        }
+        self.set(index, best);
+        best != before
+    }
+
+    /// Price of the present runs: each block costs the more, the less it can serve.
+    fn price(&self) -> f64 {
+        self.supply
+            .iter()
+            .map(|supply| {
+                let supply = supply.max(SUPPLY_MIN_TOKENS) / 1e4;
+                1.0 / (supply * supply)
+            })
+            .sum()
+    }
+
+    fn fits(&self, index: usize, run: Run) -> bool {
+        self.range_of(run).count() <= self.engine.layers_max(self.cards[index].kind)
+    }
+
+    fn set(&mut self, index: usize, run: Option<Run>) {
+        if let Some(old) = self.runs[index] {
+            let supply = self.supply_of(index, old);
+            for block in &mut self.supply[old.first..old.end] {
+                *block -= supply;
+            }
+        }
+        if let Some(new) = run {
+            let supply = self.supply_of(index, new);
+            for block in &mut self.supply[new.first..new.end] {
+                *block += supply;
+            }
+        }
+        self.runs[index] = run;
+    }
+
+    /// Tokens that a card serves with a run, discounted by the time for which its steps hold them.
+    fn supply_of(&self, index: usize, run: Run) -> f64 {
+        let kind = self.cards[index].kind;
+        self.engine
+            .capacity_tokens(kind, self.range_of(run).count())
+    }
+
+    fn range_of(&self, run: Run) -> LayerRange {
+        LayerRange {
+            first: self.boundaries[run.first],
+            end: self.boundaries[run.end],
+        }
+    }
+
+    /// The blocks that a range covers whole.
+    fn run_of(&self, range: LayerRange) -> Option<Run> {
+        let first = self.boundaries.iter().position(|at| *at >= range.first)?;
+        let end = self.boundaries.iter().rposition(|at| *at <= range.end)?;
+        (first < end).then_some(Run { first, end })
+    }
+}
--- /dev/null
+++ b/crates/anvil_core/src/layout/tests.rs
@@ -0,0 +1,71 @@
+use googletest::prelude::*;
+
+use super::*;
+use crate::engine_model::tests::engine;
+
+fn cards(data_centre: &str, kinds: &[(&str, usize)]) -> Vec<Card> {
+    let engine = engine();
+    let mut cards = Vec::new();
+    for (kind, count) in kinds {
+        for index in 0..*count {
+            cards.push(Card {
+                target: format!("{data_centre}-{kind}-{index}").into(),
+                data_centre: data_centre.into(),
+                kind: engine.kinds[*kind],
+                holds: None,
+            });
+        }
+    }
+    cards
+}
+
+/// Copies of each layer.
+fn copies(layout: &Layout, cards: &[Card], data_centre: &str) -> Vec<usize> {
+    let mut copies = vec![0; 80];
+    for card in cards.iter().filter(|card| card.data_centre == data_centre) {
+        if let Some(range) = layout.get(&card.target) {
+            for layer in range.first..range.end {
+                copies[usize::from(layer)] += 1;
+            }
+        }
+    }
+    copies
+}
+
+#[gtest]
+fn choose_covers_every_layer_in_each_data_centre() {
+    let engine = engine();
+    let mut all = cards("a", &[("large", 1), ("middle", 3), ("small", 8)]);
+    all.extend(cards("b", &[("large", 1), ("middle", 6), ("small", 5)]));
+    all.extend(cards("c", &[("large", 2), ("middle", 2), ("small", 5)]));
+    let layout = choose(&engine, &all, |_| true);
+    for data_centre in ["a", "b", "c"] {
+        expect_that!(copies(&layout, &all, data_centre), each(ge(&1)));
+    }
+}
+
+#[gtest]
+fn choose_never_overfills_a_card() {
+    let engine = engine();
+    let all = cards("a", &[("large", 2), ("middle", 3), ("small", 8)]);
+    for (target, range) in &choose(&engine, &all, |_| true) {
+        let card = all.iter().find(|card| card.target == *target).unwrap();
+        expect_that!(range.count(), le(engine.layers_max(card.kind)));
+    }
+}
+
+#[gtest]
+fn choose_refills_gap_left_by_a_lost_card() {
+    let engine = engine();
+    let mut all = cards("a", &[("large", 1), ("middle", 3), ("small", 8)]);
+    let layout = choose(&engine, &all, |_| true);
+    for card in &mut all {
+        card.holds = layout.get(&card.target).copied();
+    }
+    let lost = all[3].target.clone();
+    let before = all[3].holds;
+    all[3].holds = None;
+    let again = choose(&engine, &all, |card| card.holds.is_none());
+    expect_that!(again.get(&lost).copied(), eq(before));
+    expect_that!(copies(&again, &all, "a"), each(ge(&1)));
+}
--- /dev/null
+++ b/crates/anvil_core/src/route/engine_driven/tests.rs
@@ -0,0 +1,130 @@
+use googletest::prelude::*;
+
+use super::*;
+use crate::engine_model::tests::engine;
+
+fn worker(name: &str, kind: &str, data_centre: usize, first: Layer, end: Layer) -> Worker {
+    Worker {
+        target: name.into(),
+        data_centre,
+        kind: engine().kinds[kind],
+        layers: LayerRange { first, end },
+        sequences: 0.0,
+        used_token_layers: 0.0,
+        first_requests: 0.0,
+        slowdown: 1.0,
+        open: true,
+    }
+}
+
+const DEMAND: Demand = Demand {
+    prompt_tokens: 800.0,
+    answer_tokens: 200.0,
+    data_centre: 0,
+};
+
+fn path(workers: &[Worker]) -> Option<Path> {
+    choose(&engine(), workers, &DEMAND, 2, || 1.0)
+}
+
+fn names(workers: &[Worker], path: &Path) -> Vec<String> {
+    let name = |hop: &Hop| workers[hop.worker].target.to_string();
+    path.hops.iter().map(name).collect()
+}
+
+#[gtest]
+fn choose_tiles_ranges_that_overlap() {
+    let workers = [
+        worker("a", "large", 0, 0, 30),
+        worker("b", "middle", 0, 25, 45),
+        worker("c", "large", 0, 40, 70),
+        worker("d", "small", 0, 70, 80),
+    ];
+    let path = path(&workers).unwrap();
+    expect_that!(
+        names(&workers, &path),
+        elements_are![eq("a"), eq("b"), eq("c"), eq("d")]
+    );
+    expect_that!(path.hops[0].layers.end, eq(30));
+    expect_that!(path.hops[2].layers.first, eq(40));
+}
+
+#[gtest]
+fn choose_stays_in_one_data_centre_where_it_can() {
+    let workers = [
+        worker("near-1", "middle", 0, 0, 40),
+        worker("near-2", "middle", 0, 40, 80),
+        worker("far-1", "middle", 1, 0, 40),
+    ];
+    let mut workers = workers.to_vec();
+    workers[0].sequences = 10.0;
+    for worker in &mut workers {
+        // Memory for 40 layers, with the paces of their kinds.
+        worker.kind.memory_megabytes = 100_000.0;
+    }
+    let path = path(&workers).unwrap();
+    expect_that!(
+        names(&workers, &path),
+        elements_are![eq("near-1"), eq("near-2")]
+    );
+}
+
+#[gtest]
+fn choose_finds_nothing_without_room() {
+    let mut workers = [
+        worker("a", "large", 0, 0, 30),
+        worker("b", "large", 0, 30, 60),
+    ]
+    .to_vec();
+    workers.push(worker("c", "large", 0, 60, 80));
+    expect_that!(path(&workers).is_some(), eq(true));
+    let kind = workers[1].kind;
+    workers[1].used_token_layers = engine().capacity_token_layers(kind, 30);
+    expect_that!(path(&workers), none());
+}
+
+#[gtest]
+fn choose_avoids_closed_worker() {
+    let mut workers = vec![
+        worker("a", "large", 0, 0, 40),
+        worker("b", "large", 0, 0, 40),
+        worker("c", "large", 0, 40, 80),
+    ];
+    workers[0].open = false;
+    for worker in &mut workers {
+        worker.kind.memory_megabytes = 100_000.0;
+    }
+    let path = path(&workers).unwrap();
+    expect_that!(names(&workers, &path), elements_are![eq("b"), eq("c")]);
+    workers[1].open = false;
+    expect_that!(self::path(&workers), none());
+}
+
+#[gtest]
+fn choose_visits_a_worker_once() {
+    let workers = [
+        worker("a", "middle", 0, 0, 24),
+        worker("b", "large", 0, 5, 15),
+        worker("c", "large", 0, 24, 54),
+        worker("d", "large", 0, 50, 80),
+    ];
+    let path = path(&workers).unwrap();
+    expect_that!(
+        names(&workers, &path),
+        elements_are![eq("a"), eq("c"), eq("d")]
+    );
+    expect_that!(path.hops[0].layers.end, eq(24));
+}
+
+#[gtest]
+fn choose_spreads_from_loaded_worker() {
+    let mut workers = vec![
+        worker("a", "middle", 0, 0, 20),
+        worker("b", "middle", 0, 0, 20),
+        worker("c", "large", 0, 20, 50),
+        worker("d", "large", 0, 50, 80),
+    ];
+    workers[0].sequences = 30.0;
+    let path = path(&workers).unwrap();
+    expect_that!(names(&workers, &path)[0].as_str(), eq("b"));
+}
--- a/crates/anvil_dev/src/events.rs
+++ b/crates/anvil_dev/src/events.rs
@@ -48,7 +48,8 @@
 /// A source that can't be read or is not Rust.
 pub fn logged(root: &Path) -> Result<Vec<Logged>, GenerateError> {
     let mut found = Vec::new();
-    for path in sources(&root.join("crates")) {
+    let crates = sources(&root.join("crates"));
+    for path in crates.into_iter().chain(sources(&root.join("platform"))) {
         let text = read(&path)?;
         let tokens: TokenStream = text.parse().map_err(|error| GenerateError::Invalid {
             path: path.clone(),
--- a/crates/anvil_dev/src/wire_types.rs
+++ b/crates/anvil_dev/src/wire_types.rs
@@ -1,4 +1,5 @@
-//! Generates `anvil_wire`'s types from the JSON Schemas in `schemas/`.
+//! Generates `anvil_wire`'s types from the JSON Schemas in `schemas/`, and those of the users'
+//! platform from its own.
 
 use std::{
     fs,
@@ -22,8 +23,12 @@
 
 /// Directory of the generated files, from the repository's root.
 const DIRECTORY: &str = "crates/anvil_wire/src/generated";
+/// Schema of the users' platform, whose names stay in its own folder.
+const PLATFORM_SCHEMA: &str = "platform/schema.json";
+/// File generated from it.
+const PLATFORM_TYPES: &str = "platform/src/generated.rs";
 
-/// The files of `crates/anvil_wire/src/generated`.
+/// The files of `crates/anvil_wire/src/generated`, and the platform's.
 ///
 /// # Errors
 ///
@@ -47,6 +52,14 @@
         path: Path::new(DIRECTORY).join("mod.rs"),
         text: modules,
     });
+    let platform = root.join(PLATFORM_SCHEMA);
+    outputs.push(Output {
+        path: PLATFORM_TYPES.into(),
+        text: types_of(&read(&platform)?).map_err(|message| GenerateError::Invalid {
+            path: platform,
+            message,
+        })?,
+    });
     Ok(outputs)
 }
 
--- /dev/null
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -0,0 +1,380 @@
+//! One caller's connection: reads requests one after another and answers each.
+
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
+
+use anvil_core::{
+    entry::{
+        Route,
+        Service,
+        Table,
+        choose_backend, //
+    },
+    id::ServiceId,
+    id::TeamId, //
+};
+use bytes::Bytes;
+use tokio::{
+    net::TcpStream,
+    time::Instant, //
+};
+
+use crate::{
+    answer::{
+        Promise,
+        Reason,
+        Refusal, //
+    },
+    gateway::{
+        Counted,
+        Gateway,
+        Phase, //
+    },
+    http1::{
+        BodyDecoder,
+        Connection,
+        HeadError,
+        ReadError,
+        RequestHead, //
+    },
+    plain,
+    port::RequestFacts,
+    stream, //
+};
+
+/// Time before the end of a request's time at which it is answered: the answer must be on its way
+/// in time even if this host is slow.
+const ANSWER_MARGIN: Duration = Duration::from_millis(40);
+/// Longest time that a closed connection waits for the caller to close it too.
+const LINGER: Duration = Duration::from_millis(500);
+/// Share of the bound on revoked keys that may pass without word from the store.
+const STALE_SHARE: f64 = 0.9;
+/// Time after which a caller may return to a host that lacks knowledge; another one has it.
+const RETRY_ELSEWHERE: Duration = Duration::from_millis(50);
+/// Longest time that a request's body may take.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A request with all that decides about it.
+pub struct Request<'a> {
+    /// Its head.
+    pub head: &'a RequestHead,
+    /// What the head says.
+    pub facts: &'a RequestFacts,
+    /// Its body.
+    pub body: Bytes,
+    /// Its route.
+    pub route: &'a Route,
+    /// The table that holds the route.
+    pub table: &'a Table,
+    /// The service chosen for it.
+    pub service_id: &'a ServiceId,
+    /// That service.
+    pub service: &'a Service,
+    /// The caller's team, where callers have keys.
+    pub team: Option<TeamId>,
+    /// When it had arrived.
+    pub arrived: Instant,
+    /// When it must be answered.
+    pub deadline: Instant,
+    /// Whether the connection may stay open after the answer.
+    pub keep_alive: bool,
+}
+
+/// What became of a request.
+#[derive(Debug)]
+pub enum Ended {
+    /// The answer went out whole, with this status.
+    Answered {
+        /// HTTP status.
+        status: u16,
+    },
+    /// It was refused or failed; nothing of an answer went out yet.
+    Refused(Refusal),
+    /// The answer broke off after its beginning, so that the connection must be closed.
+    BrokenOff {
+        /// Why.
+        reason: &'static str,
+    },
+    /// The caller left.
+    CallerGone,
+}
+
+/// What a request met on its way, for its line in the log.
+#[derive(Debug, Default)]
+pub struct Trace {
+    /// Sends to targets.
+    pub sends: u32,
+    /// Targets or paths, in the order of the sends.
+    pub via: Vec<String>,
+    /// What failed.
+    pub failures: Vec<String>,
+    /// Events delivered.
+    pub events: u32,
+    /// Time to the first event or answer.
+    pub first_ms: u64,
+    /// Longest pause between events.
+    pub longest_pause_ms: u64,
+    /// Predicted time to the first event.
+    pub predicted_first_ms: f64,
+    /// Predicted pause between events.
+    pub predicted_pause_ms: f64,
+}
+
+impl Trace {
+    /// Notes a failure, within a bound.
+    pub fn failed(&mut self, what: impl Into<String>) {
+        const FAILURES_MAX: usize = 6;
+        if self.failures.len() < FAILURES_MAX {
+            self.failures.push(what.into());
+        }
+    }
+}
+
+/// Serves a caller's connection until it ends.
+pub async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
+    let _counted = Counted::begin(&gateway.open_connections);
+    let mut connection = Connection::new(stream);
+    loop {
+        let limits = gateway
+            .knowledge
+            .table()
+            .map(|table| table.limits())
+            .unwrap_or_default();
+        let head = tokio::select! {
+            biased;
+            head = connection.read_request(
+                limits.header_limit_bytes,
+                limits.idle_timeout,
+                limits.header_timeout,
+            ) => head,
+            () = gateway.closing() => return connection.close(LINGER).await,
+        };
+        let head = match head {
+            Ok(Some(head)) => head,
+            Ok(None) => return connection.close(LINGER).await,
+            Err(ReadError::Head(error)) => {
+                return refuse_head(&gateway, connection, error).await;
+            }
+            Err(ReadError::Io(_) | ReadError::Closed | ReadError::Body(_)) => return,
+        };
+        let _counted = Counted::begin(&gateway.open_requests);
+        match serve_request(&gateway, &mut connection, &head).await {
+            Next::Request => {}
+            Next::Close => return connection.close(LINGER).await,
+            Next::Drop => return,
+        }
+    }
+}
+
+/// What happens to a connection after a request.
+enum Next {
+    /// Another request may follow.
+    Request,
+    /// It is closed in good order.
+    Close,
+    /// It is dropped: the caller is gone, or must see that the answer is not whole.
+    Drop,
+}
+
+async fn refuse_head(gateway: &Gateway, connection: Connection, error: HeadError) {
+    let reason = match error {
+        HeadError::TooLarge => Reason::HeadTooLarge,
+        HeadError::Malformed | HeadError::AmbiguousLength | HeadError::UnknownEncoding => {
+            Reason::BadRequest
+        }
+    };
+    spdlog::info!("request.malformed", kv: { error: });
+    let refusal = Refusal::not_run(reason, None);
+    let answer = refusal.render(
+        gateway.platform.headers.request_id_header(),
+        &"".into(),
+        false,
+    );
+    if connection.write_all(&answer).await.is_ok() {
+        connection.close(LINGER).await;
+    }
+}
+
+async fn serve_request(gateway: &Gateway, connection: &mut Connection, head: &RequestHead) -> Next {
+    let arrived = Instant::now();
+    let keep_alive = head.keep_alive && gateway.phase() == Phase::Serving;
+    let mut trace = Trace::default();
+    let (facts, ended, body_is_read) =
+        decide(gateway, connection, head, arrived, keep_alive, &mut trace).await;
+    log_end(gateway, head, &facts, arrived, &ended, &trace);
+    match ended {
+        Ended::Answered { .. } if keep_alive => Next::Request,
+        Ended::Answered { .. } => Next::Close,
+        Ended::BrokenOff { .. } | Ended::CallerGone => Next::Drop,
+        Ended::Refused(refusal) => {
+            let keep_alive = keep_alive && body_is_read;
+            let id_header = gateway.platform.headers.request_id_header();
+            let answer = refusal.render(id_header, &facts.id, keep_alive);
+            match connection.write_all(&answer).await {
+                Err(_) => Next::Drop,
+                Ok(()) if keep_alive => Next::Request,
+                Ok(()) => Next::Close,
+            }
+        }
+    }
+}
+
+/// Decides about a request and serves it. Tells what the head says, what became of the request,
+/// and whether its body was read.
+async fn decide(
+    gateway: &Gateway,
+    connection: &mut Connection,
+    head: &RequestHead,
+    arrived: Instant,
+    keep_alive: bool,
+    trace: &mut Trace,
+) -> (RequestFacts, Ended, bool) {
+    let refused = |reason| Ended::Refused(Refusal::not_run(reason, None));
+    let facts = match gateway.platform.headers.read_request(head) {
+        Ok(facts) => facts,
+        Err(problem) => {
+            trace.failed(problem.as_str());
+            return (RequestFacts::default(), refused(Reason::BadRequest), false);
+        }
+    };
+    let limits = gateway
+        .knowledge
+        .table()
+        .map(|table| table.limits())
+        .unwrap_or_default();
+    let body = match read_body(connection, head, limits.body_limit_bytes).await {
+        Ok(Some(body)) => body,
+        Ok(None) => return (facts, refused(Reason::BodyTooLarge), false),
+        Err(ReadError::Body(_)) => return (facts, refused(Reason::BadRequest), false),
+        Err(_) => return (facts, Ended::CallerGone, false),
+    };
+    // The table is taken after the body, so that what decides is as new as can be.
+    let Some(table) = gateway.knowledge.table() else {
+        let refusal = Refusal::not_run(Reason::Unconfigured, Some(RETRY_ELSEWHERE));
+        return (facts, Ended::Refused(refusal), true);
+    };
+    let host = head.headers.text("host").unwrap_or_default();
+    let Some(route) = table.route(host, head.path()) else {
+        return (facts, refused(Reason::NoRoute), true);
+    };
+    let team = if table.needs_key(route) {
+        if is_stale(gateway) {
+            let refusal = Refusal::not_run(Reason::Stale, Some(RETRY_ELSEWHERE));
+            return (facts, Ended::Refused(refusal), true);
+        }
+        match facts.key.as_deref().and_then(|key| table.team(key)) {
+            Some(team) => Some(team.name.clone()),
+            None => return (facts, refused(Reason::UnknownKey), true),
+        }
+    } else {
+        None
+    };
+    let backend = choose_backend(route, gateway.draw());
+    let Some((service_id, service)) = backend.and_then(|id| Some((id, table.service(id)?))) else {
+        return (facts, refused(Reason::NoTarget), true);
+    };
+    let time = facts
+        .budget
+        .map_or(route.timeout, |budget| budget.min(route.timeout));
+    let request = Request {
+        head,
+        facts: &facts,
+        body,
+        route,
+        table: &table,
+        service_id,
+        service,
+        team,
+        arrived,
+        deadline: arrived + time.saturating_sub(ANSWER_MARGIN),
+        keep_alive,
+    };
+    let ended = match &service.engine {
+        Some(engine) if route.repetition.is_stream() => {
+            stream::serve(gateway, connection, &request, engine, trace).await
+        }
+        Some(_) | None => plain::serve(gateway, connection, &request, trace).await,
+    };
+    (facts, ended, true)
+}
+
+/// Whether a key that is known may have been taken away too long ago.
+pub fn is_stale(gateway: &Gateway) -> bool {
+    let bound = gateway.settings.bounds.revoke.mul_f64(STALE_SHARE);
+    gateway.knowledge.age().is_none_or(|age| age > bound)
+}
+
+async fn read_body(
+    connection: &mut Connection,
+    head: &RequestHead,
+    limit_bytes: usize,
+) -> Result<Option<Bytes>, ReadError> {
+    if head.headers.lists("expect", "100-continue") {
+        connection
+            .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
+            .await
+            .map_err(ReadError::Io)?;
+    }
+    let mut decoder = BodyDecoder::new(head.framing);
+    match tokio::time::timeout(
+        BODY_TIMEOUT,
+        connection.read_whole_body(&mut decoder, limit_bytes),
+    )
+    .await
+    {
+        Ok(result) => result,
+        Err(_) => Err(ReadError::Closed),
+    }
+}
+
+fn log_end(
+    gateway: &Gateway,
+    head: &RequestHead,
+    facts: &RequestFacts,
+    arrived: Instant,
+    ended: &Ended,
+    trace: &Trace,
+) {
+    let (status, outcome) = match ended {
+        Ended::Answered { status } => (*status, "answered"),
+        Ended::Refused(refusal) => (
+            refusal.status(),
+            match refusal.promise {
+                Promise::NotRun => "not_run",
+                Promise::Unknown => "unknown",
+            },
+        ),
+        Ended::BrokenOff { .. } => (0, "broken_off"),
+        Ended::CallerGone => (0, "caller_gone"),
+    };
+    let reason = match ended {
+        Ended::Refused(refusal) => refusal.reason.text(),
+        Ended::BrokenOff { reason } => reason,
+        Ended::Answered { .. } | Ended::CallerGone => "",
+    };
+    let age_ms = gateway
+        .knowledge
+        .age()
+        .map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
+    spdlog::info!("request.ended", kv: {
+        request = facts.id.as_str(),
+        path = head.path(),
+        outcome,
+        status,
+        reason,
+        took_ms = arrived.elapsed().as_millis() as u64,
+        first_ms = trace.first_ms,
+        longest_pause_ms = trace.longest_pause_ms,
+        predicted_first_ms = trace.predicted_first_ms as u64,
+        predicted_pause_ms = trace.predicted_pause_ms as u64,
+        events = trace.events,
+        sends = trace.sends,
+        via = trace.via.join(" then ").as_str(),
+        failures = trace.failures.join("; ").as_str(),
+        prompt_tokens = facts.prompt_tokens,
+        config_version = gateway.knowledge.table().map_or(0, |table| table.version()),
+        config_age_ms = age_ms,
+    });
+}
--- /dev/null
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -0,0 +1,118 @@
+//! What all parts of a gateway share.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    time::Duration, //
+};
+
+use rand::{
+    Rng,
+    RngExt,
+    SeedableRng,
+    rngs::SmallRng, //
+};
+use tokio::sync::watch;
+
+use crate::{
+    knowledge::Knowledge,
+    port::Platform,
+    settings::Settings,
+    targets::Targets, //
+};
+
+/// How far a host's run has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// It serves.
+    Serving,
+    /// It is to stop: it tells the entry so, and still takes what comes.
+    Leaving,
+    /// The entry has noticed: idle connections are closed.
+    Closing,
+}
+
+/// What all parts of a gateway share.
+pub struct Gateway {
+    /// Settings.
+    pub settings: Settings,
+    /// The platform.
+    pub platform: Platform,
+    /// The operators' table.
+    pub knowledge: Knowledge,
+    /// The targets.
+    pub targets: Targets,
+    /// Requests open now.
+    pub open_requests: Cell<u32>,
+    /// Connections of callers open now.
+    pub open_connections: Cell<u32>,
+    phase: watch::Sender<Phase>,
+    random: RefCell<SmallRng>,
+}
+
+impl Gateway {
+    /// A gateway at the start of its run.
+    pub fn new(settings: Settings, platform: Platform) -> Self {
+        Self {
+            settings,
+            platform,
+            knowledge: Knowledge::default(),
+            targets: Targets::default(),
+            open_requests: Cell::new(0),
+            open_connections: Cell::new(0),
+            phase: watch::Sender::new(Phase::Serving),
+            random: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
+        }
+    }
+
+    /// How far the run has come.
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Goes on to a later phase.
+    pub fn set_phase(&self, phase: Phase) {
+        self.phase.send_replace(phase);
+    }
+
+    /// Waits until idle connections are to be closed.
+    pub async fn closing(&self) {
+        let mut phase = self.phase.subscribe();
+        // The sender lives as long as the gateway.
+        let _phase = phase.wait_for(|phase| *phase == Phase::Closing).await;
+    }
+
+    /// A random number in `0.0..1.0`.
+    pub fn draw(&self) -> f64 {
+        self.random.borrow_mut().random()
+    }
+
+    /// A duration drawn evenly from a range.
+    pub fn draw_between(&self, low: Duration, high: Duration) -> Duration {
+        low + high.saturating_sub(low).mul_f64(self.draw())
+    }
+
+    /// A random whole number.
+    pub fn draw_whole(&self) -> u64 {
+        self.random.borrow_mut().next_u64()
+    }
+}
+
+/// Counts one more in a cell until it is dropped.
+pub struct Counted<'a>(&'a Cell<u32>);
+
+impl<'a> Counted<'a> {
+    /// Counts one more.
+    pub fn begin(cell: &'a Cell<u32>) -> Self {
+        cell.set(cell.get() + 1);
+        Self(cell)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
--- /dev/null
+++ b/crates/anvil_gateway/src/http1/tests.rs
@@ -0,0 +1,121 @@
+use bytes::BytesMut;
+use googletest::prelude::*;
+
+use super::*;
+
+const LIMIT: usize = 1024;
+
+fn request(text: &str) -> std::result::Result<Option<RequestHead>, HeadError> {
+    RequestHead::take(&mut BytesMut::from(text), LIMIT)
+}
+
+fn decode(framing: Framing, text: &str) -> (Vec<u8>, std::result::Result<Piece, BodyError>) {
+    let mut buffer = BytesMut::from(text);
+    let mut decoder = BodyDecoder::new(framing);
+    let mut whole = Vec::new();
+    loop {
+        match decoder.next(&mut buffer) {
+            Ok(Piece::Data(data)) => whole.extend_from_slice(&data),
+            other => return (whole, other),
+        }
+    }
+}
+
+#[gtest]
+fn take_reads_request() {
+    let text = "POST /a/b?c=d HTTP/1.1\r\nHost: x.example\r\nContent-Length: 3\r\n\r\nabc";
+    let mut buffer = BytesMut::from(text);
+    let head = RequestHead::take(&mut buffer, LIMIT).unwrap().unwrap();
+    expect_that!(head.method.as_str(), eq("POST"));
+    expect_that!(head.path(), eq("/a/b"));
+    expect_that!(head.headers.text("host"), some(eq("x.example")));
+    expect_that!(head.framing, eq(Framing::Length(3)));
+    expect_that!(head.keep_alive, eq(true));
+    expect_that!(buffer.as_ref(), eq(b"abc"));
+}
+
+#[gtest]
+fn take_waits_for_whole_head() {
+    expect_that!(request("GET / HTTP/1.1\r\nHost: x\r\n"), ok(none()));
+}
+
+#[gtest]
+fn take_refuses_ambiguous_lengths() {
+    let cases = [
+        "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n",
+        "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\n",
+        "POST / HTTP/1.1\r\nContent-Length: 3,3\r\n\r\n",
+    ];
+    for case in cases {
+        expect_that!(
+            request(case),
+            err(eq(&HeadError::AmbiguousLength)),
+            "{case}"
+        );
+    }
+}
+
+#[gtest]
+fn take_refuses_unknown_encoding() {
+    let cases = [
+        "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n",
+    ];
+    for case in cases {
+        expect_that!(
+            request(case),
+            err(eq(&HeadError::UnknownEncoding)),
+            "{case}"
+        );
+    }
+}
+
+#[gtest]
+fn take_refuses_large_head() {
+    let text = format!("GET / HTTP/1.1\r\nA: {}\r\n\r\n", "a".repeat(LIMIT));
+    expect_that!(request(&text), err(eq(&HeadError::TooLarge)));
+    let partial = format!("GET / HTTP/1.1\r\nA: {}", "a".repeat(LIMIT));
+    expect_that!(request(&partial), err(eq(&HeadError::TooLarge)));
+}
+
+#[gtest]
+fn take_response_without_length_ends_with_connection() {
+    let mut buffer = BytesMut::from("HTTP/1.1 200 OK\r\n\r\nabc");
+    let head = ResponseHead::take(&mut buffer, LIMIT).unwrap().unwrap();
+    expect_that!(head.framing, eq(Framing::UntilClose));
+    expect_that!(head.keep_alive, eq(false));
+}
+
+#[gtest]
+fn next_decodes_chunks() {
+    let text = "3\r\nabc\r\nA;x=y\r\n0123456789\r\n0\r\nTrailer: x\r\n\r\n";
+    let (whole, end) = decode(Framing::Chunked, text);
+    expect_that!(whole, eq(b"abc0123456789"));
+    expect_that!(end, ok(eq(&Piece::End)));
+}
+
+#[gtest]
+fn next_refuses_malformed_chunks() {
+    for text in [
+        "x\r\n",
+        "\r\n",
+        "-1\r\n",
+        "3\r\nabcd\r\n",
+        "ffffffffffffffffff\r\n",
+    ] {
+        let (_, end) = decode(Framing::Chunked, text);
+        expect_that!(end, err(eq(&BodyError::MalformedChunk)), "{text}");
+    }
+}
+
+#[gtest]
+fn end_of_connection_tells_torn_bodies() {
+    for framing in [Framing::Length(3), Framing::Chunked] {
+        let mut decoder = BodyDecoder::new(framing);
+        expect_that!(decoder.end_of_connection(), err(eq(&BodyError::Truncated)));
+    }
+    let mut decoder = BodyDecoder::new(Framing::UntilClose);
+    expect_that!(decoder.end_of_connection(), ok(anything()));
+    expect_that!(decoder.is_done(), eq(true));
+}
--- /dev/null
+++ b/crates/anvil_gateway/src/paths.rs
@@ -0,0 +1,201 @@
+//! Paths of engines for streams, chosen from what this host knows of the targets.
+
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration, //
+};
+
+use anvil_core::{
+    engine_model::Engine,
+    id::LayerRange,
+    route::engine_driven::{
+        self,
+        Demand,
+        Path,
+        Worker, //
+    }, //
+};
+use tokio::time::Instant;
+
+use crate::{
+    exchange::Request,
+    gateway::Gateway,
+    port::Stage,
+    targets::Target, //
+};
+
+/// Largest relative change of a price at random, so that hosts that know the same spread out.
+const NOISE: f64 = 0.15;
+/// Shortest and longest time after which a caller may return where there was no room.
+const RETRY_MIN: Duration = Duration::from_millis(300);
+const RETRY_MAX: Duration = Duration::from_millis(1200);
+
+/// A visit of a path.
+#[derive(Clone, Debug)]
+pub struct Hop {
+    /// The engine.
+    pub target: Rc<Target>,
+    /// Layers that it applies.
+    pub layers: LayerRange,
+}
+
+/// A path with what is predicted of it.
+#[derive(Clone, Debug)]
+pub struct Chosen {
+    /// The engines in order. Invariant: not empty.
+    pub hops: Vec<Hop>,
+    /// What is predicted.
+    pub path: Path,
+}
+
+impl Chosen {
+    /// The engine that the request is sent to.
+    pub fn first(&self) -> &Rc<Target> {
+        &self.hops[0].target
+    }
+
+    /// The path as the request names it.
+    pub fn stages(&self) -> Vec<Stage> {
+        self.hops
+            .iter()
+            .map(|hop| Stage {
+                address: hop.target.address(),
+                layers: hop.layers,
+            })
+            .collect()
+    }
+
+    /// The path for a log line.
+    pub fn text(&self) -> String {
+        let hop = |hop: &Hop| format!("{}={}", hop.target.id, hop.layers);
+        self.hops.iter().map(hop).collect::<Vec<_>>().join(",")
+    }
+
+    /// Notes that events came along the path.
+    pub fn note_progress(&self, now: Instant, since: Instant, is_first: bool) {
+        let predicted_ms = match is_first {
+            true => self.path.first_event_ms,
+            false => self.path.pause_ms,
+        };
+        let observed_ms = now.duration_since(since).as_secs_f64() * 1e3;
+        for hop in &self.hops {
+            hop.target.note_progress(now);
+            if !is_first {
+                hop.target.note_pace(observed_ms, predicted_ms);
+            }
+        }
+    }
+
+    /// Whether every engine of the path made progress with some request since then.
+    pub fn all_progressed_since(&self, since: Instant) -> bool {
+        self.hops
+            .iter()
+            .all(|hop| hop.target.progressed_since(since))
+    }
+}
+
+/// What a request needs.
+pub fn demand(request: &Request<'_>, engine: &Engine, data_centre: usize) -> Demand {
+    let limit = f64::from(request.facts.answer_limit_tokens);
+    let expected = request
+        .facts
+        .answer_expected_tokens
+        .map_or(engine.usual_answer_tokens, f64::from);
+    Demand {
+        prompt_tokens: f64::from(request.facts.prompt_tokens),
+        answer_tokens: expected.min(limit.max(1.0)),
+        data_centre,
+    }
+}
+
+/// Chooses a path for a request. `used` holds the first engines that it was sent to before; once
+/// these are as many as it may be sent to, only they can be first again.
+pub fn choose(
+    gateway: &Gateway,
+    request: &Request<'_>,
+    engine: &Engine,
+    used: &[Rc<Target>],
+) -> Option<Chosen> {
+    let now = Instant::now();
+    let targets: Vec<Rc<Target>> = gateway
+        .targets
+        .of_service(request.service_id)
+        .into_iter()
+        .filter(|target| target.is_listed_ready() && target.entry.borrow().layers.is_some())
+        .collect();
+    let mut data_centres = vec![gateway.settings.data_centre.clone()];
+    let attempts_are_used = used.len() >= request.route.attempts_max as usize;
+    let workers: Vec<Worker> = targets
+        .iter()
+        .filter_map(|target| {
+            let entry = target.entry.borrow();
+            let data_centre = index_of(&mut data_centres, &entry.data_centre);
+            let (layers, _) = entry.layers?;
+            let kind = *engine.kinds.get(entry.kind.as_ref()?)?;
+            Some(Worker {
+                target: target.id.clone(),
+                data_centre,
+                kind,
+                layers,
+                sequences: target.sequences.get(),
+                used_token_layers: target.token_layers.get(),
+                first_requests: target.sent_requests.get(),
+                slowdown: target.slowdown(),
+                open: !target.is_avoided(now),
+            })
+        })
+        .collect();
+    let _ = attempts_are_used;
+    let demand = demand(request, engine, 0);
+    let noise = RefCell::new(|| 1.0 + NOISE * (2.0 * gateway.draw() - 1.0));
+    let path = engine_driven::choose(engine, &workers, &demand, data_centres.len(), || {
+        (noise.borrow_mut())()
+    })?;
+    let hops = path
+        .hops
+        .iter()
+        .filter_map(|hop| {
+            Some(Hop {
+                target: gateway.targets.get(&workers[hop.worker].target)?,
+                layers: hop.layers,
+            })
+        })
+        .collect::<Vec<_>>();
+    (hops.len() == path.hops.len()).then_some(Chosen { hops, path })
+}
+
+fn index_of(names: &mut Vec<smol_str::SmolStr>, name: &smol_str::SmolStr) -> usize {
+    names
+        .iter()
+        .position(|known| known == name)
+        .unwrap_or_else(|| {
+            names.push(name.clone());
+            names.len() - 1
+        })
+}
+
+/// Notes a refusal: the engine at fault is avoided, or the first where none is named.
+pub fn note_refusal(gateway: &Gateway, chosen: &Chosen, at_fault: Option<SocketAddr>) {
+    let now = Instant::now();
+    match at_fault.and_then(|address| gateway.targets.at(address)) {
+        Some(target) => target.note_failure(now),
+        None => chosen.first().note_failure(now),
+    }
+}
+
+/// Notes a stall: engines that showed no progress with other requests either are avoided.
+pub fn note_stall(chosen: &Chosen, since: Instant) {
+    let now = Instant::now();
+    for hop in &chosen.hops {
+        if !hop.target.progressed_since(since) {
+            hop.target.note_failure(now);
+        }
+    }
+}
+
+/// When a caller may return where there was no room.
+pub fn retry_after(gateway: &Gateway, _request: &Request<'_>) -> Duration {
+    gateway.draw_between(RETRY_MIN, RETRY_MAX)
+}
--- /dev/null
+++ b/crates/anvil_gateway/src/settings.rs
@@ -0,0 +1,316 @@
+//! Settings of a gateway: what the file says, and what holds after checks.
+
+use std::{
+    net::SocketAddr,
+    path::Path,
+    time::Duration, //
+};
+
+use anvil_core::id::{
+    DataCentreId,
+    HostId, //
+};
+use derive_more::{
+    Display,
+    Error, //
+};
+use serde::Deserialize;
+
+#[cfg(test)]
+mod tests;
+
+/// What the file says.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Options {
+    host_id: Option<HostId>,
+    data_centre: Option<DataCentreId>,
+    #[serde(default)]
+    listen: ListenOptions,
+    #[serde(default)]
+    platform: PlatformOptions,
+    #[serde(default)]
+    bounds: BoundsOptions,
+    #[serde(default)]
+    log: LogOptions,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ListenOptions {
+    callers: Option<SocketAddr>,
+    readiness: Option<SocketAddr>,
+    peers: Option<SocketAddr>,
+    metrics: Option<SocketAddr>,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct PlatformOptions {
+    store: Option<SocketAddr>,
+    heartbeat_ms: Option<f64>,
+    lease_min_ms: Option<f64>,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct BoundsOptions {
+    leaving_target_ms: Option<f64>,
+    stop_grace_s: Option<f64>,
+    config_apply_ms: Option<f64>,
+    revoke_ms: Option<f64>,
+    retry_ratio: Option<f64>,
+    retry_window_s: Option<f64>,
+    retry_slack: Option<f64>,
+    stall_ms: Option<f64>,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct LogOptions {
+    level: Option<String>,
+}
+
+/// What holds after checks and defaults.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The host's own name.
+    pub host_id: HostId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Listener for callers.
+    pub callers: SocketAddr,
+    /// Listener that tells whether the host takes callers.
+    pub readiness: SocketAddr,
+    /// Socket for other hosts.
+    pub peers: SocketAddr,
+    /// Listener for metrics, where it is set.
+    pub metrics: Option<SocketAddr>,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// Time between two writes of a target's entry.
+    pub heartbeat: Duration,
+    /// Shortest lease that the store grants.
+    pub lease_min: Duration,
+    /// Bounds that operators state.
+    pub bounds: Bounds,
+    /// Levels of the log.
+    pub log_level: String,
+}
+
+/// Bounds that operators state.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// Time after which a target that leaves must get nothing new.
+    pub leaving_target: Duration,
+    /// Time from the signal to stop until the process is killed.
+    pub stop_grace: Duration,
+    /// Time after which a table must be in force.
+    pub config_apply: Duration,
+    /// Time after which a key that was taken away must not be served.
+    pub revoke: Duration,
+    /// Extra sends to a service that are allowed, as a share of its requests.
+    pub retry_ratio: f64,
+    /// Time over which that share is taken.
+    pub retry_window: Duration,
+    /// Extra sends that are allowed beyond the share, over all hosts.
+    pub retry_slack_sends: f64,
+    /// Time for which work stalls that depends on a dead engine.
+    pub stall: Duration,
+}
+
+impl Default for Bounds {
+    /// The bounds of the pages that operators publish, for those that a deployment leaves out.
+    fn default() -> Self {
+        Self {
+            leaving_target: Duration::from_secs(2),
+            stop_grace: Duration::from_secs(8),
+            config_apply: Duration::from_secs(2),
+            revoke: Duration::from_secs(5),
+            retry_ratio: 0.2,
+            retry_window: Duration::from_secs(10),
+            retry_slack_sends: 20.0,
+            stall: Duration::from_secs(3),
+        }
+    }
+}
+
+/// Settings that can't be used.
+#[derive(Debug, Display, Error)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[display("{path}: {source}")]
+    File {
+        /// The file.
+        path: String,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The file is not what it should be.
+    #[display("{path}: {message}")]
+    Invalid {
+        /// The file.
+        path: String,
+        /// What is wrong, and where.
+        message: String,
+    },
+    /// A key is missing.
+    #[display("{path}: `{key}` is missing; see docs/reference/gateway-settings.md")]
+    Missing {
+        /// The file.
+        path: String,
+        /// The key.
+        key: &'static str,
+    },
+    /// A number is out of bounds.
+    #[display("{path}: `{key}` must be a number above 0, not {value}")]
+    OutOfBounds {
+        /// The file.
+        path: String,
+        /// The key.
+        key: &'static str,
+        /// What the file says.
+        value: f64,
+    },
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+///
+/// See [`SettingsError`].
+pub fn load(path: &Path) -> Result<Settings, SettingsError> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|source| SettingsError::File {
+        path: name.clone(),
+        source,
+    })?;
+    read(&name, &text)
+}
+
+/// Checks the text of a settings file.
+///
+/// # Errors
+///
+/// See [`SettingsError`].
+pub fn read(path: &str, text: &str) -> Result<Settings, SettingsError> {
+    let options: Options = toml::from_str(text).map_err(|error| SettingsError::Invalid {
+        path: path.to_owned(),
+        message: error.to_string(),
+    })?;
+    Checker { path }.settings(options)
+}
+
+struct Checker<'a> {
+    path: &'a str,
+}
+
+impl Checker<'_> {
+    fn settings(&self, options: Options) -> Result<Settings, SettingsError> {
+        let listen = options.listen;
+        let platform = options.platform;
+        Ok(Settings {
+            host_id: self.required("host_id", options.host_id)?,
+            data_centre: self.required("data_centre", options.data_centre)?,
+            callers: self.required("listen.callers", listen.callers)?,
+            readiness: self.required("listen.readiness", listen.readiness)?,
+            peers: self.required("listen.peers", listen.peers)?,
+            metrics: listen.metrics,
+            store: self.required("platform.store", platform.store)?,
+            heartbeat: self.millis(
+                "platform.heartbeat_ms",
+                platform.heartbeat_ms,
+                Duration::from_millis(1200),
+            )?,
+            lease_min: self.millis(
+                "platform.lease_min_ms",
+                platform.lease_min_ms,
+                Duration::from_secs(1),
+            )?,
+            bounds: self.bounds(options.bounds)?,
+            log_level: options.log.level.unwrap_or_else(|| "info".to_owned()),
+        })
+    }
+
+    fn bounds(&self, options: BoundsOptions) -> Result<Bounds, SettingsError> {
+        let default = Bounds::default();
+        Ok(Bounds {
+            leaving_target: self.millis(
+                "bounds.leaving_target_ms",
+                options.leaving_target_ms,
+                default.leaving_target,
+            )?,
+            stop_grace: self.seconds(
+                "bounds.stop_grace_s",
+                options.stop_grace_s,
+                default.stop_grace,
+            )?,
+            config_apply: self.millis(
+                "bounds.config_apply_ms",
+                options.config_apply_ms,
+                default.config_apply,
+            )?,
+            revoke: self.millis("bounds.revoke_ms", options.revoke_ms, default.revoke)?,
+            retry_ratio: self.positive(
+                "bounds.retry_ratio",
+                options.retry_ratio,
+                default.retry_ratio,
+            )?,
+            retry_window: self.seconds(
+                "bounds.retry_window_s",
+                options.retry_window_s,
+                default.retry_window,
+            )?,
+            retry_slack_sends: self.positive(
+                "bounds.retry_slack",
+                options.retry_slack,
+                default.retry_slack_sends,
+            )?,
+            stall: self.millis("bounds.stall_ms", options.stall_ms, default.stall)?,
+        })
+    }
+
+    fn required<T>(&self, key: &'static str, value: Option<T>) -> Result<T, SettingsError> {
+        value.ok_or_else(|| SettingsError::Missing {
+            path: self.path.to_owned(),
+            key,
+        })
+    }
+
+    fn positive(
+        &self,
+        key: &'static str,
+        value: Option<f64>,
+        default: f64,
+    ) -> Result<f64, SettingsError> {
+        match value {
+            None => Ok(default),
+            Some(value) if value.is_finite() && value > 0.0 => Ok(value),
+            Some(value) => Err(SettingsError::OutOfBounds {
+                path: self.path.to_owned(),
+                key,
+                value,
+            }),
+        }
+    }
+
+    fn millis(
+        &self,
+        key: &'static str,
+        value: Option<f64>,
+        default: Duration,
+    ) -> Result<Duration, SettingsError> {
+        let millis = self.positive(key, value, default.as_secs_f64() * 1e3)?;
+        Ok(Duration::from_secs_f64(millis / 1e3))
+    }
+
+    fn seconds(
+        &self,
+        key: &'static str,
+        value: Option<f64>,
+        default: Duration,
+    ) -> Result<Duration, SettingsError> {
+        let seconds = self.positive(key, value, default.as_secs_f64())?;
+        Ok(Duration::from_secs_f64(seconds))
+    }
+}
--- /dev/null
+++ b/crates/anvil_gateway/src/stream.rs
@@ -0,0 +1,473 @@
+//! Streams of model engines: sent once along a path, relayed event by event, and resumed on
+//! another path where one fails.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration, //
+};
+
+use anvil_core::{
+    engine_model::Engine,
+    entry::Repetition, //
+};
+use tokio::time::{
+    Instant,
+    timeout_at, //
+};
+
+use crate::{
+    answer::{
+        Reason,
+        Refusal,
+        RelayedBody,
+        render_head, //
+    },
+    events::Splitter,
+    exchange::{
+        Ended,
+        Request,
+        Trace,
+        is_stale, //
+    },
+    gateway::Gateway,
+    http1::{
+        BodyDecoder,
+        Connection,
+        ResponseHead, //
+    },
+    paths::{
+        self,
+        Chosen, //
+    },
+    plain::{
+        READ_AHEAD_LIMIT_BYTES,
+        answers, //
+    },
+    port::{
+        EventId,
+        Forwarding,
+        Stage, //
+    },
+    targets::{
+        Flight,
+        Target, //
+    },
+};
+
+/// Longest time that a new connection to an engine may take: a few round trips.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Silence after which a stream is taken to have stalled if an engine of its path shows no other
+/// progress. Callers leave after a gap of two seconds, and resuming takes a few hundred ms.
+const STALL_SUSPECT: Duration = Duration::from_millis(700);
+/// Silence after which a stream is taken to have stalled whatever its path shows.
+const STALL_CERTAIN: Duration = Duration::from_millis(1300);
+/// Pause before a path is looked for again while a stream waits to be resumed.
+const PATH_RETRY: Duration = Duration::from_millis(60);
+/// Longest time for which a path is looked for while a stream waits to be resumed.
+const RESUME_WAIT: Duration = Duration::from_millis(1500);
+/// Sends of one request that may be refused without having run before it is given up.
+const REFUSALS_MAX: u32 = 4;
+
+/// How one send ended.
+enum Sent {
+    /// The stream came to its end.
+    Complete,
+    /// An engine refused it; it did not run. The engine at fault, where it was named.
+    NotRun(&'static str, Option<SocketAddr>),
+    /// It failed; it may have run.
+    Lost(&'static str),
+    /// Nothing came for too long.
+    Stalled,
+    /// The engine answered with a status that is no success, for the caller.
+    Failed(ResponseHead, Vec<u8>),
+    /// The caller left.
+    CallerGone,
+    /// The time of the request is up.
+    TimeUp,
+}
+
+/// A stream on its way to the caller.
+struct Relay<'a> {
+    gateway: &'a Gateway,
+    request: &'a Request<'a>,
+    engine: &'a Engine,
+    /// Whether the head went out.
+    is_begun: bool,
+    /// Last event that went out, or the one after which the caller wants the stream to go on.
+    last_event: Option<EventId>,
+    /// When the caller last got something.
+    last_out: Instant,
+    /// First engines that this request was sent to.
+    used: Vec<Rc<Target>>,
+}
+
+/// Serves a stream.
+pub async fn serve(
+    gateway: &Gateway,
+    caller: &mut Connection,
+    request: &Request<'_>,
+    engine: &Engine,
+    trace: &mut Trace,
+) -> Ended {
+    let mut relay = Relay {
+        gateway,
+        request,
+        engine,
+        is_begun: false,
+        last_event: request.facts.resume_after,
+        last_out: Instant::now(),
+        used: Vec::new(),
+    };
+    relay.run(caller, trace).await
+}
+
+impl Relay<'_> {
+    async fn run(&mut self, caller: &mut Connection, trace: &mut Trace) -> Ended {
+        let resumable = self.request.route.repetition == Repetition::ResumableStream;
+        let mut refusals = 0;
+        let mut may_have_run = false;
+        let mut without_path_since: Option<Instant> = None;
+        loop {
+            if Instant::now() >= self.request.deadline {
+                return self.give_up(Reason::Timeout, may_have_run, "timeout");
+            }
+            let Some(chosen) = paths::choose(self.gateway, self.request, self.engine, &self.used)
+            else {
+                let since = *without_path_since.get_or_insert_with(Instant::now);
+                if !may_have_run || since.elapsed() > RESUME_WAIT {
+                    return self.give_up(Reason::Overloaded, may_have_run, "no path");
+                }
+                tokio::select! {
+                    biased;
+                    () = caller.closed_by_peer(READ_AHEAD_LIMIT_BYTES) => return Ended::CallerGone,
+                    () = tokio::time::sleep(PATH_RETRY) => {}
+                }
+                continue;
+            };
+            without_path_since = None;
+            if trace.sends == 0 {
+                trace.predicted_first_ms = chosen.path.first_event_ms;
+                trace.predicted_pause_ms = chosen.path.pause_ms;
+            }
+            let sent = self.send(caller, &chosen, trace).await;
+            let what = match sent {
+                Sent::Complete => return self.finish(caller).await,
+                Sent::CallerGone => return Ended::CallerGone,
+                Sent::TimeUp => return self.give_up(Reason::Timeout, true, "timeout"),
+                Sent::Failed(head, body) => {
+                    return self.pass_failure(caller, &head, &body).await;
+                }
+                Sent::NotRun(what, at_fault) => {
+                    paths::note_refusal(self.gateway, &chosen, at_fault);
+                    refusals += 1;
+                    if refusals >= REFUSALS_MAX {
+                        return self.give_up(Reason::Overloaded, may_have_run, what);
+                    }
+                    what
+                }
+                Sent::Lost(what) => {
+                    may_have_run = true;
+                    what
+                }
+                Sent::Stalled => {
+                    may_have_run = true;
+                    paths::note_stall(&chosen, self.last_out);
+                    "stalled"
+                }
+            };
+            trace.failed(format!("{}: {what}", chosen.first().id));
+            if may_have_run && !resumable {
+                return self.give_up(Reason::AnswerLost, true, what);
+            }
+        }
+    }
+
+    fn give_up(&self, reason: Reason, may_have_run: bool, what: &'static str) -> Ended {
+        if self.is_begun {
+            return Ended::BrokenOff { reason: what };
+        }
+        if may_have_run {
+            return Ended::Refused(Refusal::unknown(reason));
+        }
+        let retry_after = paths::retry_after(self.gateway, self.request);
+        Ended::Refused(Refusal::not_run(reason, Some(retry_after)))
+    }
+
+    async fn finish(&mut self, caller: &mut Connection) -> Ended {
+        match caller.write_all(b"0\r\n\r\n").await {
+            Ok(()) => Ended::Answered { status: 200 },
+            Err(_) => Ended::CallerGone,
+        }
+    }
+
+    async fn pass_failure(
+        &mut self,
+        caller: &mut Connection,
+        head: &ResponseHead,
+        body: &[u8],
+    ) -> Ended {
+        if self.is_begun {
+            return Ended::BrokenOff {
+                reason: "engine refused to resume",
+            };
+        }
+        let mut out = render_head(
+            head,
+            RelayedBody::Length(body.len()),
+            self.request.keep_alive,
+        );
+        out.extend_from_slice(body);
+        match caller.write_all(&out).await {
+            Ok(()) => Ended::Answered {
+                status: head.status,
+            },
+            Err(_) => Ended::CallerGone,
+        }
+    }
+
+    /// Sends the request along one path and relays what comes.
+    async fn send(&mut self, caller: &mut Connection, chosen: &Chosen, trace: &mut Trace) -> Sent {
+        let gateway = self.gateway;
+        let first = chosen.first();
+        let _flights = chosen.begin(self.engine, self.request);
+        let limit = CONNECT_TIMEOUT.min(self.left());
+        let mut taken = match first.pool.take(first.address(), limit).await {
+            Ok(taken) => taken,
+            Err(error) => {
+                first.note_failure(Instant::now());
+                trace.failed(error.to_string());
+                return Sent::NotRun("no connection", Some(first.address()));
+            }
+        };
+        if !first.is_listed_ready() {
+            return Sent::NotRun("engine is leaving", None);
+        }
+        if self.request.team.is_some() && is_stale(gateway) {
+            return Sent::NotRun("keys may be outdated", None);
+        }
+        let stages: Vec<Stage> = chosen.stages();
+        let forwarding = Forwarding {
+            budget: self.left(),
+            target: &first.id,
+            team: self.request.team.as_ref(),
+            path: &stages,
+            resume_after: self.last_event,
+        };
+        let mut out = Vec::with_capacity(1024 + self.request.body.len());
+        gateway.platform.headers.write_forwarded(
+            self.request.head,
+            self.request.body.len(),
+            &forwarding,
+            &mut out,
+        );
+        out.extend_from_slice(&self.request.body);
+        trace.sends += 1;
+        trace.via.push(chosen.text());
+        if !self.used.iter().any(|used| Rc::ptr_eq(used, first)) {
+            self.used.push(Rc::clone(first));
+        }
+        let sent_at = Instant::now();
+        if taken.connection.write_all(&out).await.is_err() {
+            if !taken.is_reused {
+                first.note_failure(Instant::now());
+            }
+            return Sent::Lost("connection failed while sending");
+        }
+        let upstream = &mut taken.connection;
+        let (head, facts) = loop {
+            let head = tokio::select! {
+                biased;
+                head = timeout_at(self.request.deadline, upstream.read_response()) => head,
+                () = caller.closed_by_peer(READ_AHEAD_LIMIT_BYTES) => return Sent::CallerGone,
+                () = self.stalled(chosen, sent_at) => return Sent::Stalled,
+            };
+            let head = match head {
+                Err(_) => return Sent::TimeUp,
+                Ok(Err(_)) => {
+                    if !taken.is_reused {
+                        first.note_failure(Instant::now());
+                    }
+                    return Sent::Lost("connection ended before the answer");
+                }
+                Ok(Ok(head)) => head,
+            };
+            let facts = gateway.platform.headers.read_answer(&head);
+            if answers(&facts, &self.request.facts.id) {
+                break (head, facts);
+            }
+            spdlog::warn!("answer.crossed", kv: {
+                request = self.request.facts.id.as_str(),
+                answers = facts.id.as_deref().unwrap_or_default(),
+            });
+            let mut decoder = BodyDecoder::new(head.framing);
+            // A crossed answer is short, or it is not worth the wait.
+            const CROSSED_LIMIT_BYTES: usize = 64 << 10;
+            const CROSSED_WAIT: Duration = Duration::from_millis(300);
+            let skipped = tokio::time::timeout(
+                CROSSED_WAIT,
+                upstream.read_whole_body(&mut decoder, CROSSED_LIMIT_BYTES),
+            )
+            .await;
+            if !matches!(skipped, Ok(Ok(Some(_)))) {
+                return Sent::Lost("crossed answer");
+            }
+        };
+        if !(200..300).contains(&head.status) {
+            return self.refused(taken.connection, first, &head, &facts).await;
+        }
+        if !facts.is_sealed {
+            return Sent::Lost("unsealed answer");
+        }
+        if !self.is_begun {
+            let out = render_head(&head, RelayedBody::Chunked, self.request.keep_alive);
+            if caller.write_all(&out).await.is_err() {
+                return Sent::CallerGone;
+            }
+            self.is_begun = true;
+        }
+        let mut decoder = BodyDecoder::new(head.framing);
+        let sent = self
+            .relay(caller, upstream, &mut decoder, chosen, sent_at, trace)
+            .await;
+        if matches!(sent, Sent::Complete) && head.keep_alive {
+            first.pool.keep(taken.connection, facts.idle_timeout);
+        }
+        sent
+    }
+
+    async fn refused(
+        &self,
+        mut upstream: Connection,
+        first: &Rc<Target>,
+        head: &ResponseHead,
+        facts: &crate::port::AnswerFacts,
+    ) -> Sent {
+        const REFUSAL_LIMIT_BYTES: usize = 64 << 10;
+        let mut decoder = BodyDecoder::new(head.framing);
+        let body = timeout_at(
+            self.request.deadline,
+            upstream.read_whole_body(&mut decoder, REFUSAL_LIMIT_BYTES),
+        )
+        .await;
+        let whole = match body {
+            Ok(Ok(Some(body))) => Some(body),
+            _ => None,
+        };
+        if whole.is_some() && head.keep_alive {
+            first.pool.keep(upstream, facts.idle_timeout);
+        }
+        if facts.did_not_run {
+            return Sent::NotRun("refused", facts.at_fault);
+        }
+        match whole {
+            Some(body) if facts.is_sealed => Sent::Failed(head.clone(), body.to_vec()),
+            _ => Sent::Lost("failure without a seal"),
+        }
+    }
+
+    async fn relay(
+        &mut self,
+        caller: &mut Connection,
+        upstream: &mut Connection,
+        decoder: &mut BodyDecoder,
+        chosen: &Chosen,
+        sent_at: Instant,
+        trace: &mut Trace,
+    ) -> Sent {
+        let mut splitter = Splitter::default();
+        let mut quiet_since = sent_at;
+        let mut is_first = true;
+        let mut out = Vec::new();
+        loop {
+            let piece = tokio::select! {
+                biased;
+                piece = timeout_at(self.request.deadline, upstream.read_body(decoder)) => piece,
+                () = caller.closed_by_peer(READ_AHEAD_LIMIT_BYTES) => return Sent::CallerGone,
+                () = self.stalled(chosen, quiet_since) => return Sent::Stalled,
+            };
+            let piece = match piece {
+                Err(_) => return Sent::TimeUp,
+                Ok(Err(_)) => return Sent::Lost("stream broke off"),
+                Ok(Ok(None)) if splitter.has_rest() => return Sent::Lost("torn event"),
+                Ok(Ok(None)) => return Sent::Complete,
+                Ok(Ok(Some(piece))) => piece,
+            };
+            if splitter.push(&piece).is_err() {
+                return Sent::Lost("event is too large");
+            }
+            let now = Instant::now();
+            out.clear();
+            let mut events = 0;
+            while let Some(event) = splitter.next() {
+                // A resumed stream must go on after the last event that went out.
+                if let (Some(id), Some(last)) = (event.id, self.last_event)
+                    && id <= last
+                {
+                    continue;
+                }
+                if let Some(id) = event.id {
+                    self.last_event = Some(id);
+                }
+                events += 1;
+                push_chunk(&mut out, &event.bytes);
+            }
+            if events == 0 {
+                continue;
+            }
+            chosen.note_progress(now, quiet_since, is_first);
+            if trace.events == 0 {
+                trace.first_ms = self.request.arrived.elapsed().as_millis() as u64;
+            } else {
+                let pause = now.duration_since(self.last_out).as_millis() as u64;
+                trace.longest_pause_ms = trace.longest_pause_ms.max(pause);
+            }
+            trace.events += events;
+            is_first = false;
+            quiet_since = now;
+            self.last_out = now;
+            if caller.write_all(&out).await.is_err() {
+                return Sent::CallerGone;
+            }
+        }
+    }
+
+    /// Waits until a stream that has been quiet since `since` counts as stalled.
+    async fn stalled(&self, chosen: &Chosen, since: Instant) {
+        if self.request.route.repetition != Repetition::ResumableStream {
+            return std::future::pending().await;
+        }
+        tokio::time::sleep_until(since + STALL_SUSPECT).await;
+        if chosen.all_progressed_since(since) {
+            tokio::time::sleep_until(since + STALL_CERTAIN).await;
+        }
+    }
+
+    fn left(&self) -> Duration {
+        self.request
+            .deadline
+            .saturating_duration_since(Instant::now())
+    }
+}
+
+fn push_chunk(out: &mut Vec<u8>, data: &[u8]) {
+    use std::io::Write;
+    write!(out, "{:x}\r\n", data.len()).expect("a Vec takes all that is written");
+    out.extend_from_slice(data);
+    out.extend_from_slice(b"\r\n");
+}
+
+/// Counts a request on every engine of its path until they are dropped.
+impl Chosen {
+    fn begin(&self, engine: &Engine, request: &Request<'_>) -> Vec<Flight> {
+        let tokens = paths::demand(request, engine, 0).tokens();
+        self.hops
+            .iter()
+            .enumerate()
+            .map(|(index, hop)| {
+                let token_layers = tokens * f64::from(hop.layers.count());
+                Flight::begin(&hop.target, token_layers, index == 0)
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/anvil_gateway/src/targets.rs
@@ -0,0 +1,317 @@
+//! The targets as this host knows them: what they registered, and what its own requests showed.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration, //
+};
+
+use anvil_core::id::{
+    ServiceId,
+    TargetId, //
+};
+use tokio::time::Instant;
+
+use crate::{
+    clock::BootTime,
+    pool::Pool,
+    port::{
+        TargetChange,
+        TargetEntry,
+        TargetState, //
+    }, //
+};
+
+/// Time for which a target is avoided after a first failure; doubles with each further one.
+const AVOID_MIN: Duration = Duration::from_millis(400);
+/// Longest time for which a target is avoided: a crashed one may be back within seconds.
+const AVOID_MAX: Duration = Duration::from_secs(4);
+/// Weight of a new observation of a target's speed.
+const SLOWDOWN_WEIGHT: f64 = 0.1;
+/// Largest slowdown that is believed.
+const SLOWDOWN_MAX: f64 = 20.0;
+
+/// One run of a target.
+#[derive(Debug)]
+pub struct Target {
+    /// Its name.
+    pub id: TargetId,
+    /// What it registered last.
+    pub entry: RefCell<TargetEntry>,
+    /// Idle connections to it.
+    pub pool: Pool,
+    /// Requests of this host on paths through it.
+    pub sequences: Cell<f64>,
+    /// Memory that they take, in tokens times layers.
+    pub token_layers: Cell<f64>,
+    /// Requests of this host that were sent to it.
+    pub sent_requests: Cell<f64>,
+    /// When it last wrote its entry, as this host learnt it.
+    pub heard: Cell<Instant>,
+    /// When a request through it last made progress.
+    progress: Cell<Option<Instant>>,
+    avoided_until: Cell<Option<Instant>>,
+    failures: Cell<u32>,
+    slowdown: Cell<f64>,
+    gone: Cell<bool>,
+}
+
+impl Target {
+    fn new(id: TargetId, entry: TargetEntry) -> Self {
+        Self {
+            id,
+            entry: RefCell::new(entry),
+            pool: Pool::default(),
+            sequences: Cell::new(0.0),
+            token_layers: Cell::new(0.0),
+            sent_requests: Cell::new(0.0),
+            heard: Cell::new(Instant::now()),
+            progress: Cell::new(None),
+            avoided_until: Cell::new(None),
+            failures: Cell::new(0),
+            slowdown: Cell::new(1.0),
+            gone: Cell::new(false),
+        }
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.entry.borrow().address
+    }
+
+    /// Whether it takes new requests, as far as the list says.
+    pub fn is_listed_ready(&self) -> bool {
+        !self.gone.get() && self.entry.borrow().state == TargetState::Ready
+    }
+
+    /// Whether it is avoided after failures.
+    pub fn is_avoided(&self, now: Instant) -> bool {
+        self.avoided_until.get().is_some_and(|until| until > now)
+    }
+
+    /// Notes that a request failed there.
+    pub fn note_failure(&self, now: Instant) {
+        if self.is_avoided(now) {
+            // Requests that were under way together fail together and count once.
+            return;
+        }
+        let failures = self.failures.get().saturating_add(1);
+        self.failures.set(failures);
+        let factor = 1u32 << (failures - 1).min(4);
+        self.avoided_until
+            .set(Some(now + (AVOID_MIN * factor).min(AVOID_MAX)));
+    }
+
+    /// Notes that a request made progress there.
+    pub fn note_progress(&self, now: Instant) {
+        self.progress.set(Some(now));
+        if !self.is_avoided(now) {
+            self.failures.set(0);
+        }
+    }
+
+    /// Whether a request made progress there since `then`.
+    pub fn progressed_since(&self, then: Instant) -> bool {
+        self.progress.get().is_some_and(|at| at >= then)
+    }
+
+    /// Notes how long something took against the prediction.
+    pub fn note_pace(&self, observed_ms: f64, predicted_ms: f64) {
+        if predicted_ms <= 0.0 {
+            return;
+        }
+        let sample = (observed_ms / predicted_ms).clamp(1.0, SLOWDOWN_MAX);
+        let old = self.slowdown.get();
+        self.slowdown.set(old + SLOWDOWN_WEIGHT * (sample - old));
+    }
+
+    /// Observed time over the predicted one.
+    pub fn slowdown(&self) -> f64 {
+        self.slowdown.get()
+    }
+}
+
+/// Counts a request at a target until it is dropped.
+#[derive(Debug)]
+pub struct Flight {
+    target: Rc<Target>,
+    token_layers: f64,
+    is_sent_here: bool,
+}
+
+impl Flight {
+    /// Counts a request that takes `token_layers` of memory.
+    pub fn begin(target: &Rc<Target>, token_layers: f64, is_sent_here: bool) -> Self {
+        add(&target.sequences, 1.0);
+        add(&target.token_layers, token_layers);
+        if is_sent_here {
+            add(&target.sent_requests, 1.0);
+        }
+        Self {
+            target: Rc::clone(target),
+            token_layers,
+            is_sent_here,
+        }
+    }
+
+    /// The target.
+    pub fn target(&self) -> &Rc<Target> {
+        &self.target
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        add(&self.target.sequences, -1.0);
+        add(&self.target.token_layers, -self.token_layers);
+        if self.is_sent_here {
+            add(&self.target.sent_requests, -1.0);
+        }
+    }
+}
+
+fn add(cell: &Cell<f64>, amount: f64) {
+    cell.set((cell.get() + amount).max(0.0));
+}
+
+/// All targets.
+#[derive(Debug, Default)]
+pub struct Targets {
+    by_id: RefCell<HashMap<TargetId, Rc<Target>>>,
+    /// The list is known as it was at this time or later.
+    current_as_of: Cell<Option<BootTime>>,
+}
+
+impl Targets {
+    /// Takes over the whole list. Targets that are not in it are gone.
+    pub fn replace(&self, changes: Vec<TargetChange>, as_of: BootTime) {
+        let listed: std::collections::HashSet<_> = changes
+            .iter()
+            .filter_map(|change| match change {
+                TargetChange::Put(id, _) => Some(id.clone()),
+                TargetChange::Removed(_) | TargetChange::Unreadable(..) => None,
+            })
+            .collect();
+        let missing: Vec<TargetId> = self
+            .by_id
+            .borrow()
+            .keys()
+            .filter(|id| !listed.contains(*id))
+            .cloned()
+            .collect();
+        for id in missing {
+            self.remove(&id, "not listed");
+        }
+        self.apply(changes, as_of);
+    }
+
+    /// Takes over changes of the list.
+    pub fn apply(&self, changes: Vec<TargetChange>, as_of: BootTime) {
+        for change in changes {
+            match change {
+                TargetChange::Put(id, entry) => self.put(id, entry),
+                TargetChange::Removed(id) => self.remove(&id, "removed"),
+                TargetChange::Unreadable(id, error) => {
+                    spdlog::warn!("target.unreadable", kv: {
+                        target = id.as_str(),
+                        error = error.as_str(),
+                    });
+                    self.remove(&id, "unreadable");
+                }
+            }
+        }
+        self.current_as_of
+            .set(self.current_as_of.get().max(Some(as_of)));
+    }
+
+    fn put(&self, id: TargetId, entry: TargetEntry) {
+        let mut by_id = self.by_id.borrow_mut();
+        if let Some(known) = by_id.get(&id) {
+            let same_run = {
+                let old = known.entry.borrow();
+                old.started_unix_ms == entry.started_unix_ms
+                    && old.address == entry.address
+                    && old.service == entry.service
+            };
+            if same_run {
+                let changed = {
+                    let old = known.entry.borrow();
+                    old.state != entry.state || old.layers != entry.layers
+                };
+                if changed {
+                    log_entry(&id, &entry);
+                }
+                known.heard.set(Instant::now());
+                *known.entry.borrow_mut() = entry;
+                return;
+            }
+            known.gone.set(true);
+        }
+        log_entry(&id, &entry);
+        by_id.insert(id.clone(), Rc::new(Target::new(id, entry)));
+    }
+
+    fn remove(&self, id: &TargetId, reason: &'static str) {
+        if let Some(target) = self.by_id.borrow_mut().remove(id) {
+            target.gone.set(true);
+            target.pool.clear();
+            spdlog::info!("target.gone", kv: { target = id.as_str(), reason });
+        }
+    }
+
+    /// A target by name.
+    pub fn get(&self, id: &TargetId) -> Option<Rc<Target>> {
+        self.by_id.borrow().get(id).cloned()
+    }
+
+    /// The target that listens at an address.
+    pub fn at(&self, address: SocketAddr) -> Option<Rc<Target>> {
+        self.by_id
+            .borrow()
+            .values()
+            .find(|target| target.address() == address)
+            .cloned()
+    }
+
+    /// The targets of a service, by name.
+    pub fn of_service(&self, service: &ServiceId) -> Vec<Rc<Target>> {
+        let mut found: Vec<_> = self
+            .by_id
+            .borrow()
+            .values()
+            .filter(|target| target.entry.borrow().service == *service)
+            .cloned()
+            .collect();
+        found.sort_by(|left, right| left.id.cmp(&right.id));
+        found
+    }
+
+    /// Every target.
+    pub fn all(&self) -> Vec<Rc<Target>> {
+        self.by_id.borrow().values().cloned().collect()
+    }
+
+    /// Age of the list; nothing where it was never read.
+    pub fn age(&self) -> Option<Duration> {
+        self.current_as_of.get().map(BootTime::elapsed)
+    }
+}
+
+fn log_entry(id: &TargetId, entry: &TargetEntry) {
+    let layers = entry
+        .layers
+        .map_or_else(String::new, |(range, _)| range.to_string());
+    spdlog::info!("target.listed", kv: {
+        target = id.as_str(),
+        service = entry.service.as_str(),
+        data_centre = entry.data_centre.as_str(),
+        address: = entry.address,
+        state:? = entry.state,
+        layers = layers.as_str(),
+    });
+}
--- /dev/null
+++ b/crates/anvilproxyd/src/gateway.rs
@@ -0,0 +1,100 @@
+//! Runs the gateway.
+
+use std::path::PathBuf;
+
+use anvil_command_line::ExitStatus;
+use anvil_gateway::{
+    run::Stopped,
+    settings::{
+        self,
+        Settings, //
+    }, //
+};
+use anvil_observe::log::Logs;
+use anvil_settings::log::{
+    Format,
+    Log, //
+};
+use tokio::task::LocalSet;
+
+/// Variable that names the settings file where the command line does not.
+const SETTINGS_VARIABLE: &str = "ANVILPROXY_SETTINGS";
+/// Most log lines a second of one event: some ten times the requests of a busy host.
+const LOG_RATE_LINES_PER_S: u32 = 100;
+
+/// Runs the gateway until it is told to stop, or checks its settings.
+pub fn run(config: Option<&str>, only_check: bool) -> ExitStatus {
+    let path = match config {
+        Some(path) => PathBuf::from(path),
+        None => match std::env::var_os(SETTINGS_VARIABLE) {
+            Some(path) => PathBuf::from(path),
+            None => {
+                eprintln!(
+                    "anvilproxyd: name the settings file with --config or {SETTINGS_VARIABLE}"
+                );
+                return ExitStatus::Error;
+            }
+        },
+    };
+    let settings = match settings::load(&path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("anvilproxyd: {error}");
+            return ExitStatus::Refused;
+        }
+    };
+    if only_check {
+        println!("{}: the settings are right", path.display());
+        return ExitStatus::Done;
+    }
+    let level = match settings.log_level.parse() {
+        Ok(level) => level,
+        Err(error) => {
+            eprintln!("anvilproxyd: {}: log.level: {error}", path.display());
+            return ExitStatus::Refused;
+        }
+    };
+    let log = Log {
+        level,
+        format: Format::Json,
+        rate_lines_per_s: LOG_RATE_LINES_PER_S,
+    };
+    let logs = match Logs::new(&log, std::io::stdout()) {
+        Ok(logs) => logs,
+        Err(error) => {
+            eprintln!("anvilproxyd: can't start the logs: {error}");
+            return ExitStatus::Error;
+        }
+    };
+    logs.install();
+    let status = serve(settings);
+    logs.flush();
+    status
+}
+
+fn serve(settings: Settings) -> ExitStatus {
+    let runtime = match tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("anvilproxyd: can't start the runtime: {error}");
+            return ExitStatus::Error;
+        }
+    };
+    spdlog::info!("host.starting", kv: { host = settings.host_id.as_str() });
+    let platform = anvil_platform::connect(settings.store);
+    let local = LocalSet::new();
+    match local.block_on(&runtime, anvil_gateway::run::run(settings, platform)) {
+        Ok(Stopped::Drained) => ExitStatus::Done,
+        Ok(Stopped::CutOff { open_requests }) => {
+            spdlog::error!("host.cut_off", kv: { open_requests });
+            ExitStatus::Error
+        }
+        Err(error) => {
+            spdlog::error!("host.start_failed", kv: { error: });
+            ExitStatus::Error
+        }
+    }
+}
--- a/crates/anvilproxyd/src/lib.rs
+++ b/crates/anvilproxyd/src/lib.rs
@@ -1,3 +1,4 @@
 //! The daemon of an entry host.
 
+pub mod gateway;
 pub mod run;
--- a/crates/anvilproxyd/src/run.rs
+++ b/crates/anvilproxyd/src/run.rs
@@ -20,6 +20,8 @@
 };
 use anvil_settings::Settings;
 
+use crate::gateway;
+
 /// Runs what the command line asks for.
 pub fn run(arguments: lexopt::Parser) -> ExitStatus {
     let invocation = match anvil_command_line::parse(&PROGRAM, arguments) {
@@ -34,6 +36,9 @@
         Ok(Parsed::Command(invocation)) => invocation,
         Err(error) => return usage_error(&error),
     };
+    if invocation.has("gateway") {
+        return gateway::run(invocation.value("config"), invocation.has("check"));
+    }
     let config = match invocation.required("config") {
         Ok(config) => Path::new(config),
         Err(error) => return usage_error(&error),
