Tell other hosts of requests in flight and of what was read from the store

Cause: a host knew only its own requests at the engines, so that 1,102 of 3,311 sends were refused for want of memory and 308 requests were preempted. Hosts now exchange sealed digests in datagrams; two hosts of a data centre read the store for the others, with ages that the receiver can trust because they count from a digest of its own.

--- a/crates/anvil_gateway/src/clock.rs
+++ b/crates/anvil_gateway/src/clock.rs
@@ -31,6 +31,11 @@
         Self(self.0.saturating_sub(by))
     }
 
+    /// That much later.
+    pub fn later(self, by: Duration) -> Self {
+        Self(self.0.saturating_add(by))
+    }
+
     /// Milliseconds since the machine started.
     pub fn as_millis(self) -> u64 {
         u64::try_from(self.0.as_millis()).unwrap_or(u64::MAX)
--- a/crates/anvil_gateway/src/events/tests.rs
+++ b/crates/anvil_gateway/src/events/tests.rs
@@ -41,5 +41,5 @@
         splitter.push(&vec![b'a'; EVENT_LIMIT_BYTES]),
         ok(anything())
     );
-    expect_that!(splitter.push(b"a"), err(eq(&EventTooLarge)));
+    expect_that!(splitter.push(b"a"), err(eq(EventTooLarge)));
 }
--- a/crates/anvil_gateway/src/follow.rs
+++ b/crates/anvil_gateway/src/follow.rs
@@ -11,17 +11,28 @@
 use crate::{
     clock::BootTime,
     gateway::Gateway,
+    peers::{
+        self,
+        Peers, //
+    },
     port::{
         Changes,
         StoreError, //
     }, //
 };
 
-/// Longest wait of one question for a new table. The answer also confirms the table held, whose
-/// age must stay well below the bound on revoked keys.
-const TABLE_WAIT: Duration = Duration::from_millis(1800);
+/// Longest wait of one question for a new table.
+const TABLE_WAIT: Duration = Duration::from_millis(1500);
 /// Share of the bound on leaving targets that passes between two readings of the list.
 const LIST_SHARE: f64 = 0.45;
+/// Share of the bound on leaving targets that a host lets pass without word from those that read
+/// the list for it.
+const LIST_RELAY_SHARE: f64 = 0.65;
+/// Share of the bound on revoked keys that a host lets pass without word from those that read the
+/// table for it.
+const TABLE_RELAY_SHARE: f64 = 0.5;
+/// Time between two looks at whether this host must read for itself.
+const RELAY_TICK: Duration = Duration::from_millis(100);
 /// Pause after a failed call, doubled up to the longest.
 const BACKOFF_MIN: Duration = Duration::from_millis(60);
 /// Longest pause after failed calls.
@@ -56,15 +67,32 @@
     }
 }
 
+/// Waits until this host must ask for the table: it reads for its peers, a peer has a newer one, or
+/// word from the readers is overdue.
+async fn table_is_due(gateway: &Gateway) {
+    let limit = gateway.settings.bounds.revoke.mul_f64(TABLE_RELAY_SHARE);
+    loop {
+        let is_overdue = gateway.knowledge.age().is_none_or(|age| age > limit);
+        if is_overdue || peers::is_reader(gateway) {
+            return;
+        }
+        tokio::select! {
+            () = gateway.table_news.notified() => return,
+            () = sleep(RELAY_TICK) => {}
+        }
+    }
+}
+
 /// Follows the operators' table for ever.
 pub async fn follow_table(gateway: Rc<Gateway>) {
     let mut backoff = Backoff::new("table");
     let mut next: Option<Offset> = None;
     loop {
+        table_is_due(&gateway).await;
         let asked = BootTime::now();
         let result = match next {
-            None => read_newest(&gateway, asked).await,
-            Some(from) => read_after(&gateway, from, asked).await,
+            None => read_table(&gateway, asked).await,
+            Some(from) => read_table_changes(&gateway, from, asked).await,
         };
         match result {
             Ok(offset) => {
@@ -79,77 +107,114 @@
     }
 }
 
-async fn read_newest(gateway: &Gateway, asked: BootTime) -> Result<Option<Offset>, StoreError> {
+async fn read_table(gateway: &Gateway, asked: BootTime) -> Result<Option<Offset>, StoreError> {
     let read = gateway.platform.store.newest_table().await?;
     gateway.knowledge.take(read.items, asked);
     Ok(Some(read.next))
 }
 
-async fn read_after(
+async fn read_table_changes(
     gateway: &Gateway,
     from: Offset,
     asked: BootTime,
 ) -> Result<Option<Offset>, StoreError> {
-    match gateway
-        .platform
-        .store
-        .tables_after(from, TABLE_WAIT)
-        .await?
-    {
+    let wait = match peers::is_reader(gateway) {
+        true => TABLE_WAIT,
+        false => Duration::ZERO,
+    };
+    match gateway.platform.store.tables_after(from, wait).await? {
         Changes::Forgotten => {
             spdlog::warn!("store.forgot", kv: { reading = "table", from });
             Ok(None)
         }
         Changes::Listed(read) => {
-            gateway.knowledge.take(read.items, asked);
+            // The store answers as soon as there is a record: where the wait passed without one,
+            // there was none up to its end.
+            let is_unchanged = read.next == from;
+            let waited = match is_unchanged {
+                true => wait.min(asked.elapsed()),
+                false => Duration::ZERO,
+            };
+            gateway.knowledge.take(read.items, asked.later(waited));
             Ok(Some(read.next))
         }
     }
 }
 
-/// Follows the list of targets for ever.
-pub async fn follow_targets(gateway: Rc<Gateway>) {
+/// Waits until this host must read the list of targets: its turn as a reader for its peers has
+/// come, or word from the readers is overdue.
+async fn targets_are_due(gateway: &Gateway, last: BootTime) {
+    let bound = gateway.settings.bounds.leaving_target;
+    loop {
+        let is_due = match gateway.targets.age() {
+            None => true,
+            Some(age) if peers::is_reader(gateway) => {
+                last.elapsed() >= bound.mul_f64(LIST_SHARE) || age > bound.mul_f64(LIST_RELAY_SHARE)
+            }
+            Some(age) => age > bound.mul_f64(LIST_RELAY_SHARE),
+        };
+        if is_due {
+            return;
+        }
+        sleep(RELAY_TICK).await;
+    }
+}
+
+/// Follows the list of targets for ever, and tells the peers of this data centre what changed.
+pub async fn follow_targets(gateway: Rc<Gateway>, peers: Rc<Peers>) {
     let mut backoff = Backoff::new("targets");
-    let mut next: Option<Offset> = None;
-    let period = gateway.settings.bounds.leaving_target.mul_f64(LIST_SHARE);
+    let mut is_known = false;
+    let mut last = BootTime::now();
     loop {
-        let asked = BootTime::now();
-        let result = match next {
-            None => read_targets(&gateway, asked).await,
-            Some(from) => read_target_changes(&gateway, from, asked).await,
+        targets_are_due(&gateway, last).await;
+        last = BootTime::now();
+        let result = match is_known {
+            false => read_targets(&gateway, last).await,
+            true => read_target_changes(&gateway, &peers, last).await,
         };
         match result {
-            Ok(offset) => {
+            Ok(Reading::Whole) => {
                 backoff.succeeded();
-                next = offset;
-                if next.is_some() {
-                    sleep(period.saturating_sub(asked.elapsed())).await;
-                }
+                is_known = true;
             }
+            Ok(Reading::Forgotten) => is_known = false,
             Err(error) => backoff.failed(&gateway, &error).await,
         }
     }
 }
 
-async fn read_targets(gateway: &Gateway, asked: BootTime) -> Result<Option<Offset>, StoreError> {
+/// What a reading of the list of targets gave.
+enum Reading {
+    /// The list is known.
+    Whole,
+    /// The store forgot some changes; the list must be read whole.
+    Forgotten,
+}
+
+async fn read_targets(gateway: &Gateway, asked: BootTime) -> Result<Reading, StoreError> {
     let read = gateway.platform.store.newest_targets().await?;
-    gateway.targets.replace(read.items, asked);
-    Ok(Some(read.next))
+    gateway.targets.replace(read.items, read.next, asked);
+    Ok(Reading::Whole)
 }
 
 async fn read_target_changes(
     gateway: &Gateway,
-    from: Offset,
+    peers: &Peers,
     asked: BootTime,
-) -> Result<Option<Offset>, StoreError> {
+) -> Result<Reading, StoreError> {
+    let from = gateway.targets.next();
     match gateway.platform.store.targets_after(from).await? {
         Changes::Forgotten => {
             spdlog::warn!("store.forgot", kv: { reading = "targets", from });
-            Ok(None)
+            Ok(Reading::Forgotten)
         }
         Changes::Listed(read) => {
-            gateway.targets.apply(read.items, asked);
-            Ok(Some(read.next))
+            let news = gateway.targets.news_among(&read.items);
+            gateway.targets.apply(read.items, read.next, asked);
+            if peers::is_reader(gateway) {
+                peers.send_news(from, &news).await;
+            }
+            Ok(Reading::Whole)
         }
     }
 }
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -14,10 +14,14 @@
     SeedableRng,
     rngs::SmallRng, //
 };
-use tokio::sync::watch;
+use tokio::sync::{
+    Notify,
+    watch, //
+};
 
 use crate::{
     knowledge::Knowledge,
+    peers::View,
     port::Platform,
     settings::Settings,
     targets::Targets, //
@@ -44,6 +48,10 @@
     pub knowledge: Knowledge,
     /// The targets.
     pub targets: Targets,
+    /// The other gateways.
+    pub peers: RefCell<View>,
+    /// Told when a peer has a newer table.
+    pub table_news: Notify,
     /// Requests open now.
     pub open_requests: Cell<u32>,
     /// Connections of callers open now.
@@ -60,6 +68,8 @@
             platform,
             knowledge: Knowledge::default(),
             targets: Targets::default(),
+            peers: RefCell::new(View::default()),
+            table_news: Notify::new(),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
             phase: watch::Sender::new(Phase::Serving),
--- a/crates/anvil_gateway/src/http1/tests.rs
+++ b/crates/anvil_gateway/src/http1/tests.rs
@@ -113,7 +113,7 @@
 fn end_of_connection_tells_torn_bodies() {
     for framing in [Framing::Length(3), Framing::Chunked] {
         let mut decoder = BodyDecoder::new(framing);
-        expect_that!(decoder.end_of_connection(), err(eq(&BodyError::Truncated)));
+        expect_that!(decoder.end_of_connection(), err(eq(BodyError::Truncated)));
     }
     let mut decoder = BodyDecoder::new(Framing::UntilClose);
     expect_that!(decoder.end_of_connection(), ok(anything()));
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod http1;
 pub mod knowledge;
 pub mod paths;
+pub mod peers;
 pub mod placer;
 pub mod plain;
 pub mod pool;
--- a/crates/anvil_gateway/src/paths.rs
+++ b/crates/anvil_gateway/src/paths.rs
@@ -125,6 +125,7 @@
         .into_iter()
         .filter(|target| target.is_listed_ready() && target.entry.borrow().layers.is_some())
         .collect();
+    let peers = gateway.peers.borrow().loads(now);
     let mut data_centres = vec![gateway.settings.data_centre.clone()];
     let attempts_are_used = used.len() >= request.route.attempts_max as usize;
     let workers: Vec<Worker> = targets
@@ -134,14 +135,15 @@
             let data_centre = index_of(&mut data_centres, &entry.data_centre);
             let (layers, _) = entry.layers?;
             let kind = *engine.kinds.get(entry.kind.as_ref()?)?;
+            let load = peers.get(&target.hash).copied().unwrap_or_default();
             Some(Worker {
                 target: target.id.clone(),
                 data_centre,
                 kind,
                 layers,
-                sequences: target.sequences.get(),
-                used_token_layers: target.token_layers.get(),
-                first_requests: target.sent_requests.get(),
+                sequences: target.sequences.get() + load.sequences,
+                used_token_layers: target.token_layers.get() + load.token_layers,
+                first_requests: target.sent_requests.get() + load.sent_requests,
                 slowdown: target.slowdown(),
                 open: !target.is_avoided(now),
             })
--- /dev/null
+++ b/crates/anvil_gateway/src/peers/view.rs
@@ -0,0 +1,170 @@
+//! The other gateways as this host knows them.
+
+use std::{
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use anvil_core::{
+    id::{
+        DataCentreId,
+        HostId, //
+    },
+    rendezvous,
+};
+use tokio::time::Instant;
+
+use crate::clock::BootTime;
+
+use super::{
+    datagram::Key,
+    message::Digest, //
+};
+
+/// Silence after which a peer counts as gone, and its requests with it: several digests.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1500);
+/// Hosts of a data centre that read the store for the others: one may be lost unnoticed for a
+/// while.
+const READERS: usize = 2;
+/// Key under which the readers of a data centre are drawn.
+const READER_KEY: &str = "reader";
+
+/// Requests of all peers together at one target.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PeerLoad {
+    /// Requests on paths through it.
+    pub sequences: f64,
+    /// Memory that they take, in tokens times layers.
+    pub token_layers: f64,
+    /// Requests that were sent to it.
+    pub sent_requests: f64,
+}
+
+#[derive(Debug)]
+struct Peer {
+    address: SocketAddr,
+    key: Key,
+    heard: Option<Instant>,
+    digest: Option<Digest>,
+}
+
+impl Peer {
+    fn is_heard(&self, now: Instant) -> bool {
+        self.heard
+            .is_some_and(|heard| now.duration_since(heard) < SILENCE_LIMIT)
+    }
+}
+
+/// Whom to send a digest to.
+#[derive(Clone, Debug)]
+pub(super) struct Recipient {
+    pub index: usize,
+    pub address: SocketAddr,
+    pub data_centre: Option<DataCentreId>,
+    pub is_heard: bool,
+    pub last_sent: Option<BootTime>,
+}
+
+/// The other gateways.
+#[derive(Debug, Default)]
+pub struct View {
+    peers: BTreeMap<HostId, Peer>,
+}
+
+impl View {
+    /// Takes in a peer from the store's list.
+    pub(super) fn register(&mut self, id: HostId, address: SocketAddr, key: Key) {
+        let is_known = self
+            .peers
+            .get(&id)
+            .is_some_and(|peer| peer.address == address && peer.key == key);
+        if is_known {
+            return;
+        }
+        let peer = Peer {
+            address,
+            key,
+            heard: None,
+            digest: None,
+        };
+        self.peers.insert(id, peer);
+    }
+
+    /// Number of peers, heard of or not.
+    pub fn len(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Whether no peer is known.
+    pub fn is_empty(&self) -> bool {
+        self.peers.is_empty()
+    }
+
+    pub(super) fn key_of(&self, id: &HostId) -> Option<Key> {
+        self.peers.get(id).map(|peer| peer.key)
+    }
+
+    /// Takes in a digest; one that is older than the last is dropped.
+    pub(super) fn take(&mut self, id: &HostId, digest: Digest, now: Instant) {
+        let Some(peer) = self.peers.get_mut(id) else {
+            return;
+        };
+        let is_old = peer
+            .digest
+            .as_ref()
+            .is_some_and(|last| last.sent > digest.sent);
+        if is_old {
+            return;
+        }
+        peer.heard = Some(now);
+        peer.digest = Some(digest);
+    }
+
+    pub(super) fn recipients(&self, now: Instant) -> Vec<Recipient> {
+        self.peers
+            .values()
+            .enumerate()
+            .map(|(index, peer)| Recipient {
+                index,
+                address: peer.address,
+                data_centre: peer
+                    .digest
+                    .as_ref()
+                    .map(|digest| digest.data_centre.clone()),
+                is_heard: peer.is_heard(now),
+                last_sent: peer.digest.as_ref().map(|digest| digest.sent),
+            })
+            .collect()
+    }
+
+    /// Requests of the peers that are heard of, by the hash of the target's name.
+    pub fn loads(&self, now: Instant) -> HashMap<u32, PeerLoad> {
+        let mut loads: HashMap<u32, PeerLoad> = HashMap::new();
+        for peer in self.peers.values().filter(|peer| peer.is_heard(now)) {
+            for load in peer.digest.iter().flat_map(|digest| &digest.loads) {
+                let sum = loads.entry(load.target_hash).or_default();
+                sum.sequences += load.sequences;
+                sum.token_layers += load.token_layers;
+                sum.sent_requests += load.sent_requests;
+            }
+        }
+        loads
+    }
+
+    /// Whether a host is one of those that read the store for their data centre.
+    pub fn is_reader(&self, own: &HostId, data_centre: &DataCentreId, now: Instant) -> bool {
+        let near = self.peers.iter().filter(|(_, peer)| {
+            peer.is_heard(now)
+                && peer
+                    .digest
+                    .as_ref()
+                    .is_some_and(|digest| digest.data_centre == *data_centre)
+        });
+        let members = near.map(|(id, _)| id).chain([own]);
+        rendezvous::choose_many(READER_KEY, members, READERS).contains(&own)
+    }
+}
--- a/crates/anvil_gateway/src/port.rs
+++ b/crates/anvil_gateway/src/port.rs
@@ -177,6 +177,8 @@
     pub id: HostId,
     /// Where its peers reach it.
     pub address: SocketAddr,
+    /// Key under which it seals what it sends them.
+    pub key: SmolStr,
 }
 
 /// A whole reading of a list, with the offset from which changes follow.
--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -32,6 +32,7 @@
         Phase, //
     },
     http1::Connection,
+    peers::Peers,
     placer::Placer,
     port::Platform,
     settings::Settings, //
@@ -79,6 +80,7 @@
     let callers = listen(settings.callers)?;
     let readiness = listen(settings.readiness)?;
     let gateway = Rc::new(Gateway::new(settings, platform));
+    let peers = Rc::new(Peers::open(Rc::clone(&gateway)).await?);
     let placer = Rc::new(Placer::new(Rc::clone(&gateway)));
     spdlog::info!("host.listening", kv: {
         callers: = gateway.settings.callers,
@@ -87,7 +89,13 @@
     spawn_local(accept_callers(Rc::clone(&gateway), callers));
     spawn_local(accept_readiness(Rc::clone(&gateway), readiness));
     spawn_local(follow::follow_table(Rc::clone(&gateway)));
-    spawn_local(follow::follow_targets(Rc::clone(&gateway)));
+    spawn_local(follow::follow_targets(
+        Rc::clone(&gateway),
+        Rc::clone(&peers),
+    ));
+    spawn_local(Rc::clone(&peers).keep_list());
+    spawn_local(Rc::clone(&peers).send_digests());
+    spawn_local(Rc::clone(&peers).receive());
     spawn_local(Rc::clone(&placer).keep_lease());
     spawn_local(Rc::clone(&placer).place());
     spawn_local(sweep(Rc::clone(&gateway)));
--- a/crates/anvil_gateway/src/targets.rs
+++ b/crates/anvil_gateway/src/targets.rs
@@ -12,13 +12,16 @@
 };
 
 use anvil_core::id::{
+    Offset,
     ServiceId,
     TargetId, //
 };
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     clock::BootTime,
+    peers::Load,
     pool::Pool,
     port::{
         TargetChange,
@@ -41,6 +44,8 @@
 pub struct Target {
     /// Its name.
     pub id: TargetId,
+    /// Hash of its name, for datagrams.
+    pub hash: u32,
     /// What it registered last.
     pub entry: RefCell<TargetEntry>,
     /// Idle connections to it.
@@ -64,6 +69,7 @@
 impl Target {
     fn new(id: TargetId, entry: TargetEntry) -> Self {
         Self {
+            hash: hash(&id),
             id,
             entry: RefCell::new(entry),
             pool: Pool::default(),
@@ -136,6 +142,11 @@
     }
 }
 
+/// Hash of a target's name.
+fn hash(id: &TargetId) -> u32 {
+    (xxh3_64(id.as_bytes()) >> 32) as u32
+}
+
 /// Counts a request at a target until it is dropped.
 #[derive(Debug)]
 pub struct Flight {
@@ -185,11 +196,13 @@
     by_id: RefCell<HashMap<TargetId, Rc<Target>>>,
     /// The list is known as it was at this time or later.
     current_as_of: Cell<Option<BootTime>>,
+    /// Offset of the store's list up to which changes are known; 0 before the first reading.
+    next: Cell<Offset>,
 }
 
 impl Targets {
     /// Takes over the whole list. Targets that are not in it are gone.
-    pub fn replace(&self, changes: Vec<TargetChange>, as_of: BootTime) {
+    pub fn replace(&self, changes: Vec<TargetChange>, next: Offset, as_of: BootTime) {
         let listed: std::collections::HashSet<_> = changes
             .iter()
             .filter_map(|change| match change {
@@ -207,11 +220,60 @@
         for id in missing {
             self.remove(&id, "not listed");
         }
-        self.apply(changes, as_of);
+        self.apply(changes, next, as_of);
+    }
+
+    /// Takes over the changes that a peer read, where they follow what is known here.
+    pub fn take_news(&self, from: Offset, changes: &[TargetChange], next: Offset, as_of: BootTime) {
+        let known = self.next.get();
+        if known >= from && known < next {
+            self.apply(changes.to_vec(), next, as_of);
+        } else if known == next {
+            self.confirm(as_of);
+        }
+    }
+
+    /// Those changes that differ from what is known: most writes of a target only show that it
+    /// lives.
+    pub fn news_among(&self, changes: &[TargetChange]) -> Vec<TargetChange> {
+        let by_id = self.by_id.borrow();
+        let is_news = |change: &&TargetChange| match change {
+            TargetChange::Put(id, entry) => by_id
+                .get(id)
+                .is_none_or(|target| *target.entry.borrow() != *entry),
+            TargetChange::Removed(id) | TargetChange::Unreadable(id, _) => by_id.contains_key(id),
+        };
+        changes.iter().filter(is_news).cloned().collect()
+    }
+
+    /// Notes that the list known was the newest at `as_of`.
+    pub fn confirm(&self, as_of: BootTime) {
+        self.current_as_of
+            .set(self.current_as_of.get().max(Some(as_of)));
     }
 
-    /// Takes over changes of the list.
-    pub fn apply(&self, changes: Vec<TargetChange>, as_of: BootTime) {
+    /// Offset of the store's list up to which changes are known; 0 before the first reading.
+    pub fn next(&self) -> Offset {
+        self.next.get()
+    }
+
+    /// Requests of this host, by target.
+    pub fn own_loads(&self) -> Vec<Load> {
+        self.by_id
+            .borrow()
+            .values()
+            .filter(|target| target.sequences.get() > 0.0)
+            .map(|target| Load {
+                target_hash: target.hash,
+                sequences: target.sequences.get(),
+                token_layers: target.token_layers.get(),
+                sent_requests: target.sent_requests.get(),
+            })
+            .collect()
+    }
+
+    /// Takes over changes of the list up to the offset `next`.
+    pub fn apply(&self, changes: Vec<TargetChange>, next: Offset, as_of: BootTime) {
         for change in changes {
             match change {
                 TargetChange::Put(id, entry) => self.put(id, entry),
@@ -225,8 +287,8 @@
                 }
             }
         }
-        self.current_as_of
-            .set(self.current_as_of.get().max(Some(as_of)));
+        self.next.set(next);
+        self.confirm(as_of);
     }
 
     fn put(&self, id: TargetId, entry: TargetEntry) {
