Close idle connections once the entry has noticed a planned stop

Cause: idle connections stayed open until no request was open, so that callers kept sending on them 7.4 s after SIGTERM, and their streams were cut by the end of the process. Ruled out: too short a grace period, since streams begun in the first seconds end in time.

--- a/crates/anvil_gateway/src/answer.rs
+++ b/crates/anvil_gateway/src/answer.rs
@@ -41,6 +41,8 @@
     Unconfigured,
     /// The routes and keys known may be outdated.
     Stale,
+    /// The host is about to stop.
+    Stopping,
     /// No target could take it.
     NoTarget,
     /// There is no room for it now.
@@ -62,6 +64,7 @@
             Self::NoRoute => "no_route",
             Self::Unconfigured => "unconfigured",
             Self::Stale => "stale_configuration",
+            Self::Stopping => "stopping",
             Self::NoTarget => "no_target",
             Self::Overloaded => "overloaded",
             Self::Timeout => "timeout",
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -250,6 +250,11 @@
         Err(ReadError::Body(_)) => return (facts, refused(Reason::BadRequest), false),
         Err(_) => return (facts, Ended::CallerGone, false),
     };
+    if gateway.phase() == Phase::Closing {
+        // Too little time is left for it; another host takes it.
+        let refusal = Refusal::not_run(Reason::Stopping, Some(RETRY_ELSEWHERE));
+        return (facts, Ended::Refused(refusal), true);
+    }
     // The table is taken after the body, so that what decides is as new as can be.
     let Some(table) = gateway.knowledge.table() else {
         let refusal = Refusal::not_run(Reason::Unconfigured, Some(RETRY_ELSEWHERE));
--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -128,17 +128,22 @@
         .saturating_sub(GRACE_MARGIN);
     spdlog::info!("host.stopping", kv: { open_requests = gateway.open_requests.get() });
     gateway.set_phase(Phase::Leaving);
-    let leave = tokio::time::timeout(UNNOTICED, placer.close()).await;
-    if leave.is_err() {
-        spdlog::warn!("placer.leave_failed", kv: { error = "no answer from the store" });
+    let leave = async {
+        placer.close().await;
+        let host_id = &gateway.settings.host_id;
+        if let Err(error) = gateway.platform.store.withdraw_host(host_id).await {
+            spdlog::warn!("peers.withdraw_failed", kv: { error: });
+        }
+    };
+    if tokio::time::timeout(UNNOTICED, leave).await.is_err() {
+        spdlog::warn!("peers.withdraw_failed", kv: { error = "no answer from the store" });
     }
     sleep(UNNOTICED.saturating_sub(asked.elapsed())).await;
+    // A kept connection would bring requests until the end, for which too little time is left.
+    gateway.set_phase(Phase::Closing);
     loop {
-        let is_idle = gateway.open_requests.get() == 0;
-        if is_idle {
-            gateway.set_phase(Phase::Closing);
-        }
-        if is_idle && gateway.open_connections.get() == 0 || asked.elapsed() >= limit {
+        let is_idle = gateway.open_requests.get() == 0 && gateway.open_connections.get() == 0;
+        if is_idle || asked.elapsed() >= limit {
             break;
         }
         sleep(STOP_TICK).await;
--- a/crates/anvil_observe/src/events.rs
+++ b/crates/anvil_observe/src/events.rs
@@ -89,6 +89,7 @@
     "placement.order_lost": "An engine did not answer an order in time; its state is read back before another.",
     "placement.ordered": "An engine was ordered to load or unload layers; the line tells why.",
     "placement.weight_store_unavailable": "The weight store could not be asked; nothing is ordered until it answers.",
+    "peers.withdraw_failed": "At a planned stop, this host's entry could not be withdrawn from the store.",
     "placer.answer": "An engine answered an order to hold layers, or did not.",
     "placer.began": "This host holds the lease for placing models.",
     "placer.ended": "This host no longer holds the lease for placing models.",
