Bound extra sends by the fleet's budget, and leave out engines that failed a request

Cause: a request was sent to the same failing engine again and again, and nothing bounded the sends of all hosts together. Each host now uses its share of what operators allow in a sliding window, and a request avoids the engines that failed it.

--- a/crates/anvil_core/src/retry.rs
+++ b/crates/anvil_core/src/retry.rs
@@ -24,6 +24,8 @@
 #[cfg(test)]
 mod tests;
 
+pub mod window;
+
 /// Fixed-point unit of a budget: one retry.
 const RETRY_UNIT: i64 = 1000;
 
--- /dev/null
+++ b/crates/anvil_core/src/retry/window.rs
@@ -0,0 +1,85 @@
+//! Budget of extra sends to a service over a sliding window, shared by all hosts without a message.
+//!
+//! Answers a storm of repeats, as after a crash of engines under load. Operators allow extra sends
+//! as a share of a service's requests and a number beyond it, over all hosts; each host uses the
+//! share of its own requests and its part of the number.
+
+use std::{
+    collections::VecDeque,
+    time::Duration, //
+};
+
+#[cfg(test)]
+mod tests;
+
+/// Parts into which the window is divided. What is older than the window by less than a part still
+/// counts, so that no window of the operators' sees more than is allowed.
+const PARTS: u32 = 10;
+/// Share of what is allowed that is used: hosts count their fleet a little differently, and a
+/// window of the operators' may hold fewer requests than this one.
+const USED_SHARE: f64 = 0.8;
+
+/// What operators allow.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowed {
+    /// Extra sends for each request.
+    pub ratio: f64,
+    /// Extra sends beyond that, over all hosts.
+    pub slack_sends: f64,
+    /// Length of the window.
+    pub window: Duration,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Part {
+    number: u64,
+    requests: f64,
+    extra_sends: f64,
+}
+
+/// Extra sends of one host to one service.
+#[derive(Debug, Default)]
+pub struct Budget {
+    /// Parts with a request or an extra send. Invariant: numbers ascend.
+    parts: VecDeque<Part>,
+}
+
+impl Budget {
+    /// Counts a request.
+    pub fn note_request(&mut self, allowed: &Allowed, now: Duration) {
+        self.part(allowed, now).requests += 1.0;
+    }
+
+    /// Takes an extra send, where one is left for this host among `host_count`.
+    pub fn try_take(&mut self, allowed: &Allowed, host_count: usize, now: Duration) -> bool {
+        self.part(allowed, now);
+        let requests: f64 = self.parts.iter().map(|part| part.requests).sum();
+        let taken: f64 = self.parts.iter().map(|part| part.extra_sends).sum();
+        let slack_sends = allowed.slack_sends / host_count.max(1) as f64;
+        if taken + 1.0 > USED_SHARE * (allowed.ratio * requests + slack_sends) {
+            return false;
+        }
+        self.part(allowed, now).extra_sends += 1.0;
+        true
+    }
+
+    /// The present part, after the parts before the window are dropped.
+    fn part(&mut self, allowed: &Allowed, now: Duration) -> &mut Part {
+        let length = (allowed.window / PARTS).max(Duration::from_millis(1));
+        let number = (now.as_nanos() / length.as_nanos()) as u64;
+        while self
+            .parts
+            .front()
+            .is_some_and(|part| part.number + u64::from(PARTS) < number)
+        {
+            self.parts.pop_front();
+        }
+        if self.parts.back().is_none_or(|part| part.number < number) {
+            self.parts.push_back(Part {
+                number,
+                ..Part::default()
+            });
+        }
+        self.parts.back_mut().expect("a part was pushed")
+    }
+}
--- a/crates/anvil_core/src/route/engine_driven.rs
+++ b/crates/anvil_core/src/route/engine_driven.rs
@@ -53,6 +53,8 @@
     pub slowdown: f64,
     /// Whether it may be used at all.
     pub open: bool,
+    /// Whether a path may begin with it.
+    pub may_be_first: bool,
 }
 
 /// What a request needs.
@@ -140,7 +142,8 @@
                 let Some(cost_ms) = visit_cost_ms(engine, worker, demand, layers) else {
                     continue;
                 };
-                if start == 0 && worker.first_requests >= f64::from(engine.slot_limit_requests) {
+                let has_slot = worker.first_requests < f64::from(engine.slot_limit_requests);
+                if start == 0 && !(worker.may_be_first && has_slot) {
                     continue;
                 }
                 let (before_ms, from) = if start == 0 {
--- a/crates/anvil_core/src/route/engine_driven/tests.rs
+++ b/crates/anvil_core/src/route/engine_driven/tests.rs
@@ -14,6 +14,7 @@
         first_requests: 0.0,
         slowdown: 1.0,
         open: true,
+        may_be_first: true,
     }
 }
 
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -280,6 +280,7 @@
     let Some((service_id, service)) = backend.and_then(|id| Some((id, table.service(id)?))) else {
         return (facts, refused(Reason::NoTarget), true);
     };
+    gateway.note_request(service_id);
     let time = facts
         .budget
         .map_or(route.timeout, |budget| budget.min(route.timeout));
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -5,18 +5,26 @@
         Cell,
         RefCell, //
     },
+    collections::HashMap,
     time::Duration, //
 };
 
+use anvil_core::{
+    id::ServiceId,
+    retry::window, //
+};
 use rand::{
     Rng,
     RngExt,
     SeedableRng,
     rngs::SmallRng, //
 };
-use tokio::sync::{
-    Notify,
-    watch, //
+use tokio::{
+    sync::{
+        Notify,
+        watch, //
+    },
+    time::Instant, //
 };
 
 use crate::{
@@ -58,6 +66,9 @@
     pub open_connections: Cell<u32>,
     phase: watch::Sender<Phase>,
     random: RefCell<SmallRng>,
+    /// Extra sends, by service.
+    retries: RefCell<HashMap<ServiceId, window::Budget>>,
+    started: Instant,
 }
 
 impl Gateway {
@@ -74,6 +85,8 @@
             open_connections: Cell::new(0),
             phase: watch::Sender::new(Phase::Serving),
             random: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
+            retries: RefCell::new(HashMap::new()),
+            started: Instant::now(),
         }
     }
 
@@ -104,6 +117,23 @@
         low + high.saturating_sub(low).mul_f64(self.draw())
     }
 
+    /// Counts a request to a service, from which its extra sends follow.
+    pub fn note_request(&self, service: &ServiceId) {
+        let now = self.started.elapsed();
+        let mut retries = self.retries.borrow_mut();
+        let budget = retries.entry(service.clone()).or_default();
+        budget.note_request(&self.settings.bounds.retries, now);
+    }
+
+    /// Takes an extra send to a service, where one is left.
+    pub fn try_retry(&self, service: &ServiceId) -> bool {
+        let now = self.started.elapsed();
+        let host_count = self.peers.borrow().heard_count(Instant::now()) + 1;
+        let mut retries = self.retries.borrow_mut();
+        let budget = retries.entry(service.clone()).or_default();
+        budget.try_take(&self.settings.bounds.retries, host_count, now)
+    }
+
     /// A random whole number.
     pub fn draw_whole(&self) -> u64 {
         self.random.borrow_mut().next_u64()
--- a/crates/anvil_gateway/src/paths.rs
+++ b/crates/anvil_gateway/src/paths.rs
@@ -110,13 +110,36 @@
     }
 }
 
-/// Chooses a path for a request. `used` holds the first engines that it was sent to before; once
-/// these are as many as it may be sent to, only they can be first again.
+/// What a request has tried.
+pub struct Tried<'a> {
+    /// First engines that it was sent to; once these are as many as it may be sent to, only they
+    /// can be first again.
+    pub used: &'a [Rc<Target>],
+    /// Engines that failed it: they are left out where there is a path without them.
+    pub failed: &'a [Rc<Target>],
+}
+
+/// Chooses a path for a request.
 pub fn choose(
     gateway: &Gateway,
     request: &Request<'_>,
     engine: &Engine,
-    used: &[Rc<Target>],
+    tried: &Tried<'_>,
+) -> Option<Chosen> {
+    choose_without(gateway, request, engine, tried, tried.failed).or_else(|| {
+        if tried.failed.is_empty() {
+            return None;
+        }
+        choose_without(gateway, request, engine, tried, &[])
+    })
+}
+
+fn choose_without(
+    gateway: &Gateway,
+    request: &Request<'_>,
+    engine: &Engine,
+    tried: &Tried<'_>,
+    left_out: &[Rc<Target>],
 ) -> Option<Chosen> {
     let now = Instant::now();
     let targets: Vec<Rc<Target>> = gateway
@@ -127,7 +150,8 @@
         .collect();
     let peers = gateway.peers.borrow().loads(now);
     let mut data_centres = vec![gateway.settings.data_centre.clone()];
-    let attempts_are_used = used.len() >= request.route.attempts_max as usize;
+    let live_used = tried.used.iter().filter(|target| target.is_listed_ready());
+    let firsts_are_used = live_used.count() >= request.route.attempts_max as usize;
     let workers: Vec<Worker> = targets
         .iter()
         .filter_map(|target| {
@@ -145,11 +169,13 @@
                 used_token_layers: target.token_layers.get() + load.token_layers,
                 first_requests: target.sent_requests.get() + load.sent_requests,
                 slowdown: target.slowdown(),
-                open: !target.is_avoided(now),
+                open: !target.is_avoided(now)
+                    && !left_out.iter().any(|other| Rc::ptr_eq(other, target)),
+                may_be_first: !firsts_are_used
+                    || tried.used.iter().any(|other| Rc::ptr_eq(other, target)),
             })
         })
         .collect();
-    let _ = attempts_are_used;
     let demand = demand(request, engine, 0);
     let noise = RefCell::new(|| 1.0 + NOISE * (2.0 * gateway.draw() - 1.0));
     let path = engine_driven::choose(engine, &workers, &demand, data_centres.len(), || {
@@ -178,13 +204,18 @@
         })
 }
 
-/// Notes a refusal: the engine at fault is avoided, or the first where none is named.
-pub fn note_refusal(gateway: &Gateway, chosen: &Chosen, at_fault: Option<SocketAddr>) {
-    let now = Instant::now();
-    match at_fault.and_then(|address| gateway.targets.at(address)) {
-        Some(target) => target.note_failure(now),
-        None => chosen.first().note_failure(now),
-    }
+/// Notes a refusal: the engine at fault is avoided, or the first where none is named. Gives that
+/// engine.
+pub fn note_refusal(
+    gateway: &Gateway,
+    chosen: &Chosen,
+    at_fault: Option<SocketAddr>,
+) -> Rc<Target> {
+    let fault = at_fault
+        .and_then(|address| gateway.targets.at(address))
+        .unwrap_or_else(|| Rc::clone(chosen.first()));
+    fault.note_failure(Instant::now());
+    fault
 }
 
 /// Notes a stall: engines that showed no progress with other requests either are avoided.
--- a/crates/anvil_gateway/src/peers/view.rs
+++ b/crates/anvil_gateway/src/peers/view.rs
@@ -99,6 +99,14 @@
         self.peers.len()
     }
 
+    /// Number of peers that are heard of.
+    pub fn heard_count(&self, now: Instant) -> usize {
+        self.peers
+            .values()
+            .filter(|peer| peer.is_heard(now))
+            .count()
+    }
+
     /// Whether no peer is known.
     pub fn is_empty(&self) -> bool {
         self.peers.is_empty()
--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -145,7 +145,11 @@
         if may_have_run && !repeatable {
             break;
         }
-        if Instant::now() >= request.deadline {
+        if Instant::now() >= request.deadline || trace.sends >= request.route.attempts_max {
+            break;
+        }
+        if trace.sends > 0 && !gateway.try_retry(request.service_id) {
+            trace.failed("no retry left");
             break;
         }
     }
--- a/crates/anvil_gateway/src/settings.rs
+++ b/crates/anvil_gateway/src/settings.rs
@@ -6,9 +6,12 @@
     time::Duration, //
 };
 
-use anvil_core::id::{
-    DataCentreId,
-    HostId, //
+use anvil_core::{
+    id::{
+        DataCentreId,
+        HostId, //
+    },
+    retry::window::Allowed, //
 };
 use derive_more::{
     Display,
@@ -109,12 +112,8 @@
     pub config_apply: Duration,
     /// Time after which a key that was taken away must not be served.
     pub revoke: Duration,
-    /// Extra sends to a service that are allowed, as a share of its requests.
-    pub retry_ratio: f64,
-    /// Time over which that share is taken.
-    pub retry_window: Duration,
-    /// Extra sends that are allowed beyond the share, over all hosts.
-    pub retry_slack_sends: f64,
+    /// Extra sends to a service that are allowed.
+    pub retries: Allowed,
     /// Time for which work stalls that depends on a dead engine.
     pub stall: Duration,
 }
@@ -127,9 +126,11 @@
             stop_grace: Duration::from_secs(8),
             config_apply: Duration::from_secs(2),
             revoke: Duration::from_secs(5),
-            retry_ratio: 0.2,
-            retry_window: Duration::from_secs(10),
-            retry_slack_sends: 20.0,
+            retries: Allowed {
+                ratio: 0.2,
+                slack_sends: 20.0,
+                window: Duration::from_secs(10),
+            },
             stall: Duration::from_secs(3),
         }
     }
@@ -251,21 +252,23 @@
                 default.config_apply,
             )?,
             revoke: self.millis("bounds.revoke_ms", options.revoke_ms, default.revoke)?,
-            retry_ratio: self.positive(
-                "bounds.retry_ratio",
-                options.retry_ratio,
-                default.retry_ratio,
-            )?,
-            retry_window: self.seconds(
-                "bounds.retry_window_s",
-                options.retry_window_s,
-                default.retry_window,
-            )?,
-            retry_slack_sends: self.positive(
-                "bounds.retry_slack",
-                options.retry_slack,
-                default.retry_slack_sends,
-            )?,
+            retries: Allowed {
+                ratio: self.positive(
+                    "bounds.retry_ratio",
+                    options.retry_ratio,
+                    default.retries.ratio,
+                )?,
+                slack_sends: self.positive(
+                    "bounds.retry_slack",
+                    options.retry_slack,
+                    default.retries.slack_sends,
+                )?,
+                window: self.seconds(
+                    "bounds.retry_window_s",
+                    options.retry_window_s,
+                    default.retries.window,
+                )?,
+            },
             stall: self.millis("bounds.stall_ms", options.stall_ms, default.stall)?,
         })
     }
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -38,7 +38,8 @@
     },
     paths::{
         self,
-        Chosen, //
+        Chosen,
+        Tried, //
     },
     plain::{
         READ_AHEAD_LIMIT_BYTES,
@@ -100,6 +101,8 @@
     last_out: Instant,
     /// First engines that this request was sent to.
     used: Vec<Rc<Target>>,
+    /// Engines that failed this request.
+    failed: Vec<Rc<Target>>,
 }
 
 /// Serves a stream.
@@ -118,6 +121,7 @@
         last_event: request.facts.resume_after,
         last_out: Instant::now(),
         used: Vec::new(),
+        failed: Vec::new(),
     };
     relay.run(caller, trace).await
 }
@@ -132,8 +136,15 @@
             if Instant::now() >= self.request.deadline {
                 return self.give_up(Reason::Timeout, may_have_run, "timeout");
             }
-            let Some(chosen) = paths::choose(self.gateway, self.request, self.engine, &self.used)
-            else {
+            let Some(chosen) = paths::choose(
+                self.gateway,
+                self.request,
+                self.engine,
+                &Tried {
+                    used: &self.used,
+                    failed: &self.failed,
+                },
+            ) else {
                 let since = *without_path_since.get_or_insert_with(Instant::now);
                 if !may_have_run || since.elapsed() > RESUME_WAIT {
                     return self.give_up(Reason::Overloaded, may_have_run, "no path");
@@ -159,7 +170,8 @@
                     return self.pass_failure(caller, &head, &body).await;
                 }
                 Sent::NotRun(what, at_fault) => {
-                    paths::note_refusal(self.gateway, &chosen, at_fault);
+                    let fault = paths::note_refusal(self.gateway, &chosen, at_fault);
+                    self.failed.push(fault);
                     refusals += 1;
                     if refusals >= REFUSALS_MAX {
                         return self.give_up(Reason::Overloaded, may_have_run, what);
@@ -168,6 +180,8 @@
                 }
                 Sent::Lost(what) => {
                     may_have_run = true;
+                    // A part of the path failed; which one, the next sends tell.
+                    self.failed.push(Rc::clone(chosen.first()));
                     what
                 }
                 Sent::Stalled => {
@@ -180,6 +194,10 @@
             if may_have_run && !resumable {
                 return self.give_up(Reason::AnswerLost, true, what);
             }
+            if trace.sends > 0 && !self.gateway.try_retry(self.request.service_id) {
+                trace.failed("no retry left");
+                return self.give_up(Reason::Overloaded, may_have_run, what);
+            }
         }
     }
 
@@ -269,9 +287,7 @@
         }
         let sent_at = Instant::now();
         if taken.connection.write_all(&out).await.is_err() {
-            if !taken.is_reused {
-                first.note_failure(Instant::now());
-            }
+            first.note_failure(Instant::now());
             return Sent::Lost("connection failed while sending");
         }
         let upstream = &mut taken.connection;
@@ -285,9 +301,7 @@
             let head = match head {
                 Err(_) => return Sent::TimeUp,
                 Ok(Err(_)) => {
-                    if !taken.is_reused {
-                        first.note_failure(Instant::now());
-                    }
+                    first.note_failure(Instant::now());
                     return Sent::Lost("connection ended before the answer");
                 }
                 Ok(Ok(head)) => head,
