--- a/crates/anvil_core/src/layout.rs
+++ b/crates/anvil_core/src/layout.rs
@@ -50,13 +50,70 @@
 /// Chooses layers for every card, each data centre by itself. Cards for which `movable` is false
 /// keep what they hold.
 pub fn choose(engine: &Engine, cards: &[Card], movable: impl Fn(&Card) -> bool) -> Layout {
+    let mut layout = Layout::new();
+    for pool in pools(cards).values() {
+        Search::new(engine, pool, &movable).run(&mut layout);
+    }
+    layout
+}
+
+/// A card that shall hold other layers than it does.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Move {
+    /// The card's target.
+    pub target: TargetId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// What it shall hold.
+    pub layers: LayerRange,
+    /// Price of the data centre's shortage afterwards, as a share of what it is.
+    pub price_share: f64,
+}
+
+/// Finds the one move in each data centre that lowers its shortage most, where it lowers it to
+/// `price_share_max` or less.
+///
+/// Answers the loss of cards for good: what the others hold no longer fits together.
+pub fn rebalance(engine: &Engine, cards: &[Card], price_share_max: f64) -> Vec<Move> {
+    let mut moves = Vec::new();
+    for pool in pools(cards).values() {
+        let mut search = Search::new(engine, pool, |_| false);
+        let before_price = search.price();
+        let mut best: Option<Move> = None;
+        for (index, card) in pool.iter().enumerate() {
+            let Some(held) = search.runs[index] else {
+                continue;
+            };
+            let (run, price) = search.best_run(index);
+            search.set(index, Some(held));
+            let price_share = price / before_price;
+            let limit = best
+                .as_ref()
+                .map_or(price_share_max, |best| best.price_share);
+            if let Some(run) = run
+                && run != held
+                && price_share < limit
+            {
+                best = Some(Move {
+                    target: card.target.clone(),
+                    data_centre: card.data_centre.clone(),
+                    layers: search.range_of(run),
+                    price_share,
+                });
+            }
+        }
+        moves.extend(best);
+    }
+    moves
+}
+
+/// The cards of each data centre, larger accelerators first: they have fewer places to go.
+fn pools(cards: &[Card]) -> BTreeMap<&DataCentreId, Vec<&Card>> {
     let mut pools: BTreeMap<&DataCentreId, Vec<&Card>> = BTreeMap::new();
     for card in cards {
         pools.entry(&card.data_centre).or_default().push(card);
     }
-    let mut layout = Layout::new();
     for pool in pools.values_mut() {
-        // Larger accelerators first: they have fewer places to go.
         pool.sort_by(|left, right| {
             right
                 .kind
@@ -64,9 +121,8 @@
                 .total_cmp(&left.kind.memory_megabytes)
                 .then_with(|| left.target.cmp(&right.target))
         });
-        Search::new(engine, pool, &movable).run(&mut layout);
     }
-    layout
+    pools
 }
 
 /// A run of blocks.
@@ -145,8 +201,19 @@
     fn improve(&mut self, index: usize) -> bool {
         let before = self.runs[index];
         let before_price = self.price();
+        let (mut best, best_price) = self.best_run(index);
+        if before.is_some() && best_price >= before_price * (1.0 - GAIN_MIN) {
+            best = before;
+        }
+        self.set(index, best);
+        best != before
+    }
+
+    /// A card's best run under the others' present ones, and the price with it. The card is left
+    /// without a run.
+    fn best_run(&mut self, index: usize) -> (Option<Run>, f64) {
         self.set(index, None);
-        let mut best = before;
+        let mut best = None;
         let mut best_price = f64::INFINITY;
         for first in 0..BLOCK_COUNT {
             for end in first + 1..=BLOCK_COUNT {
@@ -163,11 +230,7 @@
                 }
             }
         }
-        if before.is_some() && best_price >= before_price * (1.0 - GAIN_MIN) {
-            best = before;
-        }
-        self.set(index, best);
-        best != before
+        (best, best_price)
     }
 
     /// Price of the present runs: each block costs the more, the less it can serve.
--- a/crates/anvil_core/src/layout/tests.rs
+++ b/crates/anvil_core/src/layout/tests.rs
@@ -54,6 +54,47 @@
     }
 }
 
+#[gtest]
+fn rebalance_closes_gap_of_a_card_lost_for_good() {
+    let engine = engine();
+    let mut all = cards("a", &[("large", 1), ("middle", 3), ("small", 8)]);
+    let layout = choose(&engine, &all, |_| true);
+    for card in &mut all {
+        card.holds = layout.get(&card.target).copied();
+    }
+    // Whatever card is lost, some moves of others cover every layer again.
+    for lost in 0..all.len() {
+        let mut left = all.clone();
+        left.remove(lost);
+        for _ in 0..3 {
+            for step in rebalance(&engine, &left, 0.8) {
+                let card = left.iter_mut().find(|card| card.target == step.target);
+                card.unwrap().holds = Some(step.layers);
+            }
+        }
+        let layout = left
+            .iter()
+            .filter_map(|card| Some((card.target.clone(), card.holds?)))
+            .collect();
+        expect_that!(
+            copies(&layout, &left, "a"),
+            each(ge(&1)),
+            "without card {lost}"
+        );
+    }
+}
+
+#[gtest]
+fn rebalance_leaves_good_layout_alone() {
+    let engine = engine();
+    let mut all = cards("a", &[("large", 1), ("middle", 6), ("small", 5)]);
+    let layout = choose(&engine, &all, |_| true);
+    for card in &mut all {
+        card.holds = layout.get(&card.target).copied();
+    }
+    expect_that!(rebalance(&engine, &all, 0.8), is_empty());
+}
+
 #[gtest]
 fn choose_refills_gap_left_by_a_lost_card() {
     let engine = engine();
--- a/crates/anvil_gateway/src/placer.rs
+++ b/crates/anvil_gateway/src/placer.rs
@@ -13,6 +13,7 @@
 use anvil_core::{
     engine_model::Engine,
     id::{
+        DataCentreId,
         LayerRange,
         ServiceId,
         TargetId, //
@@ -55,6 +56,12 @@
 /// load takes alone.
 const LOAD_PATIENCE: f64 = 6.0;
 
+/// Shortage after a move, as a share of that before, at which the move is worth the time for which
+/// its card serves nobody.
+const REBALANCE_PRICE_SHARE: f64 = 0.7;
+/// Time for which a shortage must last before a card is moved: one that crashed may be back.
+const REBALANCE_WAIT: Duration = Duration::from_millis(1500);
+
 /// An order that was given.
 #[derive(Clone, Copy, Debug)]
 struct Given {
@@ -75,6 +82,8 @@
     /// Highest token that was refused: orders need a higher one.
     refused_token: Cell<u64>,
     given: RefCell<HashMap<TargetId, Given>>,
+    /// When a shortage that a move would mend was first seen in a data centre, or last mended.
+    shortage_since: RefCell<HashMap<DataCentreId, Instant>>,
     /// Orders that each run of a target has accepted, as far as this host knows.
     order_counts: RefCell<HashMap<(TargetId, u64), u64>>,
 }
@@ -88,6 +97,7 @@
             lease: Cell::new(None),
             refused_token: Cell::new(0),
             given: RefCell::new(HashMap::new()),
+            shortage_since: RefCell::new(HashMap::new()),
             order_counts: RefCell::new(HashMap::new()),
         }
     }
@@ -217,11 +227,15 @@
             });
         }
         let layout = layout::choose(engine, &cards, |card| card.holds.is_none());
+        self.rebalance(service_id, engine, targets, &cards, now);
         for target in targets {
             let Some(layers) = layout.get(&target.id).copied() else {
                 continue;
             };
             let holds = target.entry.borrow().layers.map(|(range, _)| range);
+            if holds.is_some() {
+                continue;
+            }
             if holds == Some(layers) || self.pending(target, now).is_some() {
                 continue;
             }
@@ -229,6 +243,51 @@
         }
     }
 
+    /// Moves one card of each data centre where that mends a shortage, while nothing else is under
+    /// way there.
+    fn rebalance(
+        self: &Rc<Self>,
+        service_id: &ServiceId,
+        engine: &Engine,
+        targets: &[Rc<Target>],
+        cards: &[Card],
+        now: Instant,
+    ) {
+        for step in layout::rebalance(engine, cards, REBALANCE_PRICE_SHARE) {
+            let is_unsettled = targets.iter().any(|target| {
+                let entry = target.entry.borrow();
+                entry.data_centre == step.data_centre
+                    && target.is_listed_ready()
+                    && (entry.layers.is_none() || self.pending(target, now).is_some())
+            });
+            let changed = self.shortage_since.borrow().get(&step.data_centre).copied();
+            let since = match changed {
+                Some(since) if !is_unsettled => since,
+                _ => {
+                    self.shortage_since
+                        .borrow_mut()
+                        .insert(step.data_centre.clone(), now);
+                    continue;
+                }
+            };
+            if now.duration_since(since) < REBALANCE_WAIT {
+                continue;
+            }
+            if let Some(target) = targets.iter().find(|target| target.id == step.target) {
+                spdlog::info!("placer.rebalance", kv: {
+                    target = target.id.as_str(),
+                    data_centre = step.data_centre.as_str(),
+                    layers: = step.layers,
+                    price_share = step.price_share,
+                });
+                self.give(service_id, engine, target, step.layers);
+                self.shortage_since
+                    .borrow_mut()
+                    .insert(step.data_centre.clone(), now);
+            }
+        }
+    }
+
     /// Layers that a target was ordered to hold and may not show yet.
     fn pending(&self, target: &Target, now: Instant) -> Option<LayerRange> {
         let given = *self.given.borrow().get(&target.id)?;
