--- a/crates/anvil_gateway/src/paths.rs
+++ b/crates/anvil_gateway/src/paths.rs
@@ -32,6 +32,9 @@
 const RETRY_MIN: Duration = Duration::from_millis(300);
 const RETRY_MAX: Duration = Duration::from_millis(1200);
 
+/// Age up to which progress of a request proves that a target lives, against a peer that avoids it.
+const PROOF_OF_LIFE: Duration = Duration::from_millis(300);
+
 /// A visit of a path.
 #[derive(Clone, Debug)]
 pub struct Hop {
@@ -149,6 +152,7 @@
         .filter(|target| target.is_listed_ready() && target.entry.borrow().layers.is_some())
         .collect();
     let peers = gateway.peers.borrow().loads(now);
+    let peer_avoided = gateway.peers.borrow().avoided(now);
     let mut data_centres = vec![gateway.settings.data_centre.clone()];
     let live_used = tried.used.iter().filter(|target| target.is_listed_ready());
     let firsts_are_used = live_used.count() >= request.route.attempts_max as usize;
@@ -170,6 +174,8 @@
                 first_requests: target.sent_requests.get() + load.sent_requests,
                 slowdown: target.slowdown(),
                 open: !target.is_avoided(now)
+                    && !(peer_avoided.contains(&target.hash)
+                        && !target.progressed_since(now - PROOF_OF_LIFE))
                     && !left_out.iter().any(|other| Rc::ptr_eq(other, target)),
                 may_be_first: !firsts_are_used
                     || tried.used.iter().any(|other| Rc::ptr_eq(other, target)),
@@ -223,7 +229,7 @@
     let now = Instant::now();
     for hop in &chosen.hops {
         if !hop.target.progressed_since(since) {
-            hop.target.note_failure(now);
+            hop.target.note_silence(now);
         }
     }
 }
--- a/crates/anvil_gateway/src/peers.rs
+++ b/crates/anvil_gateway/src/peers.rs
@@ -194,6 +194,7 @@
             targets_next: gateway.targets.next(),
             targets_age: gateway.targets.age(),
             loads: gateway.targets.own_loads(),
+            avoided: gateway.targets.own_avoided(Instant::now()),
             news: None,
         }
     }
--- a/crates/anvil_gateway/src/peers/message.rs
+++ b/crates/anvil_gateway/src/peers/message.rs
@@ -45,6 +45,8 @@
     pub targets_age: Option<Duration>,
     /// Its requests in flight.
     pub loads: Vec<Load>,
+    /// Hashes of the targets that it avoids after its own requests failed there.
+    pub avoided: Vec<u32>,
     /// Changes of the list of targets.
     pub news: Option<News>,
 }
@@ -96,6 +98,7 @@
             .map(|load| whole(load.token_layers / TOKEN_LAYERS_UNIT))
             .collect(),
         load_sent: loads.iter().map(|load| whole(load.sent_requests)).collect(),
+        avoided: digest.avoided.clone(),
         news: digest
             .news
             .iter()
@@ -136,6 +139,7 @@
         targets_next: digest.targets_next,
         targets_age: age(digest.targets_age_ms),
         loads,
+        avoided: digest.avoided,
         news: digest.news_from.map(|from| News { from, changes }),
     })
 }
--- a/crates/anvil_gateway/src/peers/tests.rs
+++ b/crates/anvil_gateway/src/peers/tests.rs
@@ -30,6 +30,7 @@
             token_layers: 5000.0,
             sent_requests: 1.0,
         }],
+        avoided: vec![7, 8],
         news: Some(News {
             from: 9,
             changes: vec![
--- a/crates/anvil_gateway/src/peers/view.rs
+++ b/crates/anvil_gateway/src/peers/view.rs
@@ -3,7 +3,8 @@
 use std::{
     collections::{
         BTreeMap,
-        HashMap, //
+        HashMap,
+        HashSet, //
     },
     net::SocketAddr,
     time::Duration, //
@@ -163,6 +164,16 @@
         loads
     }
 
+    /// Hashes of the targets that some peer avoids.
+    pub fn avoided(&self, now: Instant) -> HashSet<u32> {
+        self.peers
+            .values()
+            .filter(|peer| peer.is_heard(now))
+            .flat_map(|peer| &peer.digest)
+            .flat_map(|digest| digest.avoided.iter().copied())
+            .collect()
+    }
+
     /// Whether a host is one of those that read the store for their data centre.
     pub fn is_reader(&self, own: &HostId, data_centre: &DataCentreId, now: Instant) -> bool {
         let near = self.peers.iter().filter(|(_, peer)| {
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -253,7 +253,7 @@
         let mut taken = match first.pool.take(first.address(), limit).await {
             Ok(taken) => taken,
             Err(error) => {
-                first.note_failure(Instant::now());
+                first.note_silence(Instant::now());
                 trace.failed(error.to_string());
                 return Sent::NotRun("no connection", Some(first.address()));
             }
--- a/crates/anvil_gateway/src/targets.rs
+++ b/crates/anvil_gateway/src/targets.rs
@@ -30,8 +30,11 @@
     }, //
 };
 
-/// Time for which a target is avoided after a first failure; doubles with each further one.
+/// Time for which a target is avoided after a first refusal or error; doubles with each further one.
 const AVOID_MIN: Duration = Duration::from_millis(400);
+/// Time for which a target is avoided after it gave no sign of life for the first time: most of the
+/// time that the list takes to drop one that crashed.
+const AVOID_SILENT_MIN: Duration = Duration::from_millis(1500);
 /// Longest time for which a target is avoided: a crashed one may be back within seconds.
 const AVOID_MAX: Duration = Duration::from_secs(4);
 /// Weight of a new observation of a target's speed.
@@ -61,6 +64,8 @@
     /// When a request through it last made progress.
     progress: Cell<Option<Instant>>,
     avoided_until: Cell<Option<Instant>>,
+    /// Whether it is avoided because it gave no sign of life.
+    is_silent: Cell<bool>,
     failures: Cell<u32>,
     slowdown: Cell<f64>,
     gone: Cell<bool>,
@@ -79,6 +84,7 @@
             heard: Cell::new(Instant::now()),
             progress: Cell::new(None),
             avoided_until: Cell::new(None),
+            is_silent: Cell::new(false),
             failures: Cell::new(0),
             slowdown: Cell::new(1.0),
             gone: Cell::new(false),
@@ -100,8 +106,17 @@
         self.avoided_until.get().is_some_and(|until| until > now)
     }
 
-    /// Notes that a request failed there.
+    /// Notes that a request was refused or failed there.
     pub fn note_failure(&self, now: Instant) {
+        self.avoid(now, AVOID_MIN, false);
+    }
+
+    /// Notes that it gave no sign of life.
+    pub fn note_silence(&self, now: Instant) {
+        self.avoid(now, AVOID_SILENT_MIN, true);
+    }
+
+    fn avoid(&self, now: Instant, min: Duration, is_silent: bool) {
         if self.is_avoided(now) {
             // Requests that were under way together fail together and count once.
             return;
@@ -109,8 +124,9 @@
         let failures = self.failures.get().saturating_add(1);
         self.failures.set(failures);
         let factor = 1u32 << (failures - 1).min(4);
+        self.is_silent.set(is_silent);
         self.avoided_until
-            .set(Some(now + (AVOID_MIN * factor).min(AVOID_MAX)));
+            .set(Some(now + (min * factor).min(AVOID_MAX)));
     }
 
     /// Notes that a request made progress there.
@@ -257,6 +273,16 @@
         self.next.get()
     }
 
+    /// Hashes of the targets that this host avoids because they gave no sign of life.
+    pub fn own_avoided(&self, now: Instant) -> Vec<u32> {
+        self.by_id
+            .borrow()
+            .values()
+            .filter(|target| target.is_silent.get() && target.is_avoided(now))
+            .map(|target| target.hash)
+            .collect()
+    }
+
     /// Requests of this host, by target.
     pub fn own_loads(&self) -> Vec<Load> {
         self.by_id
