--- a/crates/anvil_core/src/layout.rs
+++ b/crates/anvil_core/src/layout.rs
@@ -19,6 +19,8 @@
     },
 };
 
+pub mod capacity;
+
 #[cfg(test)]
 mod tests;
 
--- /dev/null
+++ b/crates/anvil_core/src/layout/capacity.rs
@@ -0,0 +1,81 @@
+//! Rates that a layout sustains, by the same model and the same choice of paths that requests meet.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    engine_model::Engine,
+    id::DataCentreId,
+    route::engine_driven::{
+        self,
+        Demand,
+        Worker, //
+    },
+};
+
+use super::{
+    Card,
+    Layout, //
+};
+
+/// Requests with which the cards are filled at most.
+const REQUESTS_MAX: usize = 2000;
+
+/// Requests a second that a layout sustains when every data centre gets the same number: those
+/// that fit at once, over the time for which they stay. `lost` is the index of a card that is gone.
+pub fn rate_per_s(engine: &Engine, cards: &[Card], layout: &Layout, lost: Option<usize>) -> f64 {
+    let mut data_centres: BTreeMap<&DataCentreId, usize> = BTreeMap::new();
+    for card in cards {
+        let next = data_centres.len();
+        data_centres.entry(&card.data_centre).or_insert(next);
+    }
+    let mut workers: Vec<Worker> = cards
+        .iter()
+        .enumerate()
+        .filter(|(index, _)| Some(*index) != lost)
+        .filter_map(|(_, card)| {
+            Some(Worker {
+                target: card.target.clone(),
+                data_centre: data_centres[&card.data_centre],
+                kind: card.kind,
+                layers: *layout.get(&card.target)?,
+                sequences: 0.0,
+                used_token_layers: 0.0,
+                first_requests: 0.0,
+                slowdown: 1.0,
+                open: true,
+                may_be_first: true,
+            })
+        })
+        .collect();
+    let count = data_centres.len().max(1);
+    let mut time_ms = 0.0;
+    let mut requests = 0;
+    let mut refused = 0;
+    while refused < count && requests < REQUESTS_MAX {
+        let demand = Demand {
+            prompt_tokens: engine.usual_prompt_tokens,
+            answer_tokens: engine.usual_answer_tokens,
+            data_centre: (requests + refused) % count,
+        };
+        let Ok(path) = engine_driven::choose(engine, &workers, &demand, count, || 1.0) else {
+            refused += 1;
+            continue;
+        };
+        requests += 1;
+        let events = demand.answer_tokens / f64::from(engine.steps_per_event.max(1));
+        time_ms += path.first_event_ms + events * path.pause_ms;
+        for (index, hop) in path.hops.iter().enumerate() {
+            let worker = &mut workers[hop.worker];
+            worker.sequences += 1.0;
+            worker.used_token_layers += demand.tokens() * f64::from(hop.layers.count());
+            if index == 0 {
+                worker.first_requests += 1.0;
+            }
+        }
+    }
+    if requests == 0 {
+        return 0.0;
+    }
+    let mean_time_s = time_ms / 1e3 / requests as f64;
+    requests as f64 / mean_time_s
+}
--- a/crates/anvil_core/src/route/engine_driven.rs
+++ b/crates/anvil_core/src/route/engine_driven.rs
@@ -16,6 +16,11 @@
     },
 };
 
+use derive_more::{
+    Display,
+    Error, //
+};
+
 #[cfg(test)]
 mod tests;
 
@@ -114,7 +119,19 @@
     from_data_centre: 0,
 };
 
-/// Finds the cheapest path, or nothing where no open workers with room tile the layers.
+/// Why there is no path.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
+#[display("no open worker with room holds layer {reached} after a path up to it")]
+pub struct NoPath {
+    /// Boundary up to which some path leads.
+    pub reached: Layer,
+}
+
+/// Finds the cheapest path.
+///
+/// # Errors
+///
+/// [`NoPath`] where no open workers with room tile the layers.
 ///
 /// `noise` gives a factor near 1 for each worker, so that hosts that know the same do not all
 /// choose the same path.
@@ -124,7 +141,7 @@
     demand: &Demand,
     data_centre_count: usize,
     mut noise: impl FnMut() -> f64,
-) -> Option<Path> {
+) -> Result<Path, NoPath> {
     let factors: Vec<f64> = workers.iter().map(|_| noise()).collect();
     let boundaries = boundaries(engine, workers);
     let last = boundaries.len() - 1;
@@ -169,9 +186,11 @@
             }
         }
     }
-    let hops = trace_back(&arrivals, &boundaries)?;
+    let hops = trace_back(&arrivals, &boundaries).ok_or_else(|| NoPath {
+        reached: furthest(&arrivals, &boundaries),
+    })?;
     assert_tiles(engine, workers, &hops);
-    Some(predict(engine, workers, demand, hops))
+    Ok(predict(engine, workers, demand, hops))
 }
 
 /// Every boundary at which a worker's range begins or ends, with both ends of the model.
@@ -249,6 +268,14 @@
     worker.slowdown * engine.read_time_ms(worker.kind, layers.count(), demand.prompt_tokens)
 }
 
+/// The last boundary that some path reaches.
+fn furthest(arrivals: &[Vec<Arrival>], boundaries: &[Layer]) -> Layer {
+    let reached =
+        |arrivals: &Vec<Arrival>| arrivals.iter().any(|arrival| arrival.cost_ms.is_finite());
+    let index = arrivals.iter().rposition(reached).unwrap_or(0);
+    boundaries[index]
+}
+
 fn trace_back(arrivals: &[Vec<Arrival>], boundaries: &[Layer]) -> Option<Vec<Hop>> {
     let last = boundaries.len() - 1;
     let (mut data_centre, _) = arrivals[last]
--- a/crates/anvil_core/src/route/engine_driven/tests.rs
+++ b/crates/anvil_core/src/route/engine_driven/tests.rs
@@ -25,7 +25,7 @@
 };
 
 fn path(workers: &[Worker]) -> Option<Path> {
-    choose(&engine(), workers, &DEMAND, 2, || 1.0)
+    choose(&engine(), workers, &DEMAND, 2, || 1.0).ok()
 }
 
 fn names(workers: &[Worker], path: &Path) -> Vec<String> {
--- a/crates/anvil_gateway/src/paths.rs
+++ b/crates/anvil_gateway/src/paths.rs
@@ -9,14 +9,19 @@
 
 use anvil_core::{
     engine_model::Engine,
-    id::LayerRange,
+    id::{
+        Layer,
+        LayerRange, //
+    },
     route::engine_driven::{
         self,
         Demand,
+        NoPath,
         Path,
         Worker, //
     }, //
 };
+use derive_more::Display;
 use tokio::time::Instant;
 
 use crate::{
@@ -32,6 +37,8 @@
 const RETRY_MIN: Duration = Duration::from_millis(300);
 const RETRY_MAX: Duration = Duration::from_millis(1200);
 
+/// Share of an engine's memory from which on it counts as full in the log.
+const FULL_SHARE: f64 = 0.9;
 /// Age up to which progress of a request proves that a target lives, against a peer that avoids it.
 const PROOF_OF_LIFE: Duration = Duration::from_millis(300);
 
@@ -113,6 +120,37 @@
     }
 }
 
+/// Why there is no path, for the log.
+#[derive(Clone, Copy, Debug, Display)]
+#[display(
+    "no path beyond layer {reached}: {workers} engines hold layers, {closed} closed, {full} of the others full"
+)]
+pub struct Blocked {
+    /// Boundary up to which some path leads.
+    reached: Layer,
+    /// Engines that hold layers.
+    workers: usize,
+    /// Those that are avoided or left out.
+    closed: usize,
+    /// Those of the others whose memory is nearly full.
+    full: usize,
+}
+
+impl Blocked {
+    fn new(no_path: NoPath, engine: &Engine, workers: &[Worker]) -> Self {
+        let is_full = |worker: &&Worker| {
+            let capacity = engine.capacity_token_layers(worker.kind, worker.layers.count());
+            worker.open && worker.used_token_layers > FULL_SHARE * capacity
+        };
+        Self {
+            reached: no_path.reached,
+            workers: workers.len(),
+            closed: workers.iter().filter(|worker| !worker.open).count(),
+            full: workers.iter().filter(is_full).count(),
+        }
+    }
+}
+
 /// What a request has tried.
 pub struct Tried<'a> {
     /// First engines that it was sent to; once these are as many as it may be sent to, only they
@@ -128,10 +166,10 @@
     request: &Request<'_>,
     engine: &Engine,
     tried: &Tried<'_>,
-) -> Option<Chosen> {
-    choose_without(gateway, request, engine, tried, tried.failed).or_else(|| {
+) -> Result<Chosen, Blocked> {
+    choose_without(gateway, request, engine, tried, tried.failed).or_else(|blocked| {
         if tried.failed.is_empty() {
-            return None;
+            return Err(blocked);
         }
         choose_without(gateway, request, engine, tried, &[])
     })
@@ -143,7 +181,7 @@
     engine: &Engine,
     tried: &Tried<'_>,
     left_out: &[Rc<Target>],
-) -> Option<Chosen> {
+) -> Result<Chosen, Blocked> {
     let now = Instant::now();
     let targets: Vec<Rc<Target>> = gateway
         .targets
@@ -186,7 +224,8 @@
     let noise = RefCell::new(|| 1.0 + NOISE * (2.0 * gateway.draw() - 1.0));
     let path = engine_driven::choose(engine, &workers, &demand, data_centres.len(), || {
         (noise.borrow_mut())()
-    })?;
+    })
+    .map_err(|no_path| Blocked::new(no_path, engine, &workers))?;
     let hops = path
         .hops
         .iter()
@@ -197,7 +236,12 @@
             })
         })
         .collect::<Vec<_>>();
-    (hops.len() == path.hops.len()).then_some(Chosen { hops, path })
+    assert_eq!(
+        hops.len(),
+        path.hops.len(),
+        "the list does not change meanwhile"
+    );
+    Ok(Chosen { hops, path })
 }
 
 fn index_of(names: &mut Vec<smol_str::SmolStr>, name: &smol_str::SmolStr) -> usize {
@@ -220,7 +264,13 @@
     let fault = at_fault
         .and_then(|address| gateway.targets.at(address))
         .unwrap_or_else(|| Rc::clone(chosen.first()));
-    fault.note_failure(Instant::now());
+    let now = Instant::now();
+    // An engine whose other requests go on is short of memory, not out of order.
+    if fault.progressed_since(now - PROOF_OF_LIFE) {
+        fault.note_full(now);
+    } else {
+        fault.note_failure(now);
+    }
     fault
 }
 
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -136,7 +136,7 @@
             if Instant::now() >= self.request.deadline {
                 return self.give_up(Reason::Timeout, may_have_run, "timeout");
             }
-            let Some(chosen) = paths::choose(
+            let chosen = paths::choose(
                 self.gateway,
                 self.request,
                 self.engine,
@@ -144,17 +144,22 @@
                     used: &self.used,
                     failed: &self.failed,
                 },
-            ) else {
-                let since = *without_path_since.get_or_insert_with(Instant::now);
-                if !may_have_run || since.elapsed() > RESUME_WAIT {
-                    return self.give_up(Reason::Overloaded, may_have_run, "no path");
-                }
-                tokio::select! {
-                    biased;
-                    () = caller.closed_by_peer(READ_AHEAD_LIMIT_BYTES) => return Ended::CallerGone,
-                    () = tokio::time::sleep(PATH_RETRY) => {}
+            );
+            let chosen = match chosen {
+                Ok(chosen) => chosen,
+                Err(blocked) => {
+                    trace.failed(blocked.to_string());
+                    let since = *without_path_since.get_or_insert_with(Instant::now);
+                    if !may_have_run || since.elapsed() > RESUME_WAIT {
+                        return self.give_up(Reason::Overloaded, may_have_run, "no path");
+                    }
+                    tokio::select! {
+                        biased;
+                        () = caller.closed_by_peer(READ_AHEAD_LIMIT_BYTES) => return Ended::CallerGone,
+                        () = tokio::time::sleep(PATH_RETRY) => {}
+                    }
+                    continue;
                 }
-                continue;
             };
             without_path_since = None;
             if trace.sends == 0 {
--- a/crates/anvil_gateway/src/targets.rs
+++ b/crates/anvil_gateway/src/targets.rs
@@ -35,6 +35,9 @@
 /// Time for which a target is avoided after it gave no sign of life for the first time: most of the
 /// time that the list takes to drop one that crashed.
 const AVOID_SILENT_MIN: Duration = Duration::from_millis(1500);
+/// Time for which a target without room is avoided: some events of a stream, each of which may be
+/// the last.
+const FULL_PAUSE: Duration = Duration::from_millis(120);
 /// Longest time for which a target is avoided: a crashed one may be back within seconds.
 const AVOID_MAX: Duration = Duration::from_secs(4);
 /// Weight of a new observation of a target's speed.
@@ -111,6 +114,14 @@
         self.avoid(now, AVOID_MIN, false);
     }
 
+    /// Notes that it refused a request for want of room: others may find some soon.
+    pub fn note_full(&self, now: Instant) {
+        if !self.is_avoided(now) {
+            self.is_silent.set(false);
+            self.avoided_until.set(Some(now + FULL_PAUSE));
+        }
+    }
+
     /// Notes that it gave no sign of life.
     pub fn note_silence(&self, now: Instant) {
         self.avoid(now, AVOID_SILENT_MIN, true);
