Compare whole layouts by the rate that they sustain, and serve metrics

A layout for empty cards now climbs by the rate that it sustains under the router's own choices, with and without the largest card of each data centre; an answer counts half as memory. Counters and histograms are served on the metrics address.

--- a/crates/anvil_core/src/layout.rs
+++ b/crates/anvil_core/src/layout.rs
@@ -20,6 +20,9 @@
 };
 
 pub mod capacity;
+mod climb;
+
+pub use climb::Climb;
 
 #[cfg(test)]
 mod tests;
@@ -46,6 +49,10 @@
     pub holds: Option<LayerRange>,
 }
 
+/// Rate after a move, as a share of that before, at which the move is worth the time for which its
+/// card serves nobody.
+const MOVE_GAIN_MIN: f64 = 1.06;
+
 /// Layers for each target.
 pub type Layout = BTreeMap<TargetId, LayerRange>;
 
@@ -95,6 +102,7 @@
             if let Some(run) = run
                 && run != held
                 && price_share < limit
+                && raises_rate(engine, cards, card, search.range_of(run))
             {
                 best = Some(Move {
                     target: card.target.clone(),
@@ -109,6 +117,19 @@
     moves
 }
 
+/// Whether a move raises the rate that all cards together sustain by enough.
+fn raises_rate(engine: &Engine, cards: &[Card], moved: &Card, layers: LayerRange) -> bool {
+    let mut layout: Layout = cards
+        .iter()
+        .filter_map(|card| Some((card.target.clone(), card.holds?)))
+        .collect();
+    let before_per_s = capacity::rate_per_s(engine, cards, &layout, None);
+    layout.insert(moved.target.clone(), layers);
+    let after_per_s = capacity::rate_per_s(engine, cards, &layout, None);
+    // Where nothing can be served, several moves may be needed until something can.
+    before_per_s == 0.0 || after_per_s > MOVE_GAIN_MIN * before_per_s
+}
+
 /// The cards of each data centre, larger accelerators first: they have fewer places to go.
 fn pools(cards: &[Card]) -> BTreeMap<&DataCentreId, Vec<&Card>> {
     let mut pools: BTreeMap<&DataCentreId, Vec<&Card>> = BTreeMap::new();
--- a/crates/anvil_core/src/layout/capacity.rs
+++ b/crates/anvil_core/src/layout/capacity.rs
@@ -17,12 +17,15 @@
     Layout, //
 };
 
-/// Requests with which the cards are filled at most.
-const REQUESTS_MAX: usize = 2000;
+/// Bundles of requests with which the cards are filled: fewer are coarse, more take longer.
+const BUNDLES: f64 = 64.0;
+/// Bundles after which the filling ends even if there is room.
+const BUNDLES_MAX: usize = 256;
 
 /// Requests a second that a layout sustains when every data centre gets the same number: those
 /// that fit at once, over the time for which they stay. `lost` is the index of a card that is gone.
 pub fn rate_per_s(engine: &Engine, cards: &[Card], layout: &Layout, lost: Option<usize>) -> f64 {
+    let bundle = bundle_requests(engine, cards);
     let mut data_centres: BTreeMap<&DataCentreId, usize> = BTreeMap::new();
     for card in cards {
         let next = data_centres.len();
@@ -49,33 +52,45 @@
         .collect();
     let count = data_centres.len().max(1);
     let mut time_ms = 0.0;
-    let mut requests = 0;
+    let mut bundles = 0;
     let mut refused = 0;
-    while refused < count && requests < REQUESTS_MAX {
+    while refused < count && bundles < BUNDLES_MAX {
         let demand = Demand {
             prompt_tokens: engine.usual_prompt_tokens,
             answer_tokens: engine.usual_answer_tokens,
-            data_centre: (requests + refused) % count,
+            data_centre: (bundles + refused) % count,
         };
         let Ok(path) = engine_driven::choose(engine, &workers, &demand, count, || 1.0) else {
             refused += 1;
             continue;
         };
-        requests += 1;
+        bundles += 1;
         let events = demand.answer_tokens / f64::from(engine.steps_per_event.max(1));
         time_ms += path.first_event_ms + events * path.pause_ms;
         for (index, hop) in path.hops.iter().enumerate() {
             let worker = &mut workers[hop.worker];
-            worker.sequences += 1.0;
-            worker.used_token_layers += demand.tokens() * f64::from(hop.layers.count());
+            worker.sequences += bundle;
+            worker.used_token_layers +=
+                bundle * demand.memory_tokens() * f64::from(hop.layers.count());
             if index == 0 {
-                worker.first_requests += 1.0;
+                worker.first_requests += bundle;
             }
         }
     }
-    if requests == 0 {
+    if bundles == 0 {
         return 0.0;
     }
-    let mean_time_s = time_ms / 1e3 / requests as f64;
-    requests as f64 / mean_time_s
+    let mean_time_s = time_ms / 1e3 / bundles as f64;
+    bundle * bundles as f64 / mean_time_s
+}
+
+/// Requests of one bundle: a part of those that would fit if the cards held one copy of the model.
+fn bundle_requests(engine: &Engine, cards: &[Card]) -> f64 {
+    let memory: f64 = cards
+        .iter()
+        .map(|card| engine.capacity_token_layers(card.kind, 0))
+        .sum();
+    let layers = f64::from(engine.layer_count.max(1));
+    let tokens = (engine.usual_prompt_tokens + engine.usual_answer_tokens).max(1.0);
+    (memory / layers / tokens / BUNDLES / 2.0).max(1.0)
 }
--- a/crates/anvil_core/src/layout/tests.rs
+++ b/crates/anvil_core/src/layout/tests.rs
@@ -1,4 +1,5 @@
 use googletest::prelude::*;
+use rand::SeedableRng;
 
 use super::*;
 use crate::engine_model::tests::engine;
@@ -110,3 +111,33 @@
     expect_that!(again.get(&lost).copied(), eq(before));
     expect_that!(copies(&again, &all, "a"), each(ge(&1)));
 }
+
+fn three_data_centres() -> Vec<Card> {
+    let mut all = cards("a", &[("large", 1), ("middle", 3), ("small", 8)]);
+    all.extend(cards("b", &[("large", 1), ("middle", 6), ("small", 5)]));
+    all.extend(cards("c", &[("large", 2), ("middle", 2), ("small", 5)]));
+    all
+}
+
+/// The layout is played with as many requests as it takes: it must sustain more than the greedy one,
+/// and more than an even split of the layers by memory.
+#[gtest]
+fn climb_sustains_more_than_greedy_layout() {
+    let engine = engine();
+    let all = three_data_centres();
+    let greedy = choose(&engine, &all, |_| true);
+    let greedy_per_s = capacity::rate_per_s(&engine, &all, &greedy, None);
+    let mut climb = Climb::new(&engine, &all);
+    let mut random = rand::rngs::SmallRng::seed_from_u64(1);
+    for _ in 0..150 {
+        climb.step(&mut random);
+    }
+    let layout = climb.close();
+    let climbed_per_s = capacity::rate_per_s(&engine, &all, &layout, None);
+    println!("greedy {greedy_per_s:.1}/s, climbed {climbed_per_s:.1}/s");
+    expect_that!(climbed_per_s, ge(greedy_per_s));
+    for (target, range) in &layout {
+        let card = all.iter().find(|card| card.target == *target).unwrap();
+        expect_that!(range.count(), le(engine.layers_max(card.kind)));
+    }
+}
--- a/crates/anvil_core/src/route/engine_driven.rs
+++ b/crates/anvil_core/src/route/engine_driven.rs
@@ -26,6 +26,10 @@
 
 /// Weight of memory in use on a price: a full accelerator costs this many times an empty one.
 const MEMORY_WEIGHT: f64 = 4.0;
+/// Share of an answer that counts as memory on average: it grows from nothing.
+const MEMORY_ANSWER_SHARE: f64 = 0.5;
+/// Largest share of an engine's memory that is given to requests: answers grow at different times.
+const MEMORY_SHARE_MAX: f64 = 0.96;
 /// Share of an engine's resident sequences that are in one pass; the others are elsewhere on
 /// their paths.
 const PASS_SHARE: f64 = 0.5;
@@ -78,6 +82,11 @@
     pub fn tokens(&self) -> f64 {
         self.prompt_tokens + self.answer_tokens
     }
+
+    /// Tokens that it has in memory on average: the answer grows from nothing.
+    pub fn memory_tokens(&self) -> f64 {
+        self.prompt_tokens + MEMORY_ANSWER_SHARE * self.answer_tokens
+    }
 }
 
 /// A visit of a path.
@@ -240,7 +249,7 @@
     if !worker.open {
         return None;
     }
-    if memory_share(engine, worker, demand, layers.count()) > 1.0 {
+    if memory_share(engine, worker, demand, layers.count()) > MEMORY_SHARE_MAX {
         return None;
     }
     let time_ms = read_ms(engine, worker, demand, layers)
@@ -252,7 +261,7 @@
 
 fn memory_share(engine: &Engine, worker: &Worker, demand: &Demand, layer_count: Layer) -> f64 {
     let capacity = engine.capacity_token_layers(worker.kind, worker.layers.count());
-    let needed = worker.used_token_layers + demand.tokens() * f64::from(layer_count);
+    let needed = worker.used_token_layers + demand.memory_tokens() * f64::from(layer_count);
     if capacity <= 0.0 {
         return f64::INFINITY;
     }
@@ -333,7 +342,7 @@
     for hop in &hops {
         let worker = &workers[hop.worker];
         read += read_ms(engine, worker, demand, hop.layers);
-        step += step_ms(engine, worker, demand, hop.layers);
+        step += HOP_MS + step_ms(engine, worker, demand, hop.layers);
         if worker.data_centre != previous {
             step += CROSSING_MS;
         }
--- a/crates/anvil_gateway/src/answer.rs
+++ b/crates/anvil_gateway/src/answer.rs
@@ -16,7 +16,8 @@
 }
 
 impl Promise {
-    fn text(self) -> &'static str {
+    /// Its name in answers and logs.
+    pub fn text(self) -> &'static str {
         match self {
             Self::NotRun => "not_run",
             Self::Unknown => "unknown",
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -23,7 +23,6 @@
 
 use crate::{
     answer::{
-        Promise,
         Reason,
         Refusal, //
     },
@@ -101,6 +100,18 @@
     CallerGone,
 }
 
+impl Ended {
+    /// Outcome and reason, for logs and metrics.
+    pub fn labels(&self) -> (&'static str, &'static str) {
+        match self {
+            Self::Answered { .. } => ("answered", ""),
+            Self::Refused(refusal) => (refusal.promise.text(), refusal.reason.text()),
+            Self::BrokenOff { reason } => ("broken_off", reason),
+            Self::CallerGone => ("caller_gone", ""),
+        }
+    }
+}
+
 /// What a request met on its way, for its line in the log.
 #[derive(Debug, Default)]
 pub struct Trace {
@@ -343,22 +354,14 @@
     ended: &Ended,
     trace: &Trace,
 ) {
-    let (status, outcome) = match ended {
-        Ended::Answered { status } => (*status, "answered"),
-        Ended::Refused(refusal) => (
-            refusal.status(),
-            match refusal.promise {
-                Promise::NotRun => "not_run",
-                Promise::Unknown => "unknown",
-            },
-        ),
-        Ended::BrokenOff { .. } => (0, "broken_off"),
-        Ended::CallerGone => (0, "caller_gone"),
-    };
-    let reason = match ended {
-        Ended::Refused(refusal) => refusal.reason.text(),
-        Ended::BrokenOff { reason } => reason,
-        Ended::Answered { .. } | Ended::CallerGone => "",
+    gateway
+        .metrics
+        .note_end(ended, trace, arrived.elapsed().as_secs_f64());
+    let (outcome, reason) = ended.labels();
+    let status = match ended {
+        Ended::Answered { status } => *status,
+        Ended::Refused(refusal) => refusal.status(),
+        Ended::BrokenOff { .. } | Ended::CallerGone => 0,
     };
     let age_ms = gateway
         .knowledge
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -3,7 +3,8 @@
 use std::{
     cell::{
         Cell,
-        RefCell, //
+        RefCell,
+        RefMut, //
     },
     collections::HashMap,
     time::Duration, //
@@ -29,6 +30,7 @@
 
 use crate::{
     knowledge::Knowledge,
+    metrics::Metrics,
     peers::View,
     port::Platform,
     settings::Settings,
@@ -56,6 +58,8 @@
     pub knowledge: Knowledge,
     /// The targets.
     pub targets: Targets,
+    /// Counters and histograms.
+    pub metrics: Metrics,
     /// The other gateways.
     pub peers: RefCell<View>,
     /// Told when a peer has a newer table.
@@ -79,6 +83,7 @@
             platform,
             knowledge: Knowledge::default(),
             targets: Targets::default(),
+            metrics: Metrics::new(),
             peers: RefCell::new(View::default()),
             table_news: Notify::new(),
             open_requests: Cell::new(0),
@@ -131,7 +136,16 @@
         let host_count = self.peers.borrow().heard_count(Instant::now()) + 1;
         let mut retries = self.retries.borrow_mut();
         let budget = retries.entry(service.clone()).or_default();
-        budget.try_take(&self.settings.bounds.retries, host_count, now)
+        let is_allowed = budget.try_take(&self.settings.bounds.retries, host_count, now);
+        if !is_allowed {
+            self.metrics.note_retry_denied();
+        }
+        is_allowed
+    }
+
+    /// The source of random numbers. It must not be held over an await.
+    pub fn random(&self) -> RefMut<'_, SmallRng> {
+        self.random.borrow_mut()
     }
 
     /// A random whole number.
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod gateway;
 pub mod http1;
 pub mod knowledge;
+pub mod metrics;
 pub mod paths;
 pub mod peers;
 pub mod placer;
--- /dev/null
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -0,0 +1,214 @@
+//! Counters and latency histograms, served as text on the metrics address.
+
+use std::rc::Rc;
+
+use prometheus::{
+    Encoder,
+    Histogram,
+    HistogramOpts,
+    IntCounter,
+    IntCounterVec,
+    IntGauge,
+    Opts,
+    Registry,
+    TextEncoder, //
+};
+use tokio::{
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    task::spawn_local,
+    time::sleep, //
+};
+
+use crate::{
+    exchange::{
+        Ended,
+        Trace, //
+    },
+    gateway::Gateway,
+    http1::Connection,
+    run::{
+        ACCEPT_PAUSE,
+        READINESS_HEAD_LIMIT_BYTES,
+        READINESS_IDLE, //
+    },
+};
+
+/// Bounds of the buckets of latencies, in seconds: from a plain answer to the longest stream.
+const BUCKETS_S: [f64; 13] = [
+    0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.35, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0,
+];
+
+/// Instruments of a gateway.
+pub struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    sends: IntCounter,
+    retries_denied: IntCounter,
+    events: IntCounter,
+    duration: Histogram,
+    first: Histogram,
+    pause: Histogram,
+    open_requests: IntGauge,
+    table_version: IntGauge,
+    table_age_ms: IntGauge,
+    targets_age_ms: IntGauge,
+    peers_heard: IntGauge,
+}
+
+impl Metrics {
+    /// Instruments at zero.
+    ///
+    /// # Panics
+    ///
+    /// Never: the names are valid and differ.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help).expect("the name is valid");
+            let registered = registry.register(Box::new(counter.clone()));
+            registered.expect("the name is registered once");
+            counter
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help).expect("the name is valid");
+            let registered = registry.register(Box::new(gauge.clone()));
+            registered.expect("the name is registered once");
+            gauge
+        };
+        let histogram = |name: &str, help: &str| {
+            let options = HistogramOpts::new(name, help).buckets(BUCKETS_S.to_vec());
+            let histogram = Histogram::with_opts(options).expect("the buckets ascend");
+            let registered = registry.register(Box::new(histogram.clone()));
+            registered.expect("the name is registered once");
+            histogram
+        };
+        let requests = IntCounterVec::new(
+            Opts::new("anvil_requests_total", "Requests that ended"),
+            &["outcome", "reason"],
+        )
+        .expect("the name is valid");
+        registry
+            .register(Box::new(requests.clone()))
+            .expect("the name is registered once");
+        Self {
+            requests,
+            sends: counter("anvil_sends_total", "Sends to targets"),
+            retries_denied: counter(
+                "anvil_retries_denied_total",
+                "Extra sends that the fleet's budget did not allow",
+            ),
+            events: counter("anvil_events_total", "Events passed on to callers"),
+            duration: histogram(
+                "anvil_request_duration_seconds",
+                "Time from a request's arrival to its end",
+            ),
+            first: histogram(
+                "anvil_first_event_seconds",
+                "Time from a request's arrival to its first event or answer",
+            ),
+            pause: histogram(
+                "anvil_longest_pause_seconds",
+                "Longest pause between two events of a stream",
+            ),
+            open_requests: gauge("anvil_open_requests", "Requests open now"),
+            table_version: gauge("anvil_table_version", "Version of the table in force"),
+            table_age_ms: gauge(
+                "anvil_table_age_milliseconds",
+                "Time since which the table may have been replaced; -1 before the first",
+            ),
+            targets_age_ms: gauge(
+                "anvil_targets_age_milliseconds",
+                "Time since which the list of targets may have changed; -1 before the first",
+            ),
+            peers_heard: gauge("anvil_peers_heard", "Other hosts that are heard of"),
+            registry,
+        }
+    }
+
+    /// Counts an extra send that the budget did not allow.
+    pub fn note_retry_denied(&self) {
+        self.retries_denied.inc();
+    }
+
+    /// Counts a request that ended.
+    pub fn note_end(&self, ended: &Ended, trace: &Trace, took_s: f64) {
+        let (outcome, reason) = ended.labels();
+        self.requests.with_label_values(&[outcome, reason]).inc();
+        self.sends.inc_by(u64::from(trace.sends));
+        self.events.inc_by(u64::from(trace.events));
+        self.duration.observe(took_s);
+        if matches!(ended, Ended::Answered { .. }) {
+            self.first.observe(trace.first_ms as f64 / 1e3);
+        }
+        if trace.events > 1 {
+            self.pause.observe(trace.longest_pause_ms as f64 / 1e3);
+        }
+    }
+
+    fn text(&self, gateway: &Gateway) -> Vec<u8> {
+        let age_ms = |age: Option<std::time::Duration>| {
+            age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX))
+        };
+        let version = gateway.knowledge.table().map_or(0, |table| table.version());
+        self.open_requests
+            .set(i64::from(gateway.open_requests.get()));
+        self.table_version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.table_age_ms.set(age_ms(gateway.knowledge.age()));
+        self.targets_age_ms.set(age_ms(gateway.targets.age()));
+        let heard = gateway
+            .peers
+            .borrow()
+            .heard_count(tokio::time::Instant::now());
+        self.peers_heard
+            .set(i64::try_from(heard).unwrap_or(i64::MAX));
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            spdlog::warn!("metrics.encode_failed", kv: { error: });
+        }
+        text
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Answers questions for metrics for ever.
+pub async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                spawn_local(answer(Rc::clone(&gateway), stream));
+            }
+            Err(error) => {
+                spdlog::warn!("listener.accept_failed", kv: { error: });
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn answer(gateway: Rc<Gateway>, stream: TcpStream) {
+    let mut connection = Connection::new(stream);
+    while let Ok(Some(head)) = connection
+        .read_request(READINESS_HEAD_LIMIT_BYTES, READINESS_IDLE, READINESS_IDLE)
+        .await
+    {
+        let text = gateway.metrics.text(&gateway);
+        let mut out = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/plain; version=0.0.4\r\nContent-Length: {}\r\n\r\n",
+            text.len()
+        )
+        .into_bytes();
+        out.extend_from_slice(&text);
+        if connection.write_all(&out).await.is_err() || !head.keep_alive {
+            return;
+        }
+    }
+}
--- a/crates/anvil_gateway/src/placer.rs
+++ b/crates/anvil_gateway/src/placer.rs
@@ -20,7 +20,8 @@
     },
     layout::{
         self,
-        Card, //
+        Card,
+        Climb, //
     },
 };
 use tokio::time::{
@@ -49,7 +50,11 @@
 /// Time between two looks at what is placed.
 const TICK: Duration = Duration::from_millis(200);
 /// Time without a new target after which the list counts as whole at the start.
-const SETTLED: Duration = Duration::from_millis(500);
+/// Longer than the time between two readings of the list.
+const SETTLED: Duration = Duration::from_millis(1100);
+/// Steps of the search for a layout, times cards: the time of a step grows with the cards, and loads
+/// must begin some seconds after the start.
+const CLIMB_STEP_CARDS: usize = 8000;
 /// Time for which an order without a certain answer keeps others for that target back.
 const UNCERTAIN_PAUSE: Duration = Duration::from_millis(1500);
 /// Time after which an order that has begun may be given again, as a share of the time that the
@@ -192,21 +197,58 @@
                 let is_new = targets
                     .iter()
                     .all(|target| target.entry.borrow().layers.is_none());
-                if is_new && settled_since.elapsed() < SETTLED {
-                    continue;
+                if !is_new {
+                    self.place_service(service_id, engine, &targets);
+                } else if settled_since.elapsed() >= SETTLED {
+                    self.place_all(service_id, engine, &targets).await;
                 }
-                self.place_service(service_id, engine, &targets);
             }
         }
     }
 
-    fn place_service(
+    /// Places a model on engines that are all empty.
+    async fn place_all(
         self: &Rc<Self>,
         service_id: &ServiceId,
         engine: &Engine,
         targets: &[Rc<Target>],
     ) {
         let now = Instant::now();
+        let cards: Vec<Card> = self
+            .cards(engine, targets, now)
+            .into_iter()
+            .filter(|card| card.holds.is_none())
+            .collect();
+        if cards.is_empty() {
+            return;
+        }
+        let mut climb = Climb::new(engine, &cards);
+        let steps = CLIMB_STEP_CARDS / cards.len();
+        for _ in 0..steps {
+            climb.step(&mut *self.gateway.random());
+            // Requests and leases go on meanwhile.
+            tokio::task::yield_now().await;
+        }
+        spdlog::info!("placer.layout", kv: {
+            service = service_id.as_str(),
+            cards = cards.len(),
+            steps,
+            rate_per_s = climb.rate_per_s(),
+            took_ms = now.elapsed().as_millis() as u64,
+        });
+        let layout = climb.close();
+        for target in targets {
+            if let Some(layers) = layout.get(&target.id)
+                && target.entry.borrow().layers.is_none()
+                && self.pending(target, Instant::now()).is_none()
+            {
+                self.give(service_id, engine, target, *layers);
+            }
+        }
+    }
+
+    /// The accelerators of the targets that take requests.
+    fn cards(&self, engine: &Engine, targets: &[Rc<Target>], now: Instant) -> Vec<Card> {
         let mut cards = Vec::new();
         for target in targets {
             if !target.is_listed_ready() {
@@ -226,17 +268,26 @@
                     .or_else(|| self.pending(target, now)),
             });
         }
+        cards
+    }
+
+    /// Fills the engines that are empty, and moves one where layers are short.
+    fn place_service(
+        self: &Rc<Self>,
+        service_id: &ServiceId,
+        engine: &Engine,
+        targets: &[Rc<Target>],
+    ) {
+        let now = Instant::now();
+        let cards = self.cards(engine, targets, now);
         let layout = layout::choose(engine, &cards, |card| card.holds.is_none());
         self.rebalance(service_id, engine, targets, &cards, now);
         for target in targets {
             let Some(layers) = layout.get(&target.id).copied() else {
                 continue;
             };
-            let holds = target.entry.borrow().layers.map(|(range, _)| range);
-            if holds.is_some() {
-                continue;
-            }
-            if holds == Some(layers) || self.pending(target, now).is_some() {
+            let is_empty = target.entry.borrow().layers.is_none();
+            if !is_empty || self.pending(target, now).is_some() {
                 continue;
             }
             self.give(service_id, engine, target, layers);
--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -32,6 +32,7 @@
         Phase, //
     },
     http1::Connection,
+    metrics,
     peers::Peers,
     placer::Placer,
     port::Platform,
@@ -41,7 +42,7 @@
 /// Connections that may wait to be accepted.
 const BACKLOG_CONNECTIONS: u32 = 1024;
 /// Pause after a connection could not be accepted, as when descriptors run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Time from the signal to stop until the entry sends no more connections: two of its questions a
 /// second apart, and their way.
 const UNNOTICED: Duration = Duration::from_millis(2600);
@@ -52,9 +53,9 @@
 /// Time between two sweeps of idle connections.
 const SWEEP: Duration = Duration::from_secs(2);
 /// Longest time that a question for readiness may take, and its connection stays idle.
-const READINESS_IDLE: Duration = Duration::from_secs(10);
+pub(crate) const READINESS_IDLE: Duration = Duration::from_secs(10);
 /// Largest head of a question for readiness.
-const READINESS_HEAD_LIMIT_BYTES: usize = 8 << 10;
+pub(crate) const READINESS_HEAD_LIMIT_BYTES: usize = 8 << 10;
 
 /// How a run ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -86,6 +87,9 @@
         callers: = gateway.settings.callers,
         readiness: = gateway.settings.readiness,
     });
+    if let Some(address) = gateway.settings.metrics {
+        spawn_local(metrics::serve(Rc::clone(&gateway), listen(address)?));
+    }
     spawn_local(accept_callers(Rc::clone(&gateway), callers));
     spawn_local(accept_readiness(Rc::clone(&gateway), readiness));
     spawn_local(follow::follow_table(Rc::clone(&gateway)));
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -479,7 +479,7 @@
 /// Counts a request on every engine of its path until they are dropped.
 impl Chosen {
     fn begin(&self, engine: &Engine, request: &Request<'_>) -> Vec<Flight> {
-        let tokens = paths::demand(request, engine, 0).tokens();
+        let tokens = paths::demand(request, engine, 0).memory_tokens();
         self.hops
             .iter()
             .enumerate()
