--- a/crates/anvil_core/src/layout.rs
+++ b/crates/anvil_core/src/layout.rs
@@ -182,9 +182,9 @@
             supply: [0.0; BLOCK_COUNT],
             boundaries,
         };
-        for index in 0..cards.len() {
+        for (index, card) in cards.iter().enumerate() {
             if !search.free[index] {
-                let run = cards[index].holds.and_then(|range| search.run_of(range));
+                let run = card.holds.and_then(|range| search.run_of(range));
                 search.set(index, run);
             }
         }
--- a/crates/anvil_gateway/src/events.rs
+++ b/crates/anvil_gateway/src/events.rs
@@ -51,7 +51,7 @@
     }
 
     /// Takes the next whole event out.
-    pub fn next(&mut self) -> Option<Event> {
+    pub fn take_event(&mut self) -> Option<Event> {
         let end = self.end_of_event()?;
         let bytes = self.buffer.split_to(end).freeze();
         self.searched_bytes = 0;
--- a/crates/anvil_gateway/src/events/tests.rs
+++ b/crates/anvil_gateway/src/events/tests.rs
@@ -7,7 +7,7 @@
     let mut events = Vec::new();
     for piece in pieces {
         splitter.push(piece.as_bytes()).unwrap();
-        while let Some(event) = splitter.next() {
+        while let Some(event) = splitter.take_event() {
             events.push(event);
         }
     }
@@ -15,7 +15,7 @@
 }
 
 #[gtest]
-fn next_gives_whole_events_only() {
+fn take_event_gives_whole_events_only() {
     let (events, rest) = split(&["id: 1\ndata: a\n\nid: 2\nda"]);
     expect_that!(events.len(), eq(1));
     expect_that!(events[0].id, some(eq(1)));
@@ -24,7 +24,7 @@
 }
 
 #[gtest]
-fn next_takes_any_cut() {
+fn take_event_takes_any_cut() {
     let text = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\ndata: c\n\n";
     for cut in 0..text.len() {
         let (events, rest) = split(&[&text[..cut], &text[cut..]]);
--- a/crates/anvil_gateway/src/paths.rs
+++ b/crates/anvil_gateway/src/paths.rs
@@ -42,6 +42,12 @@
 /// Age up to which progress of a request proves that a target lives, against a peer that avoids it.
 const PROOF_OF_LIFE: Duration = Duration::from_millis(300);
 
+/// Engines of a stalled path that may be blamed together.
+const SUSPECTS_MAX: usize = 2;
+/// Largest share of a service's engines that are avoided on the word of peers: where more look
+/// silent, the cause lies elsewhere.
+const PEER_AVOIDED_SHARE_MAX: f64 = 0.15;
+
 /// A visit of a path.
 #[derive(Clone, Debug)]
 pub struct Hop {
@@ -192,6 +198,11 @@
     let peers = gateway.peers.borrow().loads(now);
     let peer_avoided = gateway.peers.borrow().avoided(now);
     let mut data_centres = vec![gateway.settings.data_centre.clone()];
+    let named = targets
+        .iter()
+        .filter(|target| peer_avoided.contains(&target.hash))
+        .count();
+    let believes_peers = named as f64 <= PEER_AVOIDED_SHARE_MAX * targets.len() as f64;
     let live_used = tried.used.iter().filter(|target| target.is_listed_ready());
     let firsts_are_used = live_used.count() >= request.route.attempts_max as usize;
     let workers: Vec<Worker> = targets
@@ -201,6 +212,11 @@
             let data_centre = index_of(&mut data_centres, &entry.data_centre);
             let (layers, _) = entry.layers?;
             let kind = *engine.kinds.get(entry.kind.as_ref()?)?;
+            let is_avoided = target.is_avoided(now);
+            let is_left_out = left_out.iter().any(|other| Rc::ptr_eq(other, target));
+            let is_named = believes_peers
+                && peer_avoided.contains(&target.hash)
+                && !target.progressed_since(now - PROOF_OF_LIFE);
             let load = peers.get(&target.hash).copied().unwrap_or_default();
             Some(Worker {
                 target: target.id.clone(),
@@ -211,10 +227,7 @@
                 used_token_layers: target.token_layers.get() + load.token_layers,
                 first_requests: target.sent_requests.get() + load.sent_requests,
                 slowdown: target.slowdown(),
-                open: !target.is_avoided(now)
-                    && !(peer_avoided.contains(&target.hash)
-                        && !target.progressed_since(now - PROOF_OF_LIFE))
-                    && !left_out.iter().any(|other| Rc::ptr_eq(other, target)),
+                open: !(is_avoided || is_named || is_left_out),
                 may_be_first: !firsts_are_used
                     || tried.used.iter().any(|other| Rc::ptr_eq(other, target)),
             })
@@ -274,12 +287,22 @@
     fault
 }
 
-/// Notes a stall: engines that showed no progress with other requests either are avoided.
+/// Notes a stall: engines that showed no progress with other requests either are avoided. Where
+/// these are many, most of them are sound, and none is named to other hosts.
 pub fn note_stall(chosen: &Chosen, since: Instant) {
     let now = Instant::now();
-    for hop in &chosen.hops {
-        if !hop.target.progressed_since(since) {
-            hop.target.note_silence(now);
+    let suspects: Vec<&Rc<Target>> = chosen
+        .hops
+        .iter()
+        .map(|hop| &hop.target)
+        .filter(|target| !target.progressed_since(since))
+        .collect();
+    let is_certain = suspects.len() <= SUSPECTS_MAX;
+    for target in suspects {
+        if is_certain {
+            target.note_silence(now);
+        } else {
+            target.note_failure(now);
         }
     }
 }
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -418,7 +418,7 @@
             let now = Instant::now();
             out.clear();
             let mut events = 0;
-            while let Some(event) = splitter.next() {
+            while let Some(event) = splitter.take_event() {
                 // A resumed stream must go on after the last event that went out.
                 if let (Some(id), Some(last)) = (event.id, self.last_event)
                     && id <= last
