--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -108,8 +108,8 @@
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
             _ = hang_up.recv() => {
-                // Addresses and bounds stay for the life of a process.
-                spdlog::info!("host.reload", kv: { changed = false });
+                // Settings hold for the life of a process; a restart reads the file again.
+                spdlog::info!("host.reload_ignored");
             }
         }
     }
--- a/crates/anvil_observe/src/events.rs
+++ b/crates/anvil_observe/src/events.rs
@@ -53,7 +53,7 @@
     "connection.options_failed": "Options of a connection could not be set; a dead peer is noticed later on it.",
     "host.cut_off": "The drain timeout passed with requests open.",
     "host.listening": "The host's listeners are open.",
-    "host.reload": "The settings file was read again; the line tells whether anything changed.",
+    "host.reload_ignored": "SIGHUP came. The settings file was not read again; settings hold until a restart.",
     "host.signal_failed": "The host can't wait for a stop signal and stops.",
     "host.start_failed": "The host could not start.",
     "host.starting": "The host reads its configuration and opens its listeners.",
