--- a/crates/anvil_core/src/layout.rs
+++ b/crates/anvil_core/src/layout.rs
@@ -35,6 +35,23 @@
 const GAIN_MIN: f64 = 1e-6;
 /// Supply assumed for a block that no accelerator holds, in tokens; keeps prices finite.
 const SUPPLY_MIN_TOKENS: f64 = 100.0;
+/// Supply assumed for a block at least after a loss, in tokens: a second copy that serves some of
+/// the load is worth more than a large one.
+const SUPPLY_AFTER_LOSS_MIN_TOKENS: f64 = 20_000.0;
+/// Weights of the price that a block has after losses, against its price with every card.
+#[derive(Clone, Copy, Debug)]
+struct LossWeights {
+    /// After the loss of its largest card.
+    one: f64,
+    /// After the loss of its two largest cards.
+    two: f64,
+}
+
+/// Weights for cards that are placed one by one.
+const LOSS_WEIGHTS: LossWeights = LossWeights {
+    one: 0.3,
+    two: 0.05,
+};
 
 /// An accelerator to place layers on.
 #[derive(Clone, Debug, PartialEq)]
@@ -59,9 +76,18 @@
 /// Chooses layers for every card, each data centre by itself. Cards for which `movable` is false
 /// keep what they hold.
 pub fn choose(engine: &Engine, cards: &[Card], movable: impl Fn(&Card) -> bool) -> Layout {
+    choose_with(engine, cards, LOSS_WEIGHTS, movable)
+}
+
+fn choose_with(
+    engine: &Engine,
+    cards: &[Card],
+    weights: LossWeights,
+    movable: impl Fn(&Card) -> bool,
+) -> Layout {
     let mut layout = Layout::new();
     for pool in pools(cards).values() {
-        Search::new(engine, pool, &movable).run(&mut layout);
+        Search::new(engine, pool, weights, &movable).run(&mut layout);
     }
     layout
 }
@@ -86,7 +112,7 @@
 pub fn rebalance(engine: &Engine, cards: &[Card], price_share_max: f64) -> Vec<Move> {
     let mut moves = Vec::new();
     for pool in pools(cards).values() {
-        let mut search = Search::new(engine, pool, |_| false);
+        let mut search = Search::new(engine, pool, LOSS_WEIGHTS, |_| false);
         let before_price = search.price();
         let mut best: Option<Move> = None;
         for (index, card) in pool.iter().enumerate() {
@@ -123,9 +149,9 @@
         .iter()
         .filter_map(|card| Some((card.target.clone(), card.holds?)))
         .collect();
-    let before_per_s = capacity::rate_per_s(engine, cards, &layout, None);
+    let before_per_s = capacity::rate_per_s(engine, cards, &layout, &[]);
     layout.insert(moved.target.clone(), layers);
-    let after_per_s = capacity::rate_per_s(engine, cards, &layout, None);
+    let after_per_s = capacity::rate_per_s(engine, cards, &layout, &[]);
     // Where nothing can be served, several moves may be needed until something can.
     before_per_s == 0.0 || after_per_s > MOVE_GAIN_MIN * before_per_s
 }
@@ -155,20 +181,65 @@
     end: usize,
 }
 
+/// Tokens that the cards which hold a block can serve.
+#[derive(Clone, Copy, Debug, Default)]
+struct Stock {
+    /// All together.
+    supply_tokens: f64,
+    /// The two that serve most, largest first.
+    largest_tokens: [f64; 2],
+}
+
+impl Stock {
+    /// Adds a card.
+    fn add(&mut self, tokens: f64) {
+        self.supply_tokens += tokens;
+        let [first, second] = self.largest_tokens;
+        self.largest_tokens = if tokens > first {
+            [tokens, first]
+        } else {
+            [first, second.max(tokens)]
+        };
+    }
+
+    /// Price: the higher, the less the cards can serve, all together and without the largest.
+    fn price(&self, weights: LossWeights) -> f64 {
+        let [first, second] = self.largest_tokens;
+        let after_one = self.supply_tokens - first;
+        let after_two = after_one - second;
+        price_of_supply(self.supply_tokens, SUPPLY_MIN_TOKENS)
+            + weights.one * price_of_supply(after_one, SUPPLY_AFTER_LOSS_MIN_TOKENS)
+            + weights.two * price_of_supply(after_two, SUPPLY_AFTER_LOSS_MIN_TOKENS)
+    }
+}
+
+fn price_of_supply(tokens: f64, min_tokens: f64) -> f64 {
+    let tokens = tokens.max(min_tokens) / 1e4;
+    1.0 / (tokens * tokens)
+}
+
+fn price_of(stock: &[Stock; BLOCK_COUNT], weights: LossWeights) -> f64 {
+    stock.iter().map(|block| block.price(weights)).sum()
+}
+
 struct Search<'a> {
     engine: &'a Engine,
     cards: &'a [&'a Card],
+    weights: LossWeights,
     /// Whether each card's run may be chosen.
     free: Vec<bool>,
     runs: Vec<Option<Run>>,
-    /// Tokens that the cards can serve, by block.
-    supply: [f64; BLOCK_COUNT],
     /// Boundaries of the blocks.
     boundaries: [Layer; BLOCK_COUNT + 1],
 }
 
 impl<'a> Search<'a> {
-    fn new(engine: &'a Engine, cards: &'a [&'a Card], movable: impl Fn(&Card) -> bool) -> Self {
+    fn new(
+        engine: &'a Engine,
+        cards: &'a [&'a Card],
+        weights: LossWeights,
+        movable: impl Fn(&Card) -> bool,
+    ) -> Self {
         let mut boundaries = [0; BLOCK_COUNT + 1];
         for (index, boundary) in boundaries.iter_mut().enumerate() {
             let layers = usize::from(engine.layer_count) * index / BLOCK_COUNT;
@@ -177,9 +248,9 @@
         let mut search = Self {
             engine,
             cards,
+            weights,
             free: cards.iter().map(|card| movable(card)).collect(),
             runs: vec![None; cards.len()],
-            supply: [0.0; BLOCK_COUNT],
             boundaries,
         };
         for (index, card) in cards.iter().enumerate() {
@@ -236,6 +307,7 @@
     /// without a run.
     fn best_run(&mut self, index: usize) -> (Option<Run>, f64) {
         self.set(index, None);
+        let others = self.stock();
         let mut best = None;
         let mut best_price = f64::INFINITY;
         for first in 0..BLOCK_COUNT {
@@ -244,9 +316,12 @@
                 if !self.fits(index, run) {
                     break;
                 }
-                self.set(index, Some(run));
-                let price = self.price();
-                self.set(index, None);
+                let supply = self.supply_of(index, run);
+                let mut with_run = others;
+                for block in &mut with_run[first..end] {
+                    block.add(supply);
+                }
+                let price = price_of(&with_run, self.weights);
                 if price < best_price {
                     best_price = price;
                     best = Some(run);
@@ -256,15 +331,22 @@
         (best, best_price)
     }
 
-    /// Price of the present runs: each block costs the more, the less it can serve.
     fn price(&self) -> f64 {
-        self.supply
-            .iter()
-            .map(|supply| {
-                let supply = supply.max(SUPPLY_MIN_TOKENS) / 1e4;
-                1.0 / (supply * supply)
-            })
-            .sum()
+        price_of(&self.stock(), self.weights)
+    }
+
+    /// What the present runs can serve.
+    fn stock(&self) -> [Stock; BLOCK_COUNT] {
+        let mut stock = [Stock::default(); BLOCK_COUNT];
+        for (index, run) in self.runs.iter().enumerate() {
+            if let Some(run) = run {
+                let supply = self.supply_of(index, *run);
+                for block in &mut stock[run.first..run.end] {
+                    block.add(supply);
+                }
+            }
+        }
+        stock
     }
 
     fn fits(&self, index: usize, run: Run) -> bool {
@@ -272,18 +354,6 @@
     }
 
     fn set(&mut self, index: usize, run: Option<Run>) {
-        if let Some(old) = self.runs[index] {
-            let supply = self.supply_of(index, old);
-            for block in &mut self.supply[old.first..old.end] {
-                *block -= supply;
-            }
-        }
-        if let Some(new) = run {
-            let supply = self.supply_of(index, new);
-            for block in &mut self.supply[new.first..new.end] {
-                *block += supply;
-            }
-        }
         self.runs[index] = run;
     }
 
--- a/crates/anvil_core/src/layout/capacity.rs
+++ b/crates/anvil_core/src/layout/capacity.rs
@@ -23,8 +23,9 @@
 const BUNDLES_MAX: usize = 256;
 
 /// Requests a second that a layout sustains when every data centre gets the same number: those
-/// that fit at once, over the time for which they stay. `lost` is the index of a card that is gone.
-pub fn rate_per_s(engine: &Engine, cards: &[Card], layout: &Layout, lost: Option<usize>) -> f64 {
+/// that fit at once, over the time for which they stay. `lost` are the indices of cards that are
+/// gone.
+pub fn rate_per_s(engine: &Engine, cards: &[Card], layout: &Layout, lost: &[usize]) -> f64 {
     let bundle = bundle_requests(engine, cards);
     let mut data_centres: BTreeMap<&DataCentreId, usize> = BTreeMap::new();
     for card in cards {
@@ -34,7 +35,7 @@
     let mut workers: Vec<Worker> = cards
         .iter()
         .enumerate()
-        .filter(|(index, _)| Some(*index) != lost)
+        .filter(|(index, _)| !lost.contains(index))
         .filter_map(|(_, card)| {
             Some(Worker {
                 target: card.target.clone(),
@@ -59,6 +60,8 @@
             prompt_tokens: engine.usual_prompt_tokens,
             answer_tokens: engine.usual_answer_tokens,
             data_centre: (bundles + refused) % count,
+            // What a data centre lacks, others replace at the price of the pipe that all share.
+            may_cross: false,
         };
         let Ok(path) = engine_driven::choose(engine, &workers, &demand, count, || 1.0) else {
             refused += 1;
--- a/crates/anvil_core/src/layout/climb.rs
+++ b/crates/anvil_core/src/layout/climb.rs
@@ -2,8 +2,10 @@
 //!
 //! The greedy search of [`choose`](super::choose) weighs each block's memory alone. Here whole
 //! layouts are compared by the rate that they sustain under the router's own choices, with every
-//! card and after the loss of one card in each data centre. Answers the heaviest load, on which
-//! memory for requests binds.
+//! card and after the loss of some cards of one data centre. Answers the heaviest load, on which
+//! memory for requests binds, and crashes under it.
+
+use std::collections::BTreeMap;
 
 use rand::{
     Rng,
@@ -13,6 +15,7 @@
 use crate::{
     engine_model::Engine,
     id::{
+        DataCentreId,
         Layer,
         LayerRange, //
     },
@@ -21,13 +24,27 @@
 use super::{
     BLOCK_COUNT,
     Card,
+    LOSS_WEIGHTS,
     Layout,
+    LossWeights,
     capacity,
-    choose, //
+    choose_with, //
 };
 
 /// Weight of the mean rate after a loss against that of all cards.
 const LOSS_WEIGHT: f64 = 1.0;
+/// Share of a data centre's cards that are lost together where losses are weighed.
+const LOST_SHARE: f64 = 0.1;
+/// Losses that are weighed in each data centre.
+const LOSSES: usize = 3;
+/// Weights of losses in the greedy layouts that the search begins with: which of them serves best
+/// depends on how much memory the cards have beyond the model.
+const START_WEIGHTS: [LossWeights; 4] = [
+    LossWeights { one: 0.0, two: 0.0 },
+    LossWeights { one: 0.1, two: 0.0 },
+    LOSS_WEIGHTS,
+    LossWeights { one: 1.0, two: 0.1 },
+];
 /// Share of the best rate of all cards below which a candidate is dropped without a look at losses.
 const PRUNE_SHARE: f64 = 0.97;
 
@@ -35,33 +52,27 @@
 pub struct Climb<'a> {
     engine: &'a Engine,
     cards: &'a [Card],
-    /// Cards whose loss is weighed: the largest of each data centre.
-    losses: Vec<usize>,
+    /// Cards whose loss together is weighed.
+    losses: Vec<Vec<usize>>,
     best: Layout,
     best_full_per_s: f64,
     best_score_per_s: f64,
 }
 
 impl<'a> Climb<'a> {
-    /// Begins with the greedy layout.
+    /// Begins with the best of some greedy layouts.
     pub fn new(engine: &'a Engine, cards: &'a [Card]) -> Self {
-        let mut largest: std::collections::BTreeMap<_, usize> = std::collections::BTreeMap::new();
-        for (index, card) in cards.iter().enumerate() {
-            let entry = largest.entry(&card.data_centre).or_insert(index);
-            if cards[*entry].kind.memory_megabytes < card.kind.memory_megabytes {
-                *entry = index;
-            }
-        }
         let mut climb = Self {
             engine,
             cards,
-            losses: largest.into_values().collect(),
-            best: choose(engine, cards, |_| true),
+            losses: losses(cards),
+            best: Layout::new(),
             best_full_per_s: 0.0,
-            best_score_per_s: 0.0,
+            best_score_per_s: -1.0,
         };
-        let start = climb.best.clone();
-        climb.offer(start);
+        for weights in START_WEIGHTS {
+            climb.offer(choose_with(engine, cards, weights, |_| true));
+        }
         climb
     }
 
@@ -92,12 +103,12 @@
 
     /// Takes a candidate over where it is better.
     fn offer(&mut self, candidate: Layout) {
-        let rate = |lost| capacity::rate_per_s(self.engine, self.cards, &candidate, lost);
-        let full_per_s = rate(None);
+        let rate = |lost: &[usize]| capacity::rate_per_s(self.engine, self.cards, &candidate, lost);
+        let full_per_s = rate(&[]);
         if full_per_s < PRUNE_SHARE * self.best_full_per_s {
             return;
         }
-        let lost_per_s: f64 = self.losses.iter().map(|lost| rate(Some(*lost))).sum();
+        let lost_per_s: f64 = self.losses.iter().map(|lost| rate(lost)).sum();
         let score_per_s = full_per_s + LOSS_WEIGHT * lost_per_s / self.losses.len().max(1) as f64;
         if score_per_s > self.best_score_per_s {
             self.best = candidate;
@@ -116,3 +127,22 @@
         self.best
     }
 }
+
+/// Losses to weigh: in each data centre, cards that are spread over its kinds.
+fn losses(cards: &[Card]) -> Vec<Vec<usize>> {
+    let mut pools: BTreeMap<&DataCentreId, Vec<usize>> = BTreeMap::new();
+    for (index, card) in cards.iter().enumerate() {
+        pools.entry(&card.data_centre).or_default().push(index);
+    }
+    let mut losses = Vec::new();
+    for pool in pools.values_mut() {
+        pool.sort_by(|left, right| {
+            let memory = |index: &usize| cards[*index].kind.memory_megabytes;
+            memory(right).total_cmp(&memory(left))
+        });
+        let stride = (1.0 / LOST_SHARE) as usize;
+        let lost = |offset: usize| pool.iter().skip(offset).step_by(stride).copied();
+        losses.extend((0..LOSSES.min(pool.len())).map(|offset| lost(offset).collect()));
+    }
+    losses
+}
--- a/crates/anvil_core/src/layout/tests.rs
+++ b/crates/anvil_core/src/layout/tests.rs
@@ -1,5 +1,8 @@
 use googletest::prelude::*;
-use rand::SeedableRng;
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
 
 use super::*;
 use crate::engine_model::tests::engine;
@@ -126,14 +129,14 @@
     let engine = engine();
     let all = three_data_centres();
     let greedy = choose(&engine, &all, |_| true);
-    let greedy_per_s = capacity::rate_per_s(&engine, &all, &greedy, None);
+    let greedy_per_s = capacity::rate_per_s(&engine, &all, &greedy, &[]);
     let mut climb = Climb::new(&engine, &all);
     let mut random = rand::rngs::SmallRng::seed_from_u64(1);
     for _ in 0..150 {
         climb.step(&mut random);
     }
     let layout = climb.close();
-    let climbed_per_s = capacity::rate_per_s(&engine, &all, &layout, None);
+    let climbed_per_s = capacity::rate_per_s(&engine, &all, &layout, &[]);
     println!("greedy {greedy_per_s:.1}/s, climbed {climbed_per_s:.1}/s");
     expect_that!(climbed_per_s, ge(greedy_per_s));
     for (target, range) in &layout {
@@ -141,3 +144,53 @@
         expect_that!(range.count(), le(engine.layers_max(card.kind)));
     }
 }
+
+/// Cards of a grown site with 276 streams a second and bursts of a quarter more, of which three in
+/// one data centre crash together.
+#[gtest]
+fn climb_sustains_bursts_after_joint_crash() {
+    const BURST_PER_S: f64 = 276.0 * 1.25;
+    const CRASHES: usize = 24;
+    let engine = Engine {
+        kv_token_bytes: 590_000.0,
+        step_ms_per_sequence: 0.00459,
+        step_ms_per_context_unit: 0.00615,
+        read_tokens_per_s: 164_000.0,
+        steps_per_event: 5,
+        activation_bytes: 29_500.0,
+        pipe_megabits_per_s: 13_000.0,
+        ..engine()
+    };
+    let data_centres = [
+        ("a", 2, 7, 15),
+        ("b", 1, 11, 8),
+        ("c", 3, 5, 10),
+        ("d", 2, 7, 15),
+    ];
+    let all: Vec<Card> = data_centres
+        .iter()
+        .flat_map(|(name, large, middle, small)| {
+            cards(
+                name,
+                &[("large", *large), ("middle", *middle), ("small", *small)],
+            )
+        })
+        .collect();
+    let mut random = rand::rngs::SmallRng::seed_from_u64(7);
+    let mut climb = Climb::new(&engine, &all);
+    for _ in 0..10 {
+        climb.step(&mut random);
+    }
+    let layout = climb.close();
+    for crash in 0..CRASHES {
+        let name = data_centres[crash % data_centres.len()].0;
+        let pool: Vec<usize> = (0..all.len())
+            .filter(|index| all[*index].data_centre == name)
+            .collect();
+        let lost: Vec<usize> = (0..3)
+            .map(|_| pool[random.random_range(0..pool.len())])
+            .collect();
+        let rate_per_s = capacity::rate_per_s(&engine, &all, &layout, &lost);
+        expect_that!(rate_per_s, ge(BURST_PER_S), "without {lost:?}");
+    }
+}
--- a/crates/anvil_core/src/retry/window.rs
+++ b/crates/anvil_core/src/retry/window.rs
@@ -50,12 +50,24 @@
         self.part(allowed, now).requests += 1.0;
     }
 
-    /// Takes an extra send, where one is left for this host among `host_count`.
-    pub fn try_take(&mut self, allowed: &Allowed, host_count: usize, now: Duration) -> bool {
+    /// Takes an extra send, where one is left for this host among `host_count`. The part beyond the
+    /// share of requests is left alone while the count is unknown, and in a host's first window:
+    /// an earlier run of the host may have used it.
+    pub fn try_take(
+        &mut self,
+        allowed: &Allowed,
+        host_count: Option<usize>,
+        now: Duration,
+    ) -> bool {
         self.part(allowed, now);
         let requests: f64 = self.parts.iter().map(|part| part.requests).sum();
         let taken: f64 = self.parts.iter().map(|part| part.extra_sends).sum();
-        let slack_sends = allowed.slack_sends / host_count.max(1) as f64;
+        let slack_sends = match host_count {
+            Some(host_count) if now >= allowed.window => {
+                allowed.slack_sends / host_count.max(1) as f64
+            }
+            Some(_) | None => 0.0,
+        };
         if taken + 1.0 > USED_SHARE * (allowed.ratio * requests + slack_sends) {
             return false;
         }
--- a/crates/anvil_core/src/route.rs
+++ b/crates/anvil_core/src/route.rs
@@ -9,6 +9,7 @@
 mod bound;
 mod choose;
 mod cost;
+pub mod crossing;
 pub mod engine_driven;
 mod graph;
 mod path;
--- a/crates/anvil_core/src/route/engine_driven.rs
+++ b/crates/anvil_core/src/route/engine_driven.rs
@@ -75,6 +75,9 @@
     pub answer_tokens: f64,
     /// Data centre where the request came in.
     pub data_centre: usize,
+    /// Whether its path may go through several data centres. Otherwise it stays in the one that it
+    /// begins in.
+    pub may_cross: bool,
 }
 
 impl Demand {
@@ -109,6 +112,8 @@
     pub pause_ms: f64,
     /// Largest share of a worker's memory in use, this request included.
     pub memory_share: f64,
+    /// Times that it goes from one data centre to another.
+    pub crossing_count: u32,
 }
 
 /// Cheapest way to a boundary, ending in one data centre. Each visit is priced alone, so that a
@@ -152,7 +157,76 @@
     mut noise: impl FnMut() -> f64,
 ) -> Result<Path, NoPath> {
     let factors: Vec<f64> = workers.iter().map(|_| noise()).collect();
-    let boundaries = boundaries(engine, workers);
+    let visit_ms = |index: usize, layers: LayerRange| {
+        let worker = &workers[index];
+        let has_slot = worker.first_requests < f64::from(engine.slot_limit_requests);
+        if layers.first == 0 && !(worker.may_be_first && has_slot) {
+            return None;
+        }
+        Some(visit_cost_ms(engine, worker, demand, layers)? * factors[index])
+    };
+    let boundaries = boundaries(engine, workers, &[]);
+    search(
+        engine,
+        workers,
+        demand,
+        data_centre_count,
+        &boundaries,
+        visit_ms,
+    )
+}
+
+/// Finds the cheapest path for a request that runs already and has lost an engine.
+///
+/// `kept` are the hops of its path that live, the first one included. Those that the new path
+/// visits as before need no room and read nothing again; all others read every token so far.
+/// Answers a crash of engines under load: the requests on paths through them go on without a send
+/// of their own.
+///
+/// # Errors
+///
+/// [`NoPath`] where no open workers with room fill the gaps between the kept hops.
+pub fn repair(
+    engine: &Engine,
+    workers: &[Worker],
+    demand: &Demand,
+    data_centre_count: usize,
+    kept: &[Hop],
+    mut noise: impl FnMut() -> f64,
+) -> Result<Path, NoPath> {
+    let factors: Vec<f64> = workers.iter().map(|_| noise()).collect();
+    let visit_ms = |index: usize, layers: LayerRange| {
+        let worker = &workers[index];
+        if let Some(hop) = kept.iter().find(|hop| hop.worker == index) {
+            let writes_ms =
+                demand.answer_tokens * (HOP_MS + step_ms(engine, worker, demand, layers));
+            return (hop.layers == layers).then_some(writes_ms);
+        }
+        if layers.first == 0 {
+            return None;
+        }
+        Some(visit_cost_ms(engine, worker, demand, layers)? * factors[index])
+    };
+    let boundaries = boundaries(engine, workers, kept);
+    search(
+        engine,
+        workers,
+        demand,
+        data_centre_count,
+        &boundaries,
+        visit_ms,
+    )
+}
+
+/// Finds the cheapest path, where `visit_ms` prices a worker's visit or excludes it.
+fn search(
+    engine: &Engine,
+    workers: &[Worker],
+    demand: &Demand,
+    data_centre_count: usize,
+    boundaries: &[Layer],
+    visit_ms: impl Fn(usize, LayerRange) -> Option<f64>,
+) -> Result<Path, NoPath> {
     let last = boundaries.len() - 1;
     let mut arrivals = vec![vec![NO_ARRIVAL; data_centre_count]; boundaries.len()];
     for end in 1..=last {
@@ -165,13 +239,9 @@
                 if !worker.layers.contains(layers) {
                     continue;
                 }
-                let Some(cost_ms) = visit_cost_ms(engine, worker, demand, layers) else {
+                let Some(cost_ms) = visit_ms(index, layers) else {
                     continue;
                 };
-                let has_slot = worker.first_requests < f64::from(engine.slot_limit_requests);
-                if start == 0 && !(worker.may_be_first && has_slot) {
-                    continue;
-                }
                 let (before_ms, from) = if start == 0 {
                     let entry_ms = if worker.data_centre == demand.data_centre {
                         0.0
@@ -182,7 +252,7 @@
                 } else {
                     cheapest_before(engine, &arrivals[start], worker.data_centre, demand)
                 };
-                let cost_ms = before_ms + cost_ms * factors[index];
+                let cost_ms = before_ms + cost_ms;
                 let best = &mut arrivals[end][worker.data_centre];
                 if cost_ms < best.cost_ms {
                     *best = Arrival {
@@ -195,16 +265,20 @@
             }
         }
     }
-    let hops = trace_back(&arrivals, &boundaries).ok_or_else(|| NoPath {
-        reached: furthest(&arrivals, &boundaries),
+    let hops = trace_back(&arrivals, boundaries).ok_or_else(|| NoPath {
+        reached: furthest(&arrivals, boundaries),
     })?;
     assert_tiles(engine, workers, &hops);
     Ok(predict(engine, workers, demand, hops))
 }
 
-/// Every boundary at which a worker's range begins or ends, with both ends of the model.
-fn boundaries(engine: &Engine, workers: &[Worker]) -> Vec<Layer> {
+/// Every boundary at which a worker's range or a kept hop begins or ends, with both ends of the
+/// model.
+fn boundaries(engine: &Engine, workers: &[Worker], kept: &[Hop]) -> Vec<Layer> {
     let mut boundaries = vec![0, engine.layer_count];
+    for hop in kept {
+        boundaries.extend([hop.layers.first, hop.layers.end]);
+    }
     for worker in workers.iter().filter(|worker| worker.open) {
         boundaries.push(worker.layers.first.min(engine.layer_count));
         boundaries.push(worker.layers.end.min(engine.layer_count));
@@ -224,8 +298,10 @@
     for (from, arrival) in arrivals.iter().enumerate() {
         let crossing_ms = if from == data_centre {
             0.0
-        } else {
+        } else if demand.may_cross {
             crossing_cost_ms(engine, demand)
+        } else {
+            f64::INFINITY
         };
         if arrival.cost_ms + crossing_ms < best.0 {
             best = (arrival.cost_ms + crossing_ms, from);
@@ -339,12 +415,15 @@
     let mut step = 0.0;
     let mut share: f64 = 0.0;
     let mut previous = demand.data_centre;
-    for hop in &hops {
+    let mut crossing_count = 0;
+    for (index, hop) in hops.iter().enumerate() {
         let worker = &workers[hop.worker];
         read += read_ms(engine, worker, demand, hop.layers);
         step += HOP_MS + step_ms(engine, worker, demand, hop.layers);
         if worker.data_centre != previous {
             step += CROSSING_MS;
+            // The way to the first worker carries the request's text alone.
+            crossing_count += u32::from(index > 0);
         }
         previous = worker.data_centre;
         share = share.max(memory_share(engine, worker, demand, hop.layers.count()));
@@ -355,5 +434,6 @@
         first_event_ms: read + pause_ms,
         pause_ms,
         memory_share: share,
+        crossing_count,
     }
 }
--- a/crates/anvil_core/src/route/engine_driven/tests.rs
+++ b/crates/anvil_core/src/route/engine_driven/tests.rs
@@ -22,6 +22,7 @@
     prompt_tokens: 800.0,
     answer_tokens: 200.0,
     data_centre: 0,
+    may_cross: true,
 };
 
 fn path(workers: &[Worker]) -> Option<Path> {
@@ -129,3 +130,76 @@
     let path = path(&workers).unwrap();
     expect_that!(names(&workers, &path)[0].as_str(), eq("b"));
 }
+
+fn repaired(workers: &[Worker], kept: &[Hop]) -> Option<Path> {
+    repair(&engine(), workers, &DEMAND, 2, kept, || 1.0).ok()
+}
+
+fn kept(worker: usize, first: Layer, end: Layer) -> Hop {
+    Hop {
+        worker,
+        layers: LayerRange { first, end },
+    }
+}
+
+#[gtest]
+fn repair_replaces_only_what_was_lost() {
+    let mut workers = vec![
+        worker("a", "large", 0, 0, 30),
+        worker("b", "middle", 0, 30, 50),
+        worker("c", "large", 0, 50, 80),
+        worker("spare", "middle", 0, 30, 50),
+        worker("better-a", "large", 0, 0, 30),
+        worker("better-c", "large", 0, 50, 80),
+    ];
+    workers[1].open = false;
+    // Those that it runs on are full, with this request among others.
+    for index in [0, 2] {
+        let kind = workers[index].kind;
+        workers[index].used_token_layers = engine().capacity_token_layers(kind, 30);
+    }
+    let path = repaired(&workers, &[kept(0, 0, 30), kept(2, 50, 80)]).unwrap();
+    expect_that!(
+        names(&workers, &path),
+        elements_are![eq("a"), eq("spare"), eq("c")]
+    );
+}
+
+#[gtest]
+fn repair_keeps_first_hop_as_it_was() {
+    let mut workers = vec![
+        worker("a", "large", 0, 0, 30),
+        worker("b", "large", 0, 30, 60),
+        worker("c", "large", 0, 50, 80),
+        worker("d", "large", 0, 20, 60),
+    ];
+    workers[1].open = false;
+    let path = repaired(&workers, &[kept(0, 0, 20), kept(2, 60, 80)]).unwrap();
+    expect_that!(path.hops[0], eq(kept(0, 0, 20)));
+    expect_that!(
+        names(&workers, &path),
+        elements_are![eq("a"), eq("d"), eq("c")]
+    );
+}
+
+#[gtest]
+fn repair_finds_nothing_where_first_hop_is_lost() {
+    let workers = [
+        worker("a", "large", 0, 0, 40),
+        worker("b", "large", 0, 40, 80),
+    ];
+    expect_that!(repaired(&workers, &[kept(1, 40, 80)]), none());
+}
+
+#[gtest]
+fn repair_needs_room_in_what_it_adds() {
+    let mut workers = vec![
+        worker("a", "large", 0, 0, 40),
+        worker("b", "large", 0, 40, 80),
+        worker("full", "large", 0, 40, 80),
+    ];
+    workers[1].open = false;
+    let kind = workers[2].kind;
+    workers[2].used_token_layers = engine().capacity_token_layers(kind, 40);
+    expect_that!(repaired(&workers, &[kept(0, 0, 40)]), none());
+}
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -220,7 +220,9 @@
         Ended::Answered { .. } => Next::Close,
         Ended::BrokenOff { .. } | Ended::CallerGone => Next::Drop,
         Ended::Refused(refusal) => {
-            let keep_alive = keep_alive && body_is_read;
+            // A host without knowledge in force sends its callers to others.
+            let lacks_knowledge = matches!(refusal.reason, Reason::Stale | Reason::Unconfigured);
+            let keep_alive = keep_alive && body_is_read && !lacks_knowledge;
             let id_header = gateway.platform.headers.request_id_header();
             let answer = refusal.render(id_header, &facts.id, keep_alive);
             match connection.write_all(&answer).await {
--- a/crates/anvil_gateway/src/follow.rs
+++ b/crates/anvil_gateway/src/follow.rs
@@ -6,7 +6,10 @@
 };
 
 use anvil_core::id::Offset;
-use tokio::time::sleep;
+use tokio::time::{
+    Instant,
+    sleep, //
+};
 
 use crate::{
     clock::BootTime,
@@ -25,6 +28,8 @@
 const TABLE_WAIT: Duration = Duration::from_millis(1500);
 /// Share of the bound on leaving targets that passes between two readings of the list.
 const LIST_SHARE: f64 = 0.45;
+/// Time between two readings of the list by a host that waits for it to be whole.
+const LIST_PLACING_PERIOD: Duration = Duration::from_millis(350);
 /// Share of the bound on leaving targets that a host lets pass without word from those that read
 /// the list for it.
 const LIST_RELAY_SHARE: f64 = 0.65;
@@ -37,6 +42,11 @@
 const BACKOFF_MIN: Duration = Duration::from_millis(60);
 /// Longest pause after failed calls.
 const BACKOFF_MAX: Duration = Duration::from_millis(500);
+/// Time between two calls of all hosts of a data centre together while calls fail: the first that
+/// succeeds tells the others, and a call that fails is paid for too.
+const FAILING_PERIOD: Duration = Duration::from_millis(150);
+/// Longest pause of one host of a large data centre.
+const FAILING_PAUSE_MAX: Duration = Duration::from_secs(3);
 
 /// Pauses after failed calls, and log lines for the first failure and for the recovery.
 struct Backoff {
@@ -55,7 +65,7 @@
         }
         self.failures = self.failures.saturating_add(1);
         let pause = BACKOFF_MIN * (1 << self.failures.min(5));
-        let pause = pause.min(BACKOFF_MAX);
+        let pause = pause.min(longest_pause(gateway));
         sleep(gateway.draw_between(pause / 2, pause)).await;
     }
 
@@ -67,6 +77,20 @@
     }
 }
 
+/// Longest pause of this host after failed calls. Those that read for their peers pause less.
+fn longest_pause(gateway: &Gateway) -> Duration {
+    if peers::is_reader(gateway) {
+        return BACKOFF_MAX;
+    }
+    let data_centre = &gateway.settings.data_centre;
+    let near = gateway
+        .peers
+        .borrow()
+        .near_count(data_centre, Instant::now());
+    let share = FAILING_PERIOD * u32::try_from(near).unwrap_or(u32::MAX);
+    share.clamp(BACKOFF_MAX, FAILING_PAUSE_MAX)
+}
+
 /// Waits until this host must ask for the table: it reads for its peers, a peer has a newer one, or
 /// word from the readers is overdue.
 async fn table_is_due(gateway: &Gateway) {
@@ -92,6 +116,8 @@
         let asked = BootTime::now();
         let result = match next {
             None => read_table(&gateway, asked).await,
+            // The changes since this host last asked may be many, or forgotten.
+            Some(_) if !peers::is_reader(&gateway) => read_table(&gateway, asked).await,
             Some(from) => read_table_changes(&gateway, from, asked).await,
         };
         match result {
@@ -118,11 +144,12 @@
     from: Offset,
     asked: BootTime,
 ) -> Result<Option<Offset>, StoreError> {
-    let wait = match peers::is_reader(gateway) {
-        true => TABLE_WAIT,
-        false => Duration::ZERO,
-    };
-    match gateway.platform.store.tables_after(from, wait).await? {
+    match gateway
+        .platform
+        .store
+        .tables_after(from, TABLE_WAIT)
+        .await?
+    {
         Changes::Forgotten => {
             spdlog::warn!("store.forgot", kv: { reading = "table", from });
             Ok(None)
@@ -132,7 +159,7 @@
             // there was none up to its end.
             let is_unchanged = read.next == from;
             let waited = match is_unchanged {
-                true => wait.min(asked.elapsed()),
+                true => TABLE_WAIT.min(asked.elapsed()),
                 false => Duration::ZERO,
             };
             gateway.knowledge.take(read.items, asked.later(waited));
@@ -148,6 +175,7 @@
     loop {
         let is_due = match gateway.targets.age() {
             None => true,
+            Some(_) if gateway.awaits_targets.get() => last.elapsed() >= LIST_PLACING_PERIOD,
             Some(age) if peers::is_reader(gateway) => {
                 last.elapsed() >= bound.mul_f64(LIST_SHARE) || age > bound.mul_f64(LIST_RELAY_SHARE)
             }
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -12,7 +12,8 @@
 
 use anvil_core::{
     id::ServiceId,
-    retry::window, //
+    retry::window,
+    route::crossing, //
 };
 use rand::{
     Rng,
@@ -64,6 +65,8 @@
     pub peers: RefCell<View>,
     /// Told when a peer has a newer table.
     pub table_news: Notify,
+    /// Whether this host is to place a model and waits for the list of targets to be whole.
+    pub awaits_targets: Cell<bool>,
     /// Requests open now.
     pub open_requests: Cell<u32>,
     /// Connections of callers open now.
@@ -72,6 +75,8 @@
     random: RefCell<SmallRng>,
     /// Extra sends, by service.
     retries: RefCell<HashMap<ServiceId, window::Budget>>,
+    /// Paths that go from one data centre to another.
+    crossings: RefCell<crossing::Budget>,
     started: Instant,
 }
 
@@ -86,11 +91,13 @@
             metrics: Metrics::new(),
             peers: RefCell::new(View::default()),
             table_news: Notify::new(),
+            awaits_targets: Cell::new(false),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
             phase: watch::Sender::new(Phase::Serving),
             random: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
             retries: RefCell::new(HashMap::new()),
+            crossings: RefCell::new(crossing::Budget::new(Duration::ZERO)),
             started: Instant::now(),
         }
     }
@@ -133,7 +140,8 @@
     /// Takes an extra send to a service, where one is left.
     pub fn try_retry(&self, service: &ServiceId) -> bool {
         let now = self.started.elapsed();
-        let host_count = self.peers.borrow().heard_count(Instant::now()) + 1;
+        // Hosts that are not heard of may send as well: every listed one has its part.
+        let host_count = self.peers.borrow().listed_host_count();
         let mut retries = self.retries.borrow_mut();
         let budget = retries.entry(service.clone()).or_default();
         let is_allowed = budget.try_take(&self.settings.bounds.retries, host_count, now);
@@ -143,6 +151,21 @@
         is_allowed
     }
 
+    /// Whether a path may go from one data centre to another, where a token takes `pipe_time_ms` on
+    /// the pipe between the two.
+    pub fn may_cross(&self, pipe_time_ms: f64) -> bool {
+        let host_count = self.peers.borrow().listed_host_count().unwrap_or(1);
+        let now = self.started.elapsed();
+        self.crossings
+            .borrow_mut()
+            .allows(pipe_time_ms, host_count, now)
+    }
+
+    /// Counts the tokens of a path that goes from one data centre to another.
+    pub fn note_crossing(&self, tokens: f64) {
+        self.crossings.borrow_mut().take(tokens);
+    }
+
     /// The source of random numbers. It must not be held over an await.
     pub fn random(&self) -> RefMut<'_, SmallRng> {
         self.random.borrow_mut()
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -47,6 +47,7 @@
     requests: IntCounterVec,
     sends: IntCounter,
     retries_denied: IntCounter,
+    repairs: IntCounterVec,
     events: IntCounter,
     duration: Histogram,
     first: Histogram,
@@ -85,14 +86,18 @@
             registered.expect("the name is registered once");
             histogram
         };
-        let requests = IntCounterVec::new(
-            Opts::new("anvil_requests_total", "Requests that ended"),
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let counters = IntCounterVec::new(Opts::new(name, help), labels);
+            let counters = counters.expect("the name is valid");
+            let registered = registry.register(Box::new(counters.clone()));
+            registered.expect("the name is registered once");
+            counters
+        };
+        let requests = counters(
+            "anvil_requests_total",
+            "Requests that ended",
             &["outcome", "reason"],
-        )
-        .expect("the name is valid");
-        registry
-            .register(Box::new(requests.clone()))
-            .expect("the name is registered once");
+        );
         Self {
             requests,
             sends: counter("anvil_sends_total", "Sends to targets"),
@@ -100,6 +105,11 @@
                 "anvil_retries_denied_total",
                 "Extra sends that the fleet's budget did not allow",
             ),
+            repairs: counters(
+                "anvil_stream_repairs_total",
+                "Looks for the cause of a silent stream",
+                &["outcome"],
+            ),
             events: counter("anvil_events_total", "Events passed on to callers"),
             duration: histogram(
                 "anvil_request_duration_seconds",
@@ -133,6 +143,11 @@
         self.retries_denied.inc();
     }
 
+    /// Counts a look for the cause of a silent stream.
+    pub fn note_repair(&self, outcome: &str) {
+        self.repairs.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts a request that ended.
     pub fn note_end(&self, ended: &Ended, trace: &Trace, took_s: f64) {
         let (outcome, reason) = ended.labels();
--- a/crates/anvil_gateway/src/paths.rs
+++ b/crates/anvil_gateway/src/paths.rs
@@ -1,7 +1,6 @@
 //! Paths of engines for streams, chosen from what this host knows of the targets.
 
 use std::{
-    cell::RefCell,
     net::SocketAddr,
     rc::Rc,
     time::Duration, //
@@ -37,8 +36,13 @@
 const RETRY_MIN: Duration = Duration::from_millis(300);
 const RETRY_MAX: Duration = Duration::from_millis(1200);
 
+/// Index of this host's data centre among those of the engines.
+const OWN_DATA_CENTRE: usize = 0;
 /// Share of an engine's memory from which on it counts as full in the log.
 const FULL_SHARE: f64 = 0.9;
+/// Share of an engine's memory in known use from which on a refusal may be for want of room: what
+/// other hosts sent since their last word is not known.
+const MAYBE_FULL_SHARE: f64 = 0.7;
 /// Age up to which progress of a request proves that a target lives, against a peer that avoids it.
 const PROOF_OF_LIFE: Duration = Duration::from_millis(300);
 
@@ -83,6 +87,15 @@
             .collect()
     }
 
+    /// The engine of the path that listens at an address.
+    pub fn hop_at(&self, address: SocketAddr) -> Option<Rc<Target>> {
+        let hop = self
+            .hops
+            .iter()
+            .find(|hop| hop.target.address() == address)?;
+        Some(Rc::clone(&hop.target))
+    }
+
     /// The path for a log line.
     pub fn text(&self) -> String {
         let hop = |hop: &Hop| format!("{}={}", hop.target.id, hop.layers);
@@ -113,7 +126,7 @@
 }
 
 /// What a request needs.
-pub fn demand(request: &Request<'_>, engine: &Engine, data_centre: usize) -> Demand {
+pub fn demand(request: &Request<'_>, engine: &Engine) -> Demand {
     let limit = f64::from(request.facts.answer_limit_tokens);
     let expected = request
         .facts
@@ -122,7 +135,8 @@
     Demand {
         prompt_tokens: f64::from(request.facts.prompt_tokens),
         answer_tokens: expected.min(limit.max(1.0)),
-        data_centre,
+        data_centre: OWN_DATA_CENTRE,
+        may_cross: false,
     }
 }
 
@@ -188,73 +202,165 @@
     tried: &Tried<'_>,
     left_out: &[Rc<Target>],
 ) -> Result<Chosen, Blocked> {
-    let now = Instant::now();
-    let targets: Vec<Rc<Target>> = gateway
-        .targets
-        .of_service(request.service_id)
-        .into_iter()
-        .filter(|target| target.is_listed_ready() && target.entry.borrow().layers.is_some())
-        .collect();
-    let peers = gateway.peers.borrow().loads(now);
-    let peer_avoided = gateway.peers.borrow().avoided(now);
-    let mut data_centres = vec![gateway.settings.data_centre.clone()];
-    let named = targets
-        .iter()
-        .filter(|target| peer_avoided.contains(&target.hash))
-        .count();
-    let believes_peers = named as f64 <= PEER_AVOIDED_SHARE_MAX * targets.len() as f64;
-    let live_used = tried.used.iter().filter(|target| target.is_listed_ready());
-    let firsts_are_used = live_used.count() >= request.route.attempts_max as usize;
-    let workers: Vec<Worker> = targets
-        .iter()
-        .filter_map(|target| {
-            let entry = target.entry.borrow();
-            let data_centre = index_of(&mut data_centres, &entry.data_centre);
-            let (layers, _) = entry.layers?;
-            let kind = *engine.kinds.get(entry.kind.as_ref()?)?;
-            let is_avoided = target.is_avoided(now);
-            let is_left_out = left_out.iter().any(|other| Rc::ptr_eq(other, target));
-            let is_named = believes_peers
-                && peer_avoided.contains(&target.hash)
-                && !target.progressed_since(now - PROOF_OF_LIFE);
-            let load = peers.get(&target.hash).copied().unwrap_or_default();
-            Some(Worker {
-                target: target.id.clone(),
-                data_centre,
-                kind,
-                layers,
-                sequences: target.sequences.get() + load.sequences,
-                used_token_layers: target.token_layers.get() + load.token_layers,
-                first_requests: target.sent_requests.get() + load.sent_requests,
-                slowdown: target.slowdown(),
-                open: !(is_avoided || is_named || is_left_out),
-                may_be_first: !firsts_are_used
-                    || tried.used.iter().any(|other| Rc::ptr_eq(other, target)),
-            })
-        })
-        .collect();
-    let demand = demand(request, engine, 0);
-    let noise = RefCell::new(|| 1.0 + NOISE * (2.0 * gateway.draw() - 1.0));
-    let path = engine_driven::choose(engine, &workers, &demand, data_centres.len(), || {
-        (noise.borrow_mut())()
+    let seen = Seen::now(gateway, request, engine, tried, left_out);
+    let path = within_or_across(gateway, request, engine, |demand| {
+        engine_driven::choose(
+            engine,
+            &seen.workers,
+            demand,
+            seen.data_centre_count,
+            || noise(gateway),
+        )
     })
-    .map_err(|no_path| Blocked::new(no_path, engine, &workers))?;
-    let hops = path
+    .map_err(|no_path| Blocked::new(no_path, engine, &seen.workers))?;
+    Ok(seen.chosen(path))
+}
+
+/// Chooses a path on which a request that runs along `chosen` can go on without the engines `lost`:
+/// the first engine stays, and so do the others that live.
+pub fn choose_repair(
+    gateway: &Gateway,
+    request: &Request<'_>,
+    engine: &Engine,
+    chosen: &Chosen,
+    lost: &[Rc<Target>],
+) -> Result<Chosen, Blocked> {
+    let tried = Tried {
+        used: &[],
+        failed: lost,
+    };
+    let seen = Seen::now(gateway, request, engine, &tried, lost);
+    let is_lost = |target: &Rc<Target>| lost.iter().any(|other| Rc::ptr_eq(other, target));
+    let kept: Vec<engine_driven::Hop> = chosen
         .hops
         .iter()
+        .filter(|hop| !is_lost(&hop.target))
         .filter_map(|hop| {
-            Some(Hop {
-                target: gateway.targets.get(&workers[hop.worker].target)?,
+            let is_same = |target: &Rc<Target>| Rc::ptr_eq(target, &hop.target);
+            Some(engine_driven::Hop {
+                worker: seen.targets.iter().position(is_same)?,
                 layers: hop.layers,
             })
         })
-        .collect::<Vec<_>>();
-    assert_eq!(
-        hops.len(),
-        path.hops.len(),
-        "the list does not change meanwhile"
-    );
-    Ok(Chosen { hops, path })
+        .collect();
+    let path = within_or_across(gateway, request, engine, |demand| {
+        engine_driven::repair(
+            engine,
+            &seen.workers,
+            demand,
+            seen.data_centre_count,
+            &kept,
+            || noise(gateway),
+        )
+    })
+    .map_err(|no_path| Blocked::new(no_path, engine, &seen.workers))?;
+    Ok(seen.chosen(path))
+}
+
+/// Chooses a path within one data centre, or one through several where there is no other and the
+/// pipe between them has room for it.
+fn within_or_across(
+    gateway: &Gateway,
+    request: &Request<'_>,
+    engine: &Engine,
+    choose: impl Fn(&Demand) -> Result<Path, NoPath>,
+) -> Result<Path, NoPath> {
+    let mut demand = demand(request, engine);
+    let within = choose(&demand);
+    if within.is_ok() || !gateway.may_cross(engine.pipe_time_ms()) {
+        return within;
+    }
+    demand.may_cross = true;
+    let path = choose(&demand)?;
+    gateway.note_crossing(f64::from(path.crossing_count) * demand.tokens());
+    Ok(path)
+}
+
+/// Factor on an engine's price.
+fn noise(gateway: &Gateway) -> f64 {
+    1.0 + NOISE * (2.0 * gateway.draw() - 1.0)
+}
+
+/// The engines of a service as they are seen for one request.
+struct Seen {
+    targets: Vec<Rc<Target>>,
+    /// What the choice of a path needs of each target. Invariant: in the order of `targets`.
+    workers: Vec<Worker>,
+    data_centre_count: usize,
+}
+
+impl Seen {
+    fn chosen(&self, path: Path) -> Chosen {
+        let hops = path
+            .hops
+            .iter()
+            .map(|hop| Hop {
+                target: Rc::clone(&self.targets[hop.worker]),
+                layers: hop.layers,
+            })
+            .collect();
+        Chosen { hops, path }
+    }
+
+    fn now(
+        gateway: &Gateway,
+        request: &Request<'_>,
+        engine: &Engine,
+        tried: &Tried<'_>,
+        left_out: &[Rc<Target>],
+    ) -> Self {
+        let now = Instant::now();
+        let listed: Vec<Rc<Target>> = gateway
+            .targets
+            .of_service(request.service_id)
+            .into_iter()
+            .filter(|target| target.is_listed_ready() && target.entry.borrow().layers.is_some())
+            .collect();
+        let peers = gateway.peers.borrow().loads(now);
+        let peer_avoided = gateway.peers.borrow().avoided(now);
+        let mut data_centres = vec![gateway.settings.data_centre.clone()];
+        let named = listed
+            .iter()
+            .filter(|target| peer_avoided.contains(&target.hash))
+            .count();
+        let believes_peers = named as f64 <= PEER_AVOIDED_SHARE_MAX * listed.len() as f64;
+        let live_used = tried.used.iter().filter(|target| target.is_listed_ready());
+        let firsts_are_used = live_used.count() >= request.route.attempts_max as usize;
+        let (targets, workers): (Vec<Rc<Target>>, Vec<Worker>) = listed
+            .iter()
+            .filter_map(|target| {
+                let entry = target.entry.borrow();
+                let data_centre = index_of(&mut data_centres, &entry.data_centre);
+                let (layers, _) = entry.layers?;
+                let kind = *engine.kinds.get(entry.kind.as_ref()?)?;
+                let is_avoided = target.is_avoided(now);
+                let is_left_out = left_out.iter().any(|other| Rc::ptr_eq(other, target));
+                let is_named = believes_peers
+                    && peer_avoided.contains(&target.hash)
+                    && !target.progressed_since(now - PROOF_OF_LIFE);
+                let load = peers.get(&target.hash).copied().unwrap_or_default();
+                let worker = Worker {
+                    target: target.id.clone(),
+                    data_centre,
+                    kind,
+                    layers,
+                    sequences: target.sequences.get() + load.sequences,
+                    used_token_layers: target.token_layers.get() + load.token_layers,
+                    first_requests: target.sent_requests.get() + load.sent_requests,
+                    slowdown: target.slowdown(),
+                    open: !(is_avoided || is_named || is_left_out),
+                    may_be_first: !firsts_are_used
+                        || tried.used.iter().any(|other| Rc::ptr_eq(other, target)),
+                };
+                Some((Rc::clone(target), worker))
+            })
+            .unzip();
+        Self {
+            targets,
+            workers,
+            data_centre_count: data_centres.len(),
+        }
+    }
 }
 
 fn index_of(names: &mut Vec<smol_str::SmolStr>, name: &smol_str::SmolStr) -> usize {
@@ -271,6 +377,7 @@
 /// engine.
 pub fn note_refusal(
     gateway: &Gateway,
+    engine: &Engine,
     chosen: &Chosen,
     at_fault: Option<SocketAddr>,
 ) -> Rc<Target> {
@@ -279,14 +386,28 @@
         .unwrap_or_else(|| Rc::clone(chosen.first()));
     let now = Instant::now();
     // An engine whose other requests go on is short of memory, not out of order.
-    if fault.progressed_since(now - PROOF_OF_LIFE) {
+    let is_live = fault.progressed_since(now - PROOF_OF_LIFE);
+    if is_live || may_be_full(gateway, engine, &fault, now) {
         fault.note_full(now);
     } else {
-        fault.note_failure(now);
+        fault.note_silence(now);
     }
     fault
 }
 
+/// Whether the requests that this host knows of may leave no room at an engine.
+fn may_be_full(gateway: &Gateway, engine: &Engine, target: &Target, now: Instant) -> bool {
+    let entry = target.entry.borrow();
+    let kind = entry.kind.as_ref().and_then(|kind| engine.kinds.get(kind));
+    let (Some(kind), Some((layers, _))) = (kind, entry.layers) else {
+        return false;
+    };
+    let peers = gateway.peers.borrow().loads(now);
+    let load = peers.get(&target.hash).copied().unwrap_or_default();
+    let used = target.token_layers.get() + load.token_layers;
+    used > MAYBE_FULL_SHARE * engine.capacity_token_layers(*kind, layers.count())
+}
+
 /// Notes a stall: engines that showed no progress with other requests either are avoided. Where
 /// these are many, most of them are sound, and none is named to other hosts.
 pub fn note_stall(chosen: &Chosen, since: Instant) {
--- a/crates/anvil_gateway/src/peers.rs
+++ b/crates/anvil_gateway/src/peers.rs
@@ -129,6 +129,7 @@
             };
             view.register(host.id, host.address, key);
         }
+        view.note_listed();
         spdlog::info!("peers.listed", kv: { peers = view.len() });
     }
 
@@ -187,6 +188,7 @@
         Digest {
             host: gateway.settings.host_id.clone(),
             data_centre: gateway.settings.data_centre.clone(),
+            processor_millis: gateway.settings.processor_millis(),
             sent: BootTime::now(),
             echo: None,
             table_version: gateway.knowledge.table().map_or(0, |table| table.version()),
@@ -286,6 +288,7 @@
 pub fn is_reader(gateway: &Gateway) -> bool {
     gateway.peers.borrow().is_reader(
         &gateway.settings.host_id,
+        gateway.settings.processor_millis(),
         &gateway.settings.data_centre,
         Instant::now(),
     )
--- a/crates/anvil_gateway/src/peers/message.rs
+++ b/crates/anvil_gateway/src/peers/message.rs
@@ -31,6 +31,8 @@
     pub host: HostId,
     /// Its data centre.
     pub data_centre: DataCentreId,
+    /// Processor time that it has, in thousandths of a core.
+    pub processor_millis: u32,
     /// Its own clock when it sent this.
     pub sent: BootTime,
     /// The receiver's clock when it sent the last digest that the sender got from it.
@@ -85,6 +87,7 @@
     wire::Digest {
         host: digest.host.clone(),
         data_centre: digest.data_centre.clone(),
+        processor_millis: digest.processor_millis,
         sent_ms: digest.sent.as_millis(),
         echo_ms: digest.echo.map_or(0, BootTime::as_millis),
         table_version: digest.table_version,
@@ -132,6 +135,7 @@
     Some(Digest {
         host: digest.host,
         data_centre: digest.data_centre,
+        processor_millis: digest.processor_millis,
         sent: BootTime::from_millis(digest.sent_ms),
         echo: (digest.echo_ms > 0).then(|| BootTime::from_millis(digest.echo_ms)),
         table_version: digest.table_version,
--- a/crates/anvil_gateway/src/peers/tests.rs
+++ b/crates/anvil_gateway/src/peers/tests.rs
@@ -18,6 +18,7 @@
     Digest {
         host: host.into(),
         data_centre: "a".into(),
+        processor_millis: 170,
         sent: BootTime::from_millis(5000),
         echo: Some(BootTime::from_millis(4000)),
         table_version: 3,
@@ -122,7 +123,7 @@
             view.register((*host).into(), "10.0.0.1:80".parse().unwrap(), key("a1"));
             view.take(&(*host).into(), digest(host), now);
         }
-        readers += u32::from(view.is_reader(&own.into(), &"a".into(), now));
+        readers += u32::from(view.is_reader(&own.into(), 170, &"a".into(), now));
     }
     expect_that!(readers, eq(2));
 }
@@ -131,7 +132,7 @@
 fn is_reader_holds_for_a_host_alone() {
     let view = View::default();
     expect_that!(
-        view.is_reader(&"one".into(), &"a".into(), Instant::now()),
+        view.is_reader(&"one".into(), 170, &"a".into(), Instant::now()),
         eq(true)
     );
 }
--- a/crates/anvil_gateway/src/peers/view.rs
+++ b/crates/anvil_gateway/src/peers/view.rs
@@ -74,6 +74,8 @@
 #[derive(Debug, Default)]
 pub struct View {
     peers: BTreeMap<HostId, Peer>,
+    /// Whether the store's list of hosts was read.
+    is_listed: bool,
 }
 
 impl View {
@@ -95,6 +97,16 @@
         self.peers.insert(id, peer);
     }
 
+    /// Notes that the store's list of hosts was read.
+    pub(super) fn note_listed(&mut self) {
+        self.is_listed = true;
+    }
+
+    /// Hosts of the fleet on the store's list, this one included; nothing before it was read.
+    pub fn listed_host_count(&self) -> Option<usize> {
+        self.is_listed.then_some(self.peers.len() + 1)
+    }
+
     /// Number of peers, heard of or not.
     pub fn len(&self) -> usize {
         self.peers.len()
@@ -175,15 +187,42 @@
     }
 
     /// Whether a host is one of those that read the store for their data centre.
-    pub fn is_reader(&self, own: &HostId, data_centre: &DataCentreId, now: Instant) -> bool {
-        let near = self.peers.iter().filter(|(_, peer)| {
-            peer.is_heard(now)
-                && peer
-                    .digest
-                    .as_ref()
-                    .is_some_and(|digest| digest.data_centre == *data_centre)
-        });
-        let members = near.map(|(id, _)| id).chain([own]);
-        rendezvous::choose_many(READER_KEY, members, READERS).contains(&own)
+    ///
+    /// These are drawn among the hosts with the most processor time, since the placer is one of
+    /// them and searches for layouts.
+    pub fn is_reader(
+        &self,
+        own: &HostId,
+        processor_millis: u32,
+        data_centre: &DataCentreId,
+        now: Instant,
+    ) -> bool {
+        let mut members: Vec<(u32, &HostId)> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.is_heard(now))
+            .filter_map(|(id, peer)| Some((peer.digest.as_ref()?, id)))
+            .filter(|(digest, _)| digest.data_centre == *data_centre)
+            .map(|(digest, id)| (digest.processor_millis, id))
+            .chain([(processor_millis, own)])
+            .collect();
+        members.sort_unstable_by(|left, right| right.cmp(left));
+        // Hosts with as much as the last that would be taken by processor time alone.
+        let least = members[READERS.min(members.len()) - 1].0;
+        let able = members
+            .iter()
+            .filter(|(processor_millis, _)| *processor_millis >= least)
+            .map(|(_, id)| *id);
+        rendezvous::choose_many(READER_KEY, able, READERS).contains(&own)
+    }
+
+    /// Number of peers of a data centre that are heard of.
+    pub fn near_count(&self, data_centre: &DataCentreId, now: Instant) -> usize {
+        self.peers
+            .values()
+            .filter(|peer| peer.is_heard(now))
+            .filter_map(|peer| peer.digest.as_ref())
+            .filter(|digest| digest.data_centre == *data_centre)
+            .count()
     }
 }
--- a/crates/anvil_gateway/src/placer.rs
+++ b/crates/anvil_gateway/src/placer.rs
@@ -32,6 +32,7 @@
 use crate::{
     clock::BootTime,
     gateway::Gateway,
+    peers,
     port::{
         OrderAnswer,
         PlaceOrder,
@@ -55,6 +56,11 @@
 /// Steps of the search for a layout, times cards: the time of a step grows with the cards, and loads
 /// must begin some seconds after the start.
 const CLIMB_STEP_CARDS: usize = 8000;
+/// Longest time of that search on a slow host.
+const CLIMB_TIME: Duration = Duration::from_millis(2500);
+/// Wait after the start until a host may join the group: by then hosts that start together have
+/// heard of one another, and most of them stay out.
+const PEERS_WAIT: Duration = Duration::from_millis(1200);
 /// Time for which an order without a certain answer keeps others for that target back.
 const UNCERTAIN_PAUSE: Duration = Duration::from_millis(1500);
 /// Time after which an order that has begun may be given again, as a share of the time that the
@@ -107,10 +113,16 @@
         }
     }
 
-    /// Keeps this host in the group for ever.
+    /// Keeps this host in the group while it reads the store for its peers: whoever places must
+    /// know the list of targets early.
     pub async fn keep_lease(self: Rc<Self>) {
         let lease = LEASE.max(self.gateway.settings.lease_min);
+        sleep(PEERS_WAIT).await;
         loop {
+            if self.lease.get().is_none() && !peers::is_reader(&self.gateway) {
+                sleep(TICK).await;
+                continue;
+            }
             let asked = BootTime::now();
             let joined = self
                 .gateway
@@ -186,6 +198,7 @@
             let Some(table) = self.gateway.knowledge.table() else {
                 continue;
             };
+            self.gateway.awaits_targets.set(false);
             if self.token().is_none() {
                 continue;
             }
@@ -201,6 +214,8 @@
                     self.place_service(service_id, engine, &targets);
                 } else if settled_since.elapsed() >= SETTLED {
                     self.place_all(service_id, engine, &targets).await;
+                } else {
+                    self.gateway.awaits_targets.set(true);
                 }
             }
         }
@@ -223,8 +238,9 @@
             return;
         }
         let mut climb = Climb::new(engine, &cards);
-        let steps = CLIMB_STEP_CARDS / cards.len();
-        for _ in 0..steps {
+        let mut steps = 0;
+        while steps < CLIMB_STEP_CARDS / cards.len() && now.elapsed() < CLIMB_TIME {
+            steps += 1;
             climb.step(&mut *self.gateway.random());
             // Requests and leases go on meanwhile.
             tokio::task::yield_now().await;
--- a/crates/anvil_gateway/src/port.rs
+++ b/crates/anvil_gateway/src/port.rs
@@ -308,7 +308,7 @@
 }
 
 /// What an engine says of its orders.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OrderState {
     /// Orders that it accepted since its start.
     pub order_count: u64,
@@ -316,6 +316,47 @@
     pub is_busy: bool,
     /// Layers that it holds.
     pub layers: Option<LayerRange>,
+    /// Requests sent to it that wait for another engine of their path.
+    pub stalled: Vec<Stalled>,
+}
+
+/// A request that waits for an engine of its path that does not answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Stalled {
+    /// The request.
+    pub request: RequestId,
+    /// Where the engine listens that it waits for.
+    pub waits_for: SocketAddr,
+}
+
+/// An order to the first engine of a request that runs: to go on along another path.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RepathOrder<'a> {
+    /// The first engine.
+    pub target: &'a TargetId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The request.
+    pub request: &'a RequestId,
+    /// The whole path, its first engine with the same layers as before.
+    pub path: &'a [Stage],
+}
+
+/// An engine's answer to an order to go on along another path.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub enum RepathAnswer {
+    /// The request goes on along the path.
+    #[display("begun")]
+    Begun,
+    /// No such request runs there.
+    #[display("no such request")]
+    NoSuchRequest,
+    /// An engine of the path does not hold its part or has no room.
+    #[display("an engine does not fit")]
+    Unfit(Option<SocketAddr>),
+    /// The engine refused it otherwise.
+    #[display("refused")]
+    Refused,
 }
 
 /// Orders to model engines.
@@ -329,6 +370,9 @@
 
     /// Gives an order.
     fn place<'a>(&'a self, order: &'a PlaceOrder) -> StoreResult<'a, OrderAnswer>;
+
+    /// Orders a request to go on along another path.
+    fn repath<'a>(&'a self, order: &'a RepathOrder<'a>) -> StoreResult<'a, RepathAnswer>;
 }
 
 /// All of the platform.
--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -54,6 +54,9 @@
 const SWEEP: Duration = Duration::from_secs(2);
 /// Longest time that a question for readiness may take, and its connection stays idle.
 pub(crate) const READINESS_IDLE: Duration = Duration::from_secs(10);
+/// Share of the bound on revoked keys that may pass without word from the store until this host is
+/// not ready: the entry takes two questions, a second apart, to notice.
+const READY_AGE_SHARE: f64 = 0.6;
 /// Largest head of a question for readiness.
 pub(crate) const READINESS_HEAD_LIMIT_BYTES: usize = 8 << 10;
 
@@ -202,10 +205,13 @@
     }
 }
 
-/// Whether this host shall get callers.
+/// Whether this host shall get callers. One that may soon have to refuse keys for want of word from
+/// the store leaves them to others in time.
 fn is_ready(gateway: &Gateway) -> bool {
+    let age_limit = gateway.settings.bounds.revoke.mul_f64(READY_AGE_SHARE);
     gateway.phase() == Phase::Serving
         && gateway.knowledge.table().is_some()
+        && gateway.knowledge.age().is_some_and(|age| age <= age_limit)
         && gateway.targets.age().is_some()
 }
 
--- a/crates/anvil_gateway/src/settings.rs
+++ b/crates/anvil_gateway/src/settings.rs
@@ -28,6 +28,7 @@
 pub struct Options {
     host_id: Option<HostId>,
     data_centre: Option<DataCentreId>,
+    processor_share: Option<f64>,
     #[serde(default)]
     listen: ListenOptions,
     #[serde(default)]
@@ -81,6 +82,8 @@
     pub host_id: HostId,
     /// Its data centre.
     pub data_centre: DataCentreId,
+    /// Processor time that it has, in cores.
+    pub processor_share: f64,
     /// Listener for callers.
     pub callers: SocketAddr,
     /// Listener that tells whether the host takes callers.
@@ -101,6 +104,14 @@
     pub log_level: String,
 }
 
+impl Settings {
+    /// Processor time that the host has, in thousandths of a core.
+    pub fn processor_millis(&self) -> u32 {
+        // A huge figure saturates.
+        (self.processor_share * 1e3).round() as u32
+    }
+}
+
 /// Bounds that operators state.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
@@ -213,6 +224,7 @@
         Ok(Settings {
             host_id: self.required("host_id", options.host_id)?,
             data_centre: self.required("data_centre", options.data_centre)?,
+            processor_share: self.positive("processor_share", options.processor_share, 1.0)?,
             callers: self.required("listen.callers", listen.callers)?,
             readiness: self.required("listen.readiness", listen.readiness)?,
             peers: self.required("listen.peers", listen.peers)?,
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -48,6 +48,8 @@
     port::{
         EventId,
         Forwarding,
+        RepathAnswer,
+        RepathOrder,
         Stage, //
     },
     targets::{
@@ -58,11 +60,22 @@
 
 /// Longest time that a new connection to an engine may take: a few round trips.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Silence after which a stream is taken to have stalled if an engine of its path shows no other
-/// progress. Callers leave after a gap of two seconds, and resuming takes a few hundred ms.
-const STALL_SUSPECT: Duration = Duration::from_millis(700);
-/// Silence after which a stream is taken to have stalled whatever its path shows.
+/// Silence after which the first engine is asked what a stream waits for, if an engine of its path
+/// shows no other progress.
+const STALL_SUSPECT: Duration = Duration::from_millis(450);
+/// Time between two such questions: what an engine says is some hundred ms old.
+const SUSPECT_PERIOD: Duration = Duration::from_millis(250);
+/// Silence after which a stream is sent again. Callers leave after a gap of two seconds, and
+/// resuming takes a few hundred ms.
 const STALL_CERTAIN: Duration = Duration::from_millis(1300);
+/// Time from a repair until the stream is sent again if it stays silent: the new engines read its
+/// tokens first.
+const REPAIRED_CERTAIN: Duration = Duration::from_millis(600);
+/// Longest time that the question and the orders of one repair take; the caller is not heard
+/// meanwhile.
+const REPAIR_TIMEOUT: Duration = Duration::from_millis(400);
+/// Paths ordered in one repair.
+const REPAIR_ORDERS_MAX: u32 = 3;
 /// Pause before a path is looked for again while a stream waits to be resumed.
 const PATH_RETRY: Duration = Duration::from_millis(60);
 /// Longest time for which a path is looked for while a stream waits to be resumed.
@@ -88,6 +101,49 @@
     TimeUp,
 }
 
+/// A time without events.
+#[derive(Clone, Copy, Debug)]
+struct Silence {
+    /// When it began.
+    since: Instant,
+    /// When its cause was last looked for.
+    asked: Option<Instant>,
+    /// When the stream was last repaired in it.
+    repaired: Option<Instant>,
+}
+
+impl Silence {
+    fn since(since: Instant) -> Self {
+        Self {
+            since,
+            asked: None,
+            repaired: None,
+        }
+    }
+
+    /// When its cause is to be looked for next.
+    fn next_look(&self) -> Instant {
+        match self.asked {
+            None => self.since + STALL_SUSPECT,
+            Some(asked) => asked + SUSPECT_PERIOD,
+        }
+    }
+
+    /// When the stream is to be sent again.
+    fn certain(&self) -> Instant {
+        let repaired = self.repaired.map(|at| at + REPAIRED_CERTAIN);
+        (self.since + STALL_CERTAIN).max(repaired.unwrap_or(self.since))
+    }
+}
+
+/// What comes of a look for the cause of a silence.
+enum Repaired {
+    /// The stream may go on.
+    Waiting,
+    /// It must be sent again.
+    GivenUp,
+}
+
 /// A stream on its way to the caller.
 struct Relay<'a> {
     gateway: &'a Gateway,
@@ -166,7 +222,8 @@
                 trace.predicted_first_ms = chosen.path.first_event_ms;
                 trace.predicted_pause_ms = chosen.path.pause_ms;
             }
-            let sent = self.send(caller, &chosen, trace).await;
+            let mut chosen = chosen;
+            let sent = self.send(caller, &mut chosen, trace).await;
             let what = match sent {
                 Sent::Complete => return self.finish(caller).await,
                 Sent::CallerGone => return Ended::CallerGone,
@@ -175,7 +232,8 @@
                     return self.pass_failure(caller, &head, &body).await;
                 }
                 Sent::NotRun(what, at_fault) => {
-                    let fault = paths::note_refusal(self.gateway, &chosen, at_fault);
+                    let fault = paths::note_refusal(self.gateway, self.engine, &chosen, at_fault);
+                    trace.failed(format!("{what}, by {}", fault.id));
                     self.failed.push(fault);
                     refusals += 1;
                     if refusals >= REFUSALS_MAX {
@@ -250,10 +308,15 @@
     }
 
     /// Sends the request along one path and relays what comes.
-    async fn send(&mut self, caller: &mut Connection, chosen: &Chosen, trace: &mut Trace) -> Sent {
+    async fn send(
+        &mut self,
+        caller: &mut Connection,
+        chosen: &mut Chosen,
+        trace: &mut Trace,
+    ) -> Sent {
         let gateway = self.gateway;
-        let first = chosen.first();
-        let _flights = chosen.begin(self.engine, self.request);
+        let first = &Rc::clone(chosen.first());
+        let mut flights = chosen.begin(self.engine, self.request);
         let limit = CONNECT_TIMEOUT.min(self.left());
         let mut taken = match first.pool.take(first.address(), limit).await {
             Ok(taken) => taken,
@@ -266,7 +329,8 @@
         if !first.is_listed_ready() {
             return Sent::NotRun("engine is leaving", None);
         }
-        if self.request.team.is_some() && is_stale(gateway) {
+        // A request that was accepted and has run goes on under the key that it came with.
+        if trace.sends == 0 && self.request.team.is_some() && is_stale(gateway) {
             return Sent::NotRun("keys may be outdated", None);
         }
         let stages: Vec<Stage> = chosen.stages();
@@ -296,12 +360,18 @@
             return Sent::Lost("connection failed while sending");
         }
         let upstream = &mut taken.connection;
+        let mut silence = Silence::since(sent_at);
         let (head, facts) = loop {
             let head = tokio::select! {
                 biased;
                 head = timeout_at(self.request.deadline, upstream.read_response()) => head,
                 () = caller.closed_by_peer(READ_AHEAD_LIMIT_BYTES) => return Sent::CallerGone,
-                () = self.stalled(chosen, sent_at) => return Sent::Stalled,
+                () = self.silent(chosen, &silence) => {
+                    match self.repair(chosen, &mut flights, &mut silence, trace).await {
+                        Repaired::Waiting => continue,
+                        Repaired::GivenUp => return Sent::Stalled,
+                    }
+                }
             };
             let head = match head {
                 Err(_) => return Sent::TimeUp,
@@ -347,7 +417,14 @@
         }
         let mut decoder = BodyDecoder::new(head.framing);
         let sent = self
-            .relay(caller, upstream, &mut decoder, chosen, sent_at, trace)
+            .relay(
+                caller,
+                upstream,
+                &mut decoder,
+                (chosen, &mut flights),
+                silence,
+                trace,
+            )
             .await;
         if matches!(sent, Sent::Complete) && head.keep_alive {
             first.pool.keep(taken.connection, facts.idle_timeout);
@@ -390,12 +467,11 @@
         caller: &mut Connection,
         upstream: &mut Connection,
         decoder: &mut BodyDecoder,
-        chosen: &Chosen,
-        sent_at: Instant,
+        (chosen, flights): (&mut Chosen, &mut Vec<Flight>),
+        mut silence: Silence,
         trace: &mut Trace,
     ) -> Sent {
         let mut splitter = Splitter::default();
-        let mut quiet_since = sent_at;
         let mut is_first = true;
         let mut out = Vec::new();
         loop {
@@ -403,7 +479,12 @@
                 biased;
                 piece = timeout_at(self.request.deadline, upstream.read_body(decoder)) => piece,
                 () = caller.closed_by_peer(READ_AHEAD_LIMIT_BYTES) => return Sent::CallerGone,
-                () = self.stalled(chosen, quiet_since) => return Sent::Stalled,
+                () = self.silent(chosen, &silence) => {
+                    match self.repair(chosen, flights, &mut silence, trace).await {
+                        Repaired::Waiting => continue,
+                        Repaired::GivenUp => return Sent::Stalled,
+                    }
+                }
             };
             let piece = match piece {
                 Err(_) => return Sent::TimeUp,
@@ -434,7 +515,7 @@
             if events == 0 {
                 continue;
             }
-            chosen.note_progress(now, quiet_since, is_first);
+            chosen.note_progress(now, silence.since, is_first);
             if trace.events == 0 {
                 trace.first_ms = self.request.arrived.elapsed().as_millis() as u64;
             } else {
@@ -443,7 +524,7 @@
             }
             trace.events += events;
             is_first = false;
-            quiet_since = now;
+            silence = Silence::since(now);
             self.last_out = now;
             if caller.write_all(&out).await.is_err() {
                 return Sent::CallerGone;
@@ -451,15 +532,122 @@
         }
     }
 
-    /// Waits until a stream that has been quiet since `since` counts as stalled.
-    async fn stalled(&self, chosen: &Chosen, since: Instant) {
-        if self.request.route.repetition != Repetition::ResumableStream {
-            return std::future::pending().await;
+    /// Waits until the cause of a silence is to be looked for.
+    async fn silent(&self, chosen: &Chosen, silence: &Silence) {
+        tokio::time::sleep_until(silence.next_look()).await;
+        // Engines that all make progress are slow, not lost.
+        if chosen.all_progressed_since(silence.since) {
+            tokio::time::sleep_until(silence.certain()).await;
+        }
+    }
+
+    /// Looks for the engine that a silent stream waits for, and has the stream go on without it.
+    /// The engines that live keep its memory, and no send is needed.
+    async fn repair(
+        &self,
+        chosen: &mut Chosen,
+        flights: &mut Vec<Flight>,
+        silence: &mut Silence,
+        trace: &mut Trace,
+    ) -> Repaired {
+        let is_resumable = self.request.route.repetition == Repetition::ResumableStream;
+        if is_resumable && Instant::now() >= silence.certain() {
+            return Repaired::GivenUp;
+        }
+        silence.asked = Some(Instant::now());
+        let repaired =
+            tokio::time::timeout(REPAIR_TIMEOUT, self.find_repair(chosen, silence.since)).await;
+        let outcome = match repaired {
+            Ok(Ok(Some(repaired))) => {
+                trace.via.push(format!("repaired {}", repaired.text()));
+                *flights = repaired.begin(self.engine, self.request);
+                *chosen = repaired;
+                silence.repaired = Some(Instant::now());
+                "repaired"
+            }
+            Ok(Ok(None)) => "nothing lost",
+            Ok(Err(what)) => what,
+            Err(_) => {
+                // The first engine itself does not answer.
+                chosen.first().note_silence(Instant::now());
+                "first engine is silent"
+            }
+        };
+        spdlog::info!("stream.silent", kv: {
+            request = self.request.facts.id.as_str(),
+            first = chosen.first().id.as_str(),
+            silent_ms = silence.since.elapsed().as_millis() as u64,
+            outcome,
+        });
+        self.gateway.metrics.note_repair(outcome);
+        Repaired::Waiting
+    }
+
+    /// Asks the first engine what the stream waits for, and orders a path without that. Gives the
+    /// path that the stream goes on along, or nothing where it waits for no engine.
+    async fn find_repair(
+        &self,
+        chosen: &Chosen,
+        since: Instant,
+    ) -> Result<Option<Chosen>, &'static str> {
+        let orders = &self.gateway.platform.orders;
+        let first = chosen.first();
+        let state = orders
+            .state(&first.id, first.address())
+            .await
+            .map_err(|error| {
+                spdlog::warn!("stream.state_unknown", kv: {
+                    request = self.request.facts.id.as_str(),
+                    first = first.id.as_str(),
+                    error:,
+                });
+                "state of the first engine is unknown"
+            })?;
+        let mut lost: Vec<Rc<Target>> = Vec::new();
+        for stalled in &state.stalled {
+            if stalled.request == self.request.facts.id
+                && let Some(hop) = chosen.hop_at(stalled.waits_for)
+            {
+                lost.push(hop);
+            }
+        }
+        if lost.is_empty() {
+            return Ok(None);
         }
-        tokio::time::sleep_until(since + STALL_SUSPECT).await;
-        if chosen.all_progressed_since(since) {
-            tokio::time::sleep_until(since + STALL_CERTAIN).await;
+        for _ in 0..REPAIR_ORDERS_MAX {
+            for target in &lost {
+                target.note_silent_since(since, Instant::now());
+            }
+            let repaired =
+                paths::choose_repair(self.gateway, self.request, self.engine, chosen, &lost)
+                    .map_err(|_| "no path without the lost engine")?;
+            let order = RepathOrder {
+                target: &first.id,
+                address: first.address(),
+                request: &self.request.facts.id,
+                path: &repaired.stages(),
+            };
+            let answer = orders.repath(&order).await.map_err(|error| {
+                spdlog::warn!("stream.repair_unknown", kv: {
+                    request = self.request.facts.id.as_str(),
+                    first = first.id.as_str(),
+                    error:,
+                });
+                "order was not answered"
+            })?;
+            match answer {
+                RepathAnswer::Begun => return Ok(Some(repaired)),
+                RepathAnswer::NoSuchRequest => return Err("first engine does not know it"),
+                RepathAnswer::Refused => return Err("order was refused"),
+                RepathAnswer::Unfit(part) => {
+                    match part.and_then(|address| repaired.hop_at(address)) {
+                        Some(unfit) => lost.push(unfit),
+                        None => return Err("an unknown engine does not fit"),
+                    }
+                }
+            }
         }
+        Err("no order was accepted")
     }
 
     fn left(&self) -> Duration {
@@ -479,7 +667,7 @@
 /// Counts a request on every engine of its path until they are dropped.
 impl Chosen {
     fn begin(&self, engine: &Engine, request: &Request<'_>) -> Vec<Flight> {
-        let tokens = paths::demand(request, engine, 0).memory_tokens();
+        let tokens = paths::demand(request, engine).memory_tokens();
         self.hops
             .iter()
             .enumerate()
--- a/crates/anvil_gateway/src/targets.rs
+++ b/crates/anvil_gateway/src/targets.rs
@@ -127,6 +127,13 @@
         self.avoid(now, AVOID_SILENT_MIN, true);
     }
 
+    /// Notes that a request waits for it, unless others made progress there since.
+    pub fn note_silent_since(&self, since: Instant, now: Instant) {
+        if !self.progressed_since(since) {
+            self.note_silence(now);
+        }
+    }
+
     fn avoid(&self, now: Instant, min: Duration, is_silent: bool) {
         if self.is_avoided(now) {
             // Requests that were under way together fail together and count once.
