Find slow, leaving and dead engines sooner, and expect what other hosts send after a restart

An engine that refuses although the requests known leave it room is told to peers. - After a power cut, 424 requests came within 0.1 s before any host knew another, and all chose the same engines. A host expects those that it never heard of to send where it sends itself, and varies its choices more. - Hosts for which others read call the store after a random wait and rarely while it fails.

--- a/crates/anvil_gateway/src/follow.rs
+++ b/crates/anvil_gateway/src/follow.rs
@@ -40,13 +40,18 @@
 const RELAY_TICK: Duration = Duration::from_millis(100);
 /// Pause after a failed call, doubled up to the longest.
 const BACKOFF_MIN: Duration = Duration::from_millis(60);
+/// Pause after a reading that found no table.
+const UNCONFIGURED_PAUSE: Duration = Duration::from_millis(300);
 /// Longest pause after failed calls.
 const BACKOFF_MAX: Duration = Duration::from_millis(500);
 /// Time between two calls of all hosts of a data centre together while calls fail: the first that
 /// succeeds tells the others, and a call that fails is paid for too.
-const FAILING_PERIOD: Duration = Duration::from_millis(150);
+const FAILING_PERIOD: Duration = Duration::from_millis(250);
 /// Longest pause of one host of a large data centre.
-const FAILING_PAUSE_MAX: Duration = Duration::from_secs(3);
+const FAILING_PAUSE_MAX: Duration = Duration::from_secs(6);
+/// Longest time for which a host without word from the readers leaves the first call to others: they
+/// all miss it at once.
+const RELAY_STAGGER: Duration = Duration::from_millis(500);
 
 /// Pauses after failed calls, and log lines for the first failure and for the recovery.
 struct Backoff {
@@ -64,8 +69,10 @@
             spdlog::warn!("store.lost", kv: { reading = self.what, error: });
         }
         self.failures = self.failures.saturating_add(1);
-        let pause = BACKOFF_MIN * (1 << self.failures.min(5));
-        let pause = pause.min(longest_pause(gateway));
+        let pause = match relay_pause(gateway) {
+            Some(pause) => pause,
+            None => (BACKOFF_MIN * (1 << self.failures.min(5))).min(BACKOFF_MAX),
+        };
         sleep(gateway.draw_between(pause / 2, pause)).await;
     }
 
@@ -77,18 +84,27 @@
     }
 }
 
-/// Longest pause of this host after failed calls. Those that read for their peers pause less.
-fn longest_pause(gateway: &Gateway) -> Duration {
-    if peers::is_reader(gateway) {
-        return BACKOFF_MAX;
-    }
+/// Pause after a failed call of a host for which others read; nothing for a host that reads for
+/// others or hears of none.
+fn relay_pause(gateway: &Gateway) -> Option<Duration> {
     let data_centre = &gateway.settings.data_centre;
     let near = gateway
         .peers
         .borrow()
         .near_count(data_centre, Instant::now());
+    if near == 0 || peers::is_reader(gateway) {
+        return None;
+    }
     let share = FAILING_PERIOD * u32::try_from(near).unwrap_or(u32::MAX);
-    share.clamp(BACKOFF_MAX, FAILING_PAUSE_MAX)
+    Some(share.clamp(BACKOFF_MAX, FAILING_PAUSE_MAX))
+}
+
+/// Waits until word from the readers is overdue for longer than this host leaves to others.
+async fn stagger(gateway: &Gateway, is_overdue: impl Fn() -> bool) -> bool {
+    if relay_pause(gateway).is_some() {
+        sleep(gateway.draw_between(Duration::ZERO, RELAY_STAGGER)).await;
+    }
+    is_overdue()
 }
 
 /// Waits until this host must ask for the table: it reads for its peers, a peer has a newer one, or
@@ -96,8 +112,8 @@
 async fn table_is_due(gateway: &Gateway) {
     let limit = gateway.settings.bounds.revoke.mul_f64(TABLE_RELAY_SHARE);
     loop {
-        let is_overdue = gateway.knowledge.age().is_none_or(|age| age > limit);
-        if is_overdue || peers::is_reader(gateway) {
+        let is_overdue = || gateway.knowledge.age().is_none_or(|age| age > limit);
+        if peers::is_reader(gateway) || is_overdue() && stagger(gateway, is_overdue).await {
             return;
         }
         tokio::select! {
@@ -125,7 +141,8 @@
                 backoff.succeeded();
                 next = offset;
                 if gateway.knowledge.table().is_none() {
-                    sleep(BACKOFF_MIN).await;
+                    // The operators have not written one yet.
+                    sleep(UNCONFIGURED_PAUSE).await;
                 }
             }
             Err(error) => backoff.failed(&gateway, &error).await,
@@ -173,7 +190,7 @@
 async fn targets_are_due(gateway: &Gateway, last: BootTime) {
     let bound = gateway.settings.bounds.leaving_target;
     loop {
-        let is_due = match gateway.targets.age() {
+        let is_due = || match gateway.targets.age() {
             None => true,
             Some(_) if gateway.awaits_targets.get() => last.elapsed() >= LIST_PLACING_PERIOD,
             Some(age) if peers::is_reader(gateway) => {
@@ -181,7 +198,7 @@
             }
             Some(age) => age > bound.mul_f64(LIST_RELAY_SHARE),
         };
-        if is_due {
+        if is_due() && (gateway.awaits_targets.get() || stagger(gateway, is_due).await) {
             return;
         }
         sleep(RELAY_TICK).await;
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -65,6 +65,8 @@
     pub peers: RefCell<View>,
     /// Told when a peer has a newer table.
     pub table_news: Notify,
+    /// When an engine was last asked how slow it is.
+    pub slow_asked: Cell<Option<Instant>>,
     /// Whether this host is to place a model and waits for the list of targets to be whole.
     pub awaits_targets: Cell<bool>,
     /// Requests open now.
@@ -91,6 +93,7 @@
             metrics: Metrics::new(),
             peers: RefCell::new(View::default()),
             table_news: Notify::new(),
+            slow_asked: Cell::new(None),
             awaits_targets: Cell::new(false),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
--- a/crates/anvil_gateway/src/paths.rs
+++ b/crates/anvil_gateway/src/paths.rs
@@ -32,10 +32,15 @@
 
 /// Largest relative change of a price at random, so that hosts that know the same spread out.
 const NOISE: f64 = 0.15;
+/// What is added to it where no other host is heard of.
+const NOISE_UNHEARD: f64 = 0.6;
 /// Shortest and longest time after which a caller may return where there was no room.
 const RETRY_MIN: Duration = Duration::from_millis(300);
 const RETRY_MAX: Duration = Duration::from_millis(1200);
 
+/// Most hosts that were never heard of that are taken to do as this one does: where one cut off from
+/// all counted more, its few requests would seem to fill the engines.
+const UNHEARD_HOSTS_MAX: usize = 40;
 /// Index of this host's data centre among those of the engines.
 const OWN_DATA_CENTRE: usize = 0;
 /// Share of an engine's memory from which on it counts as full in the log.
@@ -43,6 +48,12 @@
 /// Share of an engine's memory in known use from which on a refusal may be for want of room: what
 /// other hosts sent since their last word is not known.
 const MAYBE_FULL_SHARE: f64 = 0.7;
+/// Pause from which on the cause is looked for: shorter ones are in time for callers.
+const SLOW_PAUSE_MIN: Duration = Duration::from_millis(150);
+/// Pause over the predicted one from which on the cause is looked for.
+const SLOW_PAUSE_FACTOR: f64 = 2.0;
+/// Time between two such questions of this host; peers ask others, and tell.
+const SLOW_ASK_PERIOD: Duration = Duration::from_millis(400);
 /// Age up to which progress of a request proves that a target lives, against a peer that avoids it.
 const PROOF_OF_LIFE: Duration = Duration::from_millis(300);
 
@@ -52,6 +63,10 @@
 /// silent, the cause lies elsewhere.
 const PEER_AVOIDED_SHARE_MAX: f64 = 0.15;
 
+/// Largest share of a service's engines that are avoided because they refuse requests of peers: some
+/// must be left while many are replaced.
+const PEER_REFUSING_SHARE_MAX: f64 = 0.3;
+
 /// A visit of a path.
 #[derive(Clone, Debug)]
 pub struct Hop {
@@ -117,8 +132,10 @@
         }
     }
 
-    /// Whether every engine of the path made progress with some request since then.
-    pub fn all_progressed_since(&self, since: Instant) -> bool {
+    /// Whether every engine of the path made progress with some request a moment ago. Progress since
+    /// the last event of one stream proves nothing: another one's may have come just after it.
+    pub fn are_all_live(&self) -> bool {
+        let since = Instant::now() - PROOF_OF_LIFE;
         self.hops
             .iter()
             .all(|hop| hop.target.progressed_since(since))
@@ -209,7 +226,7 @@
             &seen.workers,
             demand,
             seen.data_centre_count,
-            || noise(gateway),
+            || noise(gateway, seen.unheard_share),
         )
     })
     .map_err(|no_path| Blocked::new(no_path, engine, &seen.workers))?;
@@ -250,7 +267,7 @@
             demand,
             seen.data_centre_count,
             &kept,
-            || noise(gateway),
+            || noise(gateway, seen.unheard_share),
         )
     })
     .map_err(|no_path| Blocked::new(no_path, engine, &seen.workers))?;
@@ -276,9 +293,11 @@
     Ok(path)
 }
 
-/// Factor on an engine's price.
-fn noise(gateway: &Gateway) -> f64 {
-    1.0 + NOISE * (2.0 * gateway.draw() - 1.0)
+/// Factor on an engine's price. It varies the more, the more hosts this one never heard of: their
+/// requests are not known, and all would choose the same engines.
+fn noise(gateway: &Gateway, unheard_share: f64) -> f64 {
+    let noise = NOISE + NOISE_UNHEARD * unheard_share;
+    1.0 + noise * (2.0 * gateway.draw() - 1.0)
 }
 
 /// The engines of a service as they are seen for one request.
@@ -287,6 +306,8 @@
     /// What the choice of a path needs of each target. Invariant: in the order of `targets`.
     workers: Vec<Worker>,
     data_centre_count: usize,
+    /// Share of the hosts on the list that this one never heard of.
+    unheard_share: f64,
 }
 
 impl Seen {
@@ -317,13 +338,31 @@
             .filter(|target| target.is_listed_ready() && target.entry.borrow().layers.is_some())
             .collect();
         let peers = gateway.peers.borrow().loads(now);
+        let peer_slow = gateway.peers.borrow().slow(now);
+        // Slow paths are explained by those engines, and tell nothing of the others on them.
+        let is_any_slow = !peer_slow.is_empty() || !gateway.targets.own_slow(now).is_empty();
         let peer_avoided = gateway.peers.borrow().avoided(now);
         let mut data_centres = vec![gateway.settings.data_centre.clone()];
         let named = listed
             .iter()
             .filter(|target| peer_avoided.contains(&target.hash))
             .count();
+        // After a restart of all hosts, each must expect the others to send where it sends itself.
+        let (unheard_count, unheard_share) = match gateway.peers.borrow().unheard_count() {
+            None => (UNHEARD_HOSTS_MAX, 1.0),
+            Some(count) => {
+                let host_count = gateway.peers.borrow().len() + 1;
+                (count, count as f64 / host_count as f64)
+            }
+        };
+        let own_factor = 1.0 + unheard_count.min(UNHEARD_HOSTS_MAX) as f64;
         let believes_peers = named as f64 <= PEER_AVOIDED_SHARE_MAX * listed.len() as f64;
+        let peer_refusing = gateway.peers.borrow().refusing(now);
+        let refusing = listed
+            .iter()
+            .filter(|target| peer_refusing.contains(&target.hash))
+            .count();
+        let believes_refusals = refusing as f64 <= PEER_REFUSING_SHARE_MAX * listed.len() as f64;
         let live_used = tried.used.iter().filter(|target| target.is_listed_ready());
         let firsts_are_used = live_used.count() >= request.route.attempts_max as usize;
         let (targets, workers): (Vec<Rc<Target>>, Vec<Worker>) = listed
@@ -338,17 +377,24 @@
                 let is_named = believes_peers
                     && peer_avoided.contains(&target.hash)
                     && !target.progressed_since(now - PROOF_OF_LIFE);
+                let is_refusing = believes_refusals && peer_refusing.contains(&target.hash);
                 let load = peers.get(&target.hash).copied().unwrap_or_default();
                 let worker = Worker {
                     target: target.id.clone(),
                     data_centre,
                     kind,
                     layers,
-                    sequences: target.sequences.get() + load.sequences,
-                    used_token_layers: target.token_layers.get() + load.token_layers,
-                    first_requests: target.sent_requests.get() + load.sent_requests,
-                    slowdown: target.slowdown(),
-                    open: !(is_avoided || is_named || is_left_out),
+                    sequences: own_factor * target.sequences.get() + load.sequences,
+                    used_token_layers: own_factor * target.token_layers.get() + load.token_layers,
+                    first_requests: own_factor * target.sent_requests.get() + load.sent_requests,
+                    slowdown: target.stated_slowdown(now).unwrap_or_else(|| {
+                        match peer_slow.get(&target.hash) {
+                            Some(slowdown) => *slowdown,
+                            None if is_any_slow => 1.0,
+                            None => target.slowdown(),
+                        }
+                    }),
+                    open: !(is_avoided || is_named || is_refusing || is_left_out),
                     may_be_first: !firsts_are_used
                         || tried.used.iter().any(|other| Rc::ptr_eq(other, target)),
                 };
@@ -359,6 +405,7 @@
             targets,
             workers,
             data_centre_count: data_centres.len(),
+            unheard_share,
         }
     }
 }
@@ -385,16 +432,61 @@
         .and_then(|address| gateway.targets.at(address))
         .unwrap_or_else(|| Rc::clone(chosen.first()));
     let now = Instant::now();
-    // An engine whose other requests go on is short of memory, not out of order.
+    // An engine whose other requests go on is not out of order.
     let is_live = fault.progressed_since(now - PROOF_OF_LIFE);
-    if is_live || may_be_full(gateway, engine, &fault, now) {
+    if may_be_full(gateway, engine, &fault, now) {
         fault.note_full(now);
+    } else if is_live {
+        fault.note_refusing(now);
     } else {
         fault.note_silence(now);
     }
     fault
 }
 
+/// Asks one engine of a path that is slower than predicted how slow it is itself: the pause alone
+/// does not tell which of them is the cause.
+pub fn look_for_slow_engine(gateway: &Gateway, chosen: &Chosen, pause: Duration) {
+    let predicted = Duration::from_secs_f64(chosen.path.pause_ms / 1e3);
+    if pause < SLOW_PAUSE_MIN || pause < predicted.mul_f64(SLOW_PAUSE_FACTOR) {
+        return;
+    }
+    let now = Instant::now();
+    let was_asked = gateway.slow_asked.get();
+    if was_asked.is_some_and(|at| now.duration_since(at) < SLOW_ASK_PERIOD) {
+        return;
+    }
+    let unknown: Vec<&Rc<Target>> = chosen
+        .hops
+        .iter()
+        .map(|hop| &hop.target)
+        .filter(|target| target.stated_slowdown(now).is_none())
+        .collect();
+    let index = (gateway.draw() * unknown.len() as f64) as usize;
+    let Some(target) = unknown.get(index).map(|target| Rc::clone(target)) else {
+        return;
+    };
+    gateway.slow_asked.set(Some(now));
+    let orders = Rc::clone(&gateway.platform.orders);
+    tokio::task::spawn_local(async move {
+        match orders.state(&target.id, target.address()).await {
+            Ok(state) => {
+                let slowdown = state.slowdown.unwrap_or(1.0);
+                target.note_stated_slowdown(Instant::now(), slowdown);
+                spdlog::info!("target.speed", kv: {
+                    target = target.id.as_str(),
+                    slowdown,
+                    pause_ms = pause.as_millis() as u64,
+                    predicted_ms = predicted.as_millis() as u64,
+                });
+            }
+            Err(error) => {
+                spdlog::warn!("target.speed_unknown", kv: { target = target.id.as_str(), error: });
+            }
+        }
+    });
+}
+
 /// Whether the requests that this host knows of may leave no room at an engine.
 fn may_be_full(gateway: &Gateway, engine: &Engine, target: &Target, now: Instant) -> bool {
     let entry = target.entry.borrow();
@@ -408,15 +500,15 @@
     used > MAYBE_FULL_SHARE * engine.capacity_token_layers(*kind, layers.count())
 }
 
-/// Notes a stall: engines that showed no progress with other requests either are avoided. Where
-/// these are many, most of them are sound, and none is named to other hosts.
-pub fn note_stall(chosen: &Chosen, since: Instant) {
+/// Notes a stall: engines that showed no progress with other requests a moment ago either are
+/// avoided. Where these are many, most of them are sound, and none is named to other hosts.
+pub fn note_stall(chosen: &Chosen) {
     let now = Instant::now();
     let suspects: Vec<&Rc<Target>> = chosen
         .hops
         .iter()
         .map(|hop| &hop.target)
-        .filter(|target| !target.progressed_since(since))
+        .filter(|target| !target.progressed_since(now - PROOF_OF_LIFE))
         .collect();
     let is_certain = suspects.len() <= SUSPECTS_MAX;
     for target in suspects {
--- a/crates/anvil_gateway/src/peers.rs
+++ b/crates/anvil_gateway/src/peers.rs
@@ -33,14 +33,16 @@
     port::{
         HostEntry,
         TargetChange, //
-    }, //
+    },
+    targets::Cause,
 };
 
 pub use datagram::Key;
 pub use message::{
     Digest,
     Load,
-    News, //
+    News,
+    SlowTarget, //
 };
 pub use view::{
     PeerLoad,
@@ -61,6 +63,9 @@
 const REGISTER_WAIT: Duration = Duration::from_millis(400);
 /// Shortest time between two readings of the list of hosts, asked for by unknown senders.
 const HOSTS_READ_MIN: Duration = Duration::from_millis(1500);
+/// The same for hosts for which others read: while hosts restart in turn, each reading of every
+/// host would show one change.
+const HOSTS_READ_RELAYED_MIN: Duration = Duration::from_secs(5);
 /// Pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(700);
 
@@ -112,7 +117,11 @@
                     }
                 }
             }
-            sleep(HOSTS_READ_MIN).await;
+            sleep(match is_reader(&self.gateway) {
+                true => HOSTS_READ_MIN,
+                false => HOSTS_READ_RELAYED_MIN,
+            })
+            .await;
         }
     }
 
@@ -185,6 +194,7 @@
 
     fn digest(&self) -> Digest {
         let gateway = &self.gateway;
+        let now = Instant::now();
         Digest {
             host: gateway.settings.host_id.clone(),
             data_centre: gateway.settings.data_centre.clone(),
@@ -196,7 +206,9 @@
             targets_next: gateway.targets.next(),
             targets_age: gateway.targets.age(),
             loads: gateway.targets.own_loads(),
-            avoided: gateway.targets.own_avoided(Instant::now()),
+            avoided: gateway.targets.own_avoided(Cause::Silence, now),
+            refusing: gateway.targets.own_avoided(Cause::Refusing, now),
+            slow: gateway.targets.own_slow(now),
             news: None,
         }
     }
--- a/crates/anvil_gateway/src/peers/message.rs
+++ b/crates/anvil_gateway/src/peers/message.rs
@@ -23,6 +23,8 @@
 
 /// Unit of memory on the wire, in tokens times layers.
 const TOKEN_LAYERS_UNIT: f64 = 1000.0;
+/// Unit of slowdowns on the wire.
+const PERCENT: f64 = 100.0;
 
 /// What a gateway tells another about itself.
 #[derive(Clone, Debug, PartialEq)]
@@ -49,6 +51,10 @@
     pub loads: Vec<Load>,
     /// Hashes of the targets that it avoids after its own requests failed there.
     pub avoided: Vec<u32>,
+    /// Hashes of the targets that refuse its requests although they live and have room.
+    pub refusing: Vec<u32>,
+    /// Targets that told it that they are slow.
+    pub slow: Vec<SlowTarget>,
     /// Changes of the list of targets.
     pub news: Option<News>,
 }
@@ -66,6 +72,15 @@
     pub sent_requests: f64,
 }
 
+/// A target that is slow.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SlowTarget {
+    /// Hash of the target's name.
+    pub target_hash: u32,
+    /// Time that it takes, over what is usual.
+    pub slowdown: f64,
+}
+
 /// Changes of the list of targets.
 #[derive(Clone, Debug, PartialEq)]
 pub struct News {
@@ -102,6 +117,13 @@
             .collect(),
         load_sent: loads.iter().map(|load| whole(load.sent_requests)).collect(),
         avoided: digest.avoided.clone(),
+        refusing: digest.refusing.clone(),
+        slow_targets: digest.slow.iter().map(|slow| slow.target_hash).collect(),
+        slow_percents: digest
+            .slow
+            .iter()
+            .map(|slow| whole(slow.slowdown * PERCENT))
+            .collect(),
         news: digest
             .news
             .iter()
@@ -118,7 +140,8 @@
     let count = digest.load_targets.len();
     let is_even = digest.load_sequences.len() == count
         && digest.load_token_layers.len() == count
-        && digest.load_sent.len() == count;
+        && digest.load_sent.len() == count
+        && digest.slow_targets.len() == digest.slow_percents.len();
     if !is_even {
         return None;
     }
@@ -144,6 +167,16 @@
         targets_age: age(digest.targets_age_ms),
         loads,
         avoided: digest.avoided,
+        refusing: digest.refusing,
+        slow: digest
+            .slow_targets
+            .into_iter()
+            .zip(digest.slow_percents)
+            .map(|(target_hash, percent)| SlowTarget {
+                target_hash,
+                slowdown: f64::from(percent) / PERCENT,
+            })
+            .collect(),
         news: digest.news_from.map(|from| News { from, changes }),
     })
 }
--- a/crates/anvil_gateway/src/peers/tests.rs
+++ b/crates/anvil_gateway/src/peers/tests.rs
@@ -32,6 +32,11 @@
             sent_requests: 1.0,
         }],
         avoided: vec![7, 8],
+        refusing: vec![9],
+        slow: vec![SlowTarget {
+            target_hash: 8,
+            slowdown: 12.5,
+        }],
         news: Some(News {
             from: 9,
             changes: vec![
@@ -136,3 +141,51 @@
         eq(true)
     );
 }
+
+#[gtest]
+fn is_reader_prefers_hosts_with_processor_time() {
+    let now = Instant::now();
+    let mut view = View::default();
+    for (host, processor_millis) in [("one", 84), ("two", 500), ("three", 500), ("four", 84)] {
+        view.register(host.into(), "10.0.0.1:80".parse().unwrap(), key("a1"));
+        let mut digest = digest(host);
+        digest.processor_millis = processor_millis;
+        view.take(&host.into(), digest, now);
+    }
+    for own in ["five", "six", "seven"] {
+        expect_that!(view.is_reader(&own.into(), 84, &"a".into(), now), eq(false));
+    }
+    // Once the two are silent, others take over.
+    let later = now + Duration::from_secs(9);
+    expect_that!(
+        view.is_reader(&"five".into(), 84, &"a".into(), later),
+        eq(true)
+    );
+}
+
+#[gtest]
+fn slow_takes_slowest_word() {
+    let now = Instant::now();
+    let mut view = View::default();
+    for (host, slowdown) in [("one", 4.0), ("two", 12.0)] {
+        view.register(host.into(), "10.0.0.1:80".parse().unwrap(), key("a1"));
+        let mut digest = digest(host);
+        digest.slow[0].slowdown = slowdown;
+        view.take(&host.into(), digest, now);
+    }
+    expect_that!(view.slow(now).get(&8).copied(), some(eq(12.0)));
+    expect_that!(view.slow(now + Duration::from_secs(9)).is_empty(), eq(true));
+}
+
+#[gtest]
+fn listed_host_count_is_unknown_before_the_list() {
+    let mut view = View::default();
+    view.register("one".into(), "10.0.0.1:80".parse().unwrap(), key("a1"));
+    expect_that!(view.listed_host_count(), none());
+    expect_that!(view.unheard_count(), none());
+    view.note_listed();
+    expect_that!(view.listed_host_count(), some(eq(2)));
+    expect_that!(view.unheard_count(), some(eq(1)));
+    view.take(&"one".into(), digest("one"), Instant::now());
+    expect_that!(view.unheard_count(), some(eq(0)));
+}
--- a/crates/anvil_gateway/src/peers/view.rs
+++ b/crates/anvil_gateway/src/peers/view.rs
@@ -112,6 +112,13 @@
         self.peers.len()
     }
 
+    /// Number of peers that were never heard of since they, or this host, started; nothing before
+    /// the store's list of hosts was read.
+    pub fn unheard_count(&self) -> Option<usize> {
+        let unheard = self.peers.values().filter(|peer| peer.digest.is_none());
+        self.is_listed.then(|| unheard.count())
+    }
+
     /// Number of peers that are heard of.
     pub fn heard_count(&self, now: Instant) -> usize {
         self.peers
@@ -186,6 +193,29 @@
             .collect()
     }
 
+    /// Hashes of the targets that refuse requests of some peer although they live and have room.
+    pub fn refusing(&self, now: Instant) -> HashSet<u32> {
+        self.peers
+            .values()
+            .filter(|peer| peer.is_heard(now))
+            .flat_map(|peer| &peer.digest)
+            .flat_map(|digest| digest.refusing.iter().copied())
+            .collect()
+    }
+
+    /// Targets that are slow, by the hash of their names, as some peer was told: the slowest word
+    /// counts.
+    pub fn slow(&self, now: Instant) -> HashMap<u32, f64> {
+        let mut slow: HashMap<u32, f64> = HashMap::new();
+        for peer in self.peers.values().filter(|peer| peer.is_heard(now)) {
+            for target in peer.digest.iter().flat_map(|digest| &digest.slow) {
+                let known = slow.entry(target.target_hash).or_insert(1.0);
+                *known = known.max(target.slowdown);
+            }
+        }
+        slow
+    }
+
     /// Whether a host is one of those that read the store for their data centre.
     ///
     /// These are drawn among the hosts with the most processor time, since the placer is one of
--- a/crates/anvil_gateway/src/port.rs
+++ b/crates/anvil_gateway/src/port.rs
@@ -308,7 +308,7 @@
 }
 
 /// What an engine says of its orders.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct OrderState {
     /// Orders that it accepted since its start.
     pub order_count: u64,
@@ -316,6 +316,8 @@
     pub is_busy: bool,
     /// Layers that it holds.
     pub layers: Option<LayerRange>,
+    /// Time that it takes, over what the figures of its kind say; nothing where it states none.
+    pub slowdown: Option<f64>,
     /// Requests sent to it that wait for another engine of their path.
     pub stalled: Vec<Stalled>,
 }
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -58,6 +58,9 @@
     },
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Longest time that a new connection to an engine may take: a few round trips.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Silence after which the first engine is asked what a stream waits for, if an engine of its path
@@ -249,7 +252,7 @@
                 }
                 Sent::Stalled => {
                     may_have_run = true;
-                    paths::note_stall(&chosen, self.last_out);
+                    paths::note_stall(&chosen);
                     "stalled"
                 }
             };
@@ -516,6 +519,10 @@
                 continue;
             }
             chosen.note_progress(now, silence.since, is_first);
+            if !is_first {
+                let pause = now.duration_since(silence.since);
+                paths::look_for_slow_engine(self.gateway, chosen, pause);
+            }
             if trace.events == 0 {
                 trace.first_ms = self.request.arrived.elapsed().as_millis() as u64;
             } else {
@@ -534,10 +541,14 @@
 
     /// Waits until the cause of a silence is to be looked for.
     async fn silent(&self, chosen: &Chosen, silence: &Silence) {
-        tokio::time::sleep_until(silence.next_look()).await;
-        // Engines that all make progress are slow, not lost.
-        if chosen.all_progressed_since(silence.since) {
-            tokio::time::sleep_until(silence.certain()).await;
+        let mut look = silence.next_look();
+        loop {
+            tokio::time::sleep_until(look.min(silence.certain())).await;
+            // Engines that all make progress are slow, not lost.
+            if !chosen.are_all_live() || Instant::now() >= silence.certain() {
+                return;
+            }
+            look = Instant::now() + SUSPECT_PERIOD;
         }
     }
 
@@ -555,8 +566,7 @@
             return Repaired::GivenUp;
         }
         silence.asked = Some(Instant::now());
-        let repaired =
-            tokio::time::timeout(REPAIR_TIMEOUT, self.find_repair(chosen, silence.since)).await;
+        let repaired = tokio::time::timeout(REPAIR_TIMEOUT, self.find_repair(chosen)).await;
         let outcome = match repaired {
             Ok(Ok(Some(repaired))) => {
                 trace.via.push(format!("repaired {}", repaired.text()));
@@ -585,11 +595,7 @@
 
     /// Asks the first engine what the stream waits for, and orders a path without that. Gives the
     /// path that the stream goes on along, or nothing where it waits for no engine.
-    async fn find_repair(
-        &self,
-        chosen: &Chosen,
-        since: Instant,
-    ) -> Result<Option<Chosen>, &'static str> {
+    async fn find_repair(&self, chosen: &Chosen) -> Result<Option<Chosen>, &'static str> {
         let orders = &self.gateway.platform.orders;
         let first = chosen.first();
         let state = orders
@@ -616,7 +622,7 @@
         }
         for _ in 0..REPAIR_ORDERS_MAX {
             for target in &lost {
-                target.note_silent_since(since, Instant::now());
+                target.note_silence(Instant::now());
             }
             let repaired =
                 paths::choose_repair(self.gateway, self.request, self.engine, chosen, &lost)
--- a/crates/anvil_gateway/src/targets.rs
+++ b/crates/anvil_gateway/src/targets.rs
@@ -21,7 +21,10 @@
 
 use crate::{
     clock::BootTime,
-    peers::Load,
+    peers::{
+        Load,
+        SlowTarget, //
+    },
     pool::Pool,
     port::{
         TargetChange,
@@ -30,6 +33,9 @@
     }, //
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Time for which a target is avoided after a first refusal or error; doubles with each further one.
 const AVOID_MIN: Duration = Duration::from_millis(400);
 /// Time for which a target is avoided after it gave no sign of life for the first time: most of the
@@ -44,6 +50,21 @@
 const SLOWDOWN_WEIGHT: f64 = 0.1;
 /// Largest slowdown that is believed.
 const SLOWDOWN_MAX: f64 = 20.0;
+/// Age up to which a target's own word on its speed holds.
+const STATED_FRESH: Duration = Duration::from_millis(2500);
+/// Slowdown from which on a target's word is passed on to peers.
+const SLOW_MIN: f64 = 1.5;
+
+/// Why a target is avoided.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// A request failed there, or it has no room: others need not be told.
+    Failure,
+    /// It gave no sign of life.
+    Silence,
+    /// It takes nothing new although it lives and has room: it leaves, or gives up its layers.
+    Refusing,
+}
 
 /// One run of a target.
 #[derive(Debug)]
@@ -67,10 +88,12 @@
     /// When a request through it last made progress.
     progress: Cell<Option<Instant>>,
     avoided_until: Cell<Option<Instant>>,
-    /// Whether it is avoided because it gave no sign of life.
-    is_silent: Cell<bool>,
+    /// Why it was avoided last.
+    avoided_for: Cell<Cause>,
     failures: Cell<u32>,
     slowdown: Cell<f64>,
+    /// Slowdown that it stated itself, and when.
+    stated: Cell<Option<(Instant, f64)>>,
     gone: Cell<bool>,
 }
 
@@ -87,9 +110,10 @@
             heard: Cell::new(Instant::now()),
             progress: Cell::new(None),
             avoided_until: Cell::new(None),
-            is_silent: Cell::new(false),
+            avoided_for: Cell::new(Cause::Failure),
             failures: Cell::new(0),
             slowdown: Cell::new(1.0),
+            stated: Cell::new(None),
             gone: Cell::new(false),
         }
     }
@@ -111,30 +135,28 @@
 
     /// Notes that a request was refused or failed there.
     pub fn note_failure(&self, now: Instant) {
-        self.avoid(now, AVOID_MIN, false);
+        self.avoid(now, AVOID_MIN, Cause::Failure);
     }
 
     /// Notes that it refused a request for want of room: others may find some soon.
     pub fn note_full(&self, now: Instant) {
         if !self.is_avoided(now) {
-            self.is_silent.set(false);
+            self.avoided_for.set(Cause::Failure);
             self.avoided_until.set(Some(now + FULL_PAUSE));
         }
     }
 
     /// Notes that it gave no sign of life.
     pub fn note_silence(&self, now: Instant) {
-        self.avoid(now, AVOID_SILENT_MIN, true);
+        self.avoid(now, AVOID_SILENT_MIN, Cause::Silence);
     }
 
-    /// Notes that a request waits for it, unless others made progress there since.
-    pub fn note_silent_since(&self, since: Instant, now: Instant) {
-        if !self.progressed_since(since) {
-            self.note_silence(now);
-        }
+    /// Notes that it refused a request although it lives and has room.
+    pub fn note_refusing(&self, now: Instant) {
+        self.avoid(now, AVOID_SILENT_MIN, Cause::Refusing);
     }
 
-    fn avoid(&self, now: Instant, min: Duration, is_silent: bool) {
+    fn avoid(&self, now: Instant, min: Duration, cause: Cause) {
         if self.is_avoided(now) {
             // Requests that were under way together fail together and count once.
             return;
@@ -142,7 +164,7 @@
         let failures = self.failures.get().saturating_add(1);
         self.failures.set(failures);
         let factor = 1u32 << (failures - 1).min(4);
-        self.is_silent.set(is_silent);
+        self.avoided_for.set(cause);
         self.avoided_until
             .set(Some(now + (min * factor).min(AVOID_MAX)));
     }
@@ -170,6 +192,18 @@
         self.slowdown.set(old + SLOWDOWN_WEIGHT * (sample - old));
     }
 
+    /// Notes the slowdown that it stated itself.
+    pub fn note_stated_slowdown(&self, now: Instant, slowdown: f64) {
+        self.stated
+            .set(Some((now, slowdown.clamp(1.0, SLOWDOWN_MAX))));
+    }
+
+    /// Slowdown that it stated a moment ago.
+    pub fn stated_slowdown(&self, now: Instant) -> Option<f64> {
+        let (at, slowdown) = self.stated.get()?;
+        (now.duration_since(at) < STATED_FRESH).then_some(slowdown)
+    }
+
     /// Observed time over the predicted one.
     pub fn slowdown(&self) -> f64 {
         self.slowdown.get()
@@ -291,16 +325,31 @@
         self.next.get()
     }
 
-    /// Hashes of the targets that this host avoids because they gave no sign of life.
-    pub fn own_avoided(&self, now: Instant) -> Vec<u32> {
+    /// Hashes of the targets that this host avoids for a cause.
+    pub fn own_avoided(&self, cause: Cause, now: Instant) -> Vec<u32> {
         self.by_id
             .borrow()
             .values()
-            .filter(|target| target.is_silent.get() && target.is_avoided(now))
+            .filter(|target| target.avoided_for.get() == cause && target.is_avoided(now))
             .map(|target| target.hash)
             .collect()
     }
 
+    /// Targets that told this host that they are slow.
+    pub fn own_slow(&self, now: Instant) -> Vec<SlowTarget> {
+        self.by_id
+            .borrow()
+            .values()
+            .filter_map(|target| {
+                Some(SlowTarget {
+                    target_hash: target.hash,
+                    slowdown: target.stated_slowdown(now)?,
+                })
+            })
+            .filter(|slow| slow.slowdown >= SLOW_MIN)
+            .collect()
+    }
+
     /// Requests of this host, by target.
     pub fn own_loads(&self) -> Vec<Load> {
         self.by_id
