Ask for a newer table as soon as a peer has one, also between two calls to a failing store

Ruled out: the readers; theirs had the table 0.7 s after the store's return, and their digests said so.

A host that no longer hears of any other calls a failing store every 1.5 s at most.

--- a/crates/anvil_gateway/src/follow.rs
+++ b/crates/anvil_gateway/src/follow.rs
@@ -24,6 +24,9 @@
     }, //
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Longest wait of one question for a new table.
 const TABLE_WAIT: Duration = Duration::from_millis(1500);
 /// Share of the bound on leaving targets that passes between two readings of the list.
@@ -49,6 +52,9 @@
 const FAILING_PERIOD: Duration = Duration::from_millis(250);
 /// Longest pause of one host of a large data centre.
 const FAILING_PAUSE_MAX: Duration = Duration::from_secs(6);
+/// Pause of a host that no longer hears of any other: it is most likely cut off from the store as
+/// well, and hears from them as soon as it is not.
+const CUT_OFF_PAUSE: Duration = Duration::from_millis(1500);
 /// Longest time for which a host without word from the readers leaves the first call to others: they
 /// all miss it at once.
 const RELAY_STAGGER: Duration = Duration::from_millis(500);
@@ -64,16 +70,19 @@
         Self { what, failures: 0 }
     }
 
-    async fn failed(&mut self, gateway: &Gateway, error: &StoreError) {
+    /// Notes a failed call. Gives the pause until the next.
+    fn failed(&mut self, gateway: &Gateway, error: &StoreError) -> Duration {
         if self.failures == 0 {
             spdlog::warn!("store.lost", kv: { reading = self.what, error: });
         }
         self.failures = self.failures.saturating_add(1);
-        let pause = match relay_pause(gateway) {
-            Some(pause) => pause,
-            None => (BACKOFF_MIN * (1 << self.failures.min(5))).min(BACKOFF_MAX),
-        };
-        sleep(gateway.draw_between(pause / 2, pause)).await;
+        let pause = relay_pause(gateway).unwrap_or_else(|| self.shortest());
+        gateway.draw_between(pause / 2, pause)
+    }
+
+    /// Pause after the last failure of a host that must ask itself.
+    fn shortest(&self) -> Duration {
+        (BACKOFF_MIN * (1 << self.failures.min(5))).min(BACKOFF_MAX)
     }
 
     fn succeeded(&mut self) {
@@ -84,14 +93,18 @@
     }
 }
 
-/// Pause after a failed call of a host for which others read; nothing for a host that reads for
-/// others or hears of none.
+/// Pause after a failed call of a host that others will tell; nothing for a host that reads for
+/// others, or that never heard of any.
 fn relay_pause(gateway: &Gateway) -> Option<Duration> {
-    let data_centre = &gateway.settings.data_centre;
-    let near = gateway
-        .peers
-        .borrow()
-        .near_count(data_centre, Instant::now());
+    let now = Instant::now();
+    let peers = gateway.peers.borrow();
+    if peers.heard_count(now) == 0 {
+        let is_cut_off = peers
+            .unheard_count()
+            .is_some_and(|count| count < peers.len());
+        return is_cut_off.then_some(CUT_OFF_PAUSE);
+    }
+    let near = peers.near_count(&gateway.settings.data_centre, now);
     if near == 0 || peers::is_reader(gateway) {
         return None;
     }
@@ -111,14 +124,25 @@
 /// word from the readers is overdue.
 async fn table_is_due(gateway: &Gateway) {
     let limit = gateway.settings.bounds.revoke.mul_f64(TABLE_RELAY_SHARE);
+    let is_overdue = || gateway.knowledge.age().is_none_or(|age| age > limit);
     loop {
-        let is_overdue = || gateway.knowledge.age().is_none_or(|age| age > limit);
-        if peers::is_reader(gateway) || is_overdue() && stagger(gateway, is_overdue).await {
+        if peers::is_reader(gateway) {
             return;
         }
+        let overdue = async {
+            if is_overdue() {
+                stagger(gateway, is_overdue).await
+            } else {
+                sleep(RELAY_TICK).await;
+                false
+            }
+        };
         tokio::select! {
+            biased;
             () = gateway.table_news.notified() => return,
-            () = sleep(RELAY_TICK) => {}
+            is_due = overdue => if is_due {
+                return;
+            }
         }
     }
 }
@@ -145,7 +169,17 @@
                     sleep(UNCONFIGURED_PAUSE).await;
                 }
             }
-            Err(error) => backoff.failed(&gateway, &error).await,
+            Err(error) => {
+                let pause = backoff.failed(&gateway, &error);
+                // Where a peer has a newer table, the store answers some.
+                tokio::select! {
+                    () = sleep(pause) => {}
+                    () = gateway.table_news.notified() => {
+                        sleep(backoff.shortest()).await;
+                        gateway.table_news.notify_one();
+                    }
+                }
+            }
         }
     }
 }
@@ -223,7 +257,7 @@
                 is_known = true;
             }
             Ok(Reading::Forgotten) => is_known = false,
-            Err(error) => backoff.failed(&gateway, &error).await,
+            Err(error) => sleep(backoff.failed(&gateway, &error)).await,
         }
     }
 }
--- /dev/null
+++ b/crates/anvil_gateway/src/follow/tests.rs
@@ -0,0 +1,252 @@
+use std::{
+    cell::Cell,
+    rc::Rc, //
+};
+
+use anvil_core::{
+    entry::{
+        CallerLimits,
+        Table, //
+    },
+    id::{
+        HostId,
+        TargetId, //
+    },
+};
+use googletest::prelude::*;
+use smol_str::SmolStr;
+
+use super::*;
+use crate::{
+    http1::{
+        RequestHead,
+        ResponseHead, //
+    },
+    peers::{
+        Digest,
+        Key, //
+    },
+    port::{
+        AnswerFacts,
+        Forwarding,
+        Headers,
+        HostEntry,
+        OrderAnswer,
+        OrderState,
+        Orders,
+        PlaceOrder,
+        Platform,
+        RepathAnswer,
+        RepathOrder,
+        RequestFacts,
+        Snapshot,
+        Standing,
+        Store,
+        StoreErrorKind,
+        StoreResult,
+        TargetChange, //
+    },
+    settings, //
+};
+
+/// A store that is down at first, and knows nothing but tables. The tests below follow tables
+/// alone, so that everything else fails.
+#[derive(Default)]
+struct TablesOnly {
+    is_up: Cell<bool>,
+    calls: Cell<u32>,
+}
+
+fn not_done<T>() -> std::result::Result<T, StoreError> {
+    Err(StoreError {
+        call: "test",
+        kind: StoreErrorKind::NotDone,
+        message: SmolStr::new_static("down"),
+    })
+}
+
+impl Store for TablesOnly {
+    fn newest_table(&self) -> StoreResult<'_, Snapshot<Option<Table>>> {
+        self.calls.set(self.calls.get() + 1);
+        let is_up = self.is_up.get();
+        Box::pin(async move {
+            if !is_up {
+                return not_done();
+            }
+            let items = Some(Table::new(7, [], [], None, CallerLimits::default()));
+            Ok(Snapshot { items, next: 1 })
+        })
+    }
+
+    fn tables_after(
+        &self,
+        _from: Offset,
+        _wait: Duration,
+    ) -> StoreResult<'_, Changes<Option<Table>>> {
+        Box::pin(async { not_done() })
+    }
+
+    fn newest_targets(&self) -> StoreResult<'_, Snapshot<Vec<TargetChange>>> {
+        Box::pin(async { not_done() })
+    }
+
+    fn targets_after(&self, _from: Offset) -> StoreResult<'_, Changes<Vec<TargetChange>>> {
+        Box::pin(async { not_done() })
+    }
+
+    fn register_host<'a>(&'a self, _host: &'a HostEntry) -> StoreResult<'a, ()> {
+        Box::pin(async { not_done() })
+    }
+
+    fn withdraw_host<'a>(&'a self, _host: &'a HostId) -> StoreResult<'a, ()> {
+        Box::pin(async { not_done() })
+    }
+
+    fn hosts(&self) -> StoreResult<'_, Vec<HostEntry>> {
+        Box::pin(async { not_done() })
+    }
+
+    fn join<'a>(
+        &'a self,
+        _host: &'a HostId,
+        _lease: Duration,
+        _generation: u64,
+    ) -> StoreResult<'a, Standing> {
+        Box::pin(async { not_done() })
+    }
+
+    fn leave<'a>(&'a self, _host: &'a HostId) -> StoreResult<'a, ()> {
+        Box::pin(async { not_done() })
+    }
+}
+
+struct NoEngines;
+
+impl Orders for NoEngines {
+    fn state<'a>(
+        &'a self,
+        _target: &'a TargetId,
+        _address: std::net::SocketAddr,
+    ) -> StoreResult<'a, OrderState> {
+        Box::pin(async { not_done() })
+    }
+
+    fn place<'a>(&'a self, _order: &'a PlaceOrder) -> StoreResult<'a, OrderAnswer> {
+        Box::pin(async { not_done() })
+    }
+
+    fn repath<'a>(&'a self, _order: &'a RepathOrder<'a>) -> StoreResult<'a, RepathAnswer> {
+        Box::pin(async { not_done() })
+    }
+}
+
+struct NoHeaders;
+
+impl Headers for NoHeaders {
+    fn read_request(&self, _head: &RequestHead) -> std::result::Result<RequestFacts, SmolStr> {
+        Ok(RequestFacts::default())
+    }
+
+    fn write_forwarded(
+        &self,
+        _head: &RequestHead,
+        _body_bytes: usize,
+        _forwarding: &Forwarding<'_>,
+        _out: &mut Vec<u8>,
+    ) {
+    }
+
+    fn read_answer(&self, _head: &ResponseHead) -> AnswerFacts {
+        AnswerFacts::default()
+    }
+
+    fn request_id_header(&self) -> &'static str {
+        "id"
+    }
+}
+
+/// A host for which two stronger ones of its data centre read.
+fn gateway(store: &Rc<TablesOnly>) -> Rc<Gateway> {
+    let text = r#"
+        host_id = "own"
+        data_centre = "a"
+        processor_share = 0.1
+        listen = { callers = "10.0.0.1:80", readiness = "10.0.0.1:81", peers = "10.0.0.1:82" }
+        platform = { store = "10.0.0.2:80" }
+    "#;
+    let settings = settings::read("test", text).unwrap();
+    let platform = Platform {
+        headers: Rc::new(NoHeaders),
+        store: Rc::clone(store) as Rc<dyn Store>,
+        orders: Rc::new(NoEngines),
+    };
+    let gateway = Rc::new(Gateway::new(settings, platform));
+    for host in ["one", "two"] {
+        let mut view = gateway.peers.borrow_mut();
+        let key = Key::read(&"a1".repeat(16)).unwrap();
+        view.register(host.into(), "10.0.0.3:82".parse().unwrap(), key);
+        let digest = Digest {
+            host: host.into(),
+            data_centre: "a".into(),
+            processor_millis: 500,
+            sent: BootTime::now(),
+            echo: None,
+            table_version: 7,
+            table_age: None,
+            targets_next: 0,
+            targets_age: None,
+            loads: Vec::new(),
+            avoided: Vec::new(),
+            refusing: Vec::new(),
+            slow: Vec::new(),
+            news: None,
+        };
+        view.take(&host.into(), digest, Instant::now());
+    }
+    gateway
+}
+
+/// The clock of tokio moves on by itself, as far as the next timer.
+fn play(test: impl std::future::Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    runtime.block_on(tokio::task::LocalSet::new().run_until(test));
+}
+
+/// The store was down, and this host waits until its next call when a peer tells of a newer table.
+#[gtest]
+fn follow_table_asks_at_once_when_a_peer_has_news() {
+    play(async {
+        let store = Rc::new(TablesOnly::default());
+        let gateway = gateway(&store);
+        tokio::task::spawn_local(follow_table(Rc::clone(&gateway)));
+        sleep(RELAY_STAGGER * 2).await;
+        expect_that!(store.calls.get(), ge(1));
+        store.is_up.set(true);
+        let told = Instant::now();
+        gateway.table_news.notify_one();
+        while gateway.knowledge.table().is_none() {
+            sleep(Duration::from_millis(5)).await;
+        }
+        expect_that!(told.elapsed(), lt(BACKOFF_MAX));
+    });
+}
+
+/// While the store is down, hosts for which others read call it seldom.
+#[gtest]
+fn follow_table_calls_failing_store_seldom() {
+    play(async {
+        let store = Rc::new(TablesOnly::default());
+        let gateway = gateway(&store);
+        tokio::task::spawn_local(follow_table(Rc::clone(&gateway)));
+        for second in 0..20 {
+            sleep(Duration::from_secs(1)).await;
+            let limit = 2 + 4 * (second + 1);
+            expect_that!(store.calls.get(), le(limit), "after {second} s");
+        }
+        expect_that!(store.calls.get(), ge(10));
+    });
+}
--- a/crates/anvil_gateway/src/peers/view.rs
+++ b/crates/anvil_gateway/src/peers/view.rs
@@ -80,7 +80,7 @@
 
 impl View {
     /// Takes in a peer from the store's list.
-    pub(super) fn register(&mut self, id: HostId, address: SocketAddr, key: Key) {
+    pub(crate) fn register(&mut self, id: HostId, address: SocketAddr, key: Key) {
         let is_known = self
             .peers
             .get(&id)
@@ -137,7 +137,7 @@
     }
 
     /// Takes in a digest; one that is older than the last is dropped.
-    pub(super) fn take(&mut self, id: &HostId, digest: Digest, now: Instant) {
+    pub(crate) fn take(&mut self, id: &HostId, digest: Digest, now: Instant) {
         let Some(peer) = self.peers.get_mut(id) else {
             return;
         };
