--- a/crates/anvil_gateway/src/faults.rs
+++ b/crates/anvil_gateway/src/faults.rs
@@ -29,6 +29,7 @@
 const SLOW_ASK_PERIOD: Duration = Duration::from_millis(400);
 /// Engines of a stalled path that may be blamed together.
 const SUSPECTS_MAX: usize = 2;
+
 /// Notes a refusal: the engine at fault is avoided, or the first where none is named. Gives that
 /// engine.
 pub fn note_refusal(
