Give each run of the daemon's process tests settings files of its own

Cause: the files' names were the same in every run of the tests in one target directory. The test checks what it did before.

--- a/crates/anvilproxyd/tests/processes.rs
+++ b/crates/anvilproxyd/tests/processes.rs
@@ -48,7 +48,8 @@
 impl Daemon {
     /// Starts a daemon before a fleet's stand-ins.
     async fn start(name: &str, fleet: &Fleet) -> Self {
-        let settings_file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.toml"));
+        let file_name = format!("{name}-{}.toml", std::process::id());
+        let settings_file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(file_name);
         fs::write(&settings_file, settings(name, fleet)).unwrap();
         let mut process = Command::new(env!("CARGO_BIN_EXE_anvilproxyd"))
             .arg("--config")
