--- a/crates/anvil_gateway/src/follow.rs
+++ b/crates/anvil_gateway/src/follow.rs
@@ -14,6 +14,7 @@
 use crate::{
     clock::BootTime,
     gateway::Gateway,
+    knowledge::Source,
     peers::{
         self,
         Peers, //
@@ -65,6 +66,8 @@
 struct Backoff {
     reading: &'static str,
     failures: u32,
+    /// When the last failed call was sent. `None` before the first failure.
+    last_failure_requested_at: Option<BootTime>,
 }
 
 impl Backoff {
@@ -72,14 +75,27 @@
         Self {
             reading,
             failures: 0,
+            last_failure_requested_at: None,
         }
     }
 
-    /// Records a failed call and returns the time to wait before the next.
-    fn record_failure(&mut self, gateway: &Gateway, error: &PlatformError) -> Duration {
+    /// Records a failed call that was sent at `requested_at`, and returns the time to wait before
+    /// the next.
+    fn record_failure(
+        &mut self,
+        gateway: &Gateway,
+        error: &PlatformError,
+        requested_at: BootTime,
+    ) -> Duration {
+        gateway.metrics.record_store_failure(self.reading);
         if self.failures == 0 {
-            spdlog::warn!("store.lost", kv: { reading = self.reading, error: });
+            spdlog::warn!("store.lost", kv: {
+                reading = self.reading,
+                error:,
+                requested_age_ms = requested_at.elapsed().as_millis() as u64,
+            });
         }
+        self.last_failure_requested_at = Some(requested_at);
         self.failures = self.failures.saturating_add(1);
         let pause = relayed_backoff(gateway).unwrap_or_else(|| self.exponential_backoff());
         gateway.random_duration(pause / 2, pause)
@@ -90,11 +106,15 @@
         (BACKOFF_MIN * (1 << self.failures.min(5))).min(BACKOFF_MAX)
     }
 
-    fn record_success(&mut self) {
+    /// Records a call that was sent at `requested_at` and succeeded.
+    fn record_success(&mut self, requested_at: BootTime) {
         if self.failures > 0 {
+            let age_ms = |time: BootTime| time.elapsed().as_millis() as u64;
             spdlog::info!("store.regained", kv: {
                 reading = self.reading,
                 failures = self.failures,
+                requested_age_ms = age_ms(requested_at),
+                last_failure_requested_age_ms = self.last_failure_requested_at.map_or(0, age_ms),
             });
             self.failures = 0;
         }
@@ -172,7 +192,7 @@
         };
         match result {
             Ok(offset) => {
-                backoff.record_success();
+                backoff.record_success(requested_at);
                 next_offset = offset;
                 if gateway.table_cache.table().is_none() {
                     // The operators have not written a table yet.
@@ -180,7 +200,7 @@
                 }
             }
             Err(error) => {
-                let pause = backoff.record_failure(&gateway, &error);
+                let pause = backoff.record_failure(&gateway, &error, requested_at);
                 // A peer has a newer table, so the store answers at least some hosts: only the
                 // short backoff applies then.
                 tokio::select! {
@@ -200,7 +220,9 @@
     requested_at: BootTime,
 ) -> Result<Option<Offset>, PlatformError> {
     let read = gateway.platform.store.newest_table().await?;
-    gateway.table_cache.update(read.items, requested_at);
+    gateway
+        .table_cache
+        .update(read.items, requested_at, Source::Read);
     Ok(Some(read.next_offset))
 }
 
@@ -227,9 +249,8 @@
                 true => TABLE_WAIT_MAX.min(requested_at.elapsed()),
                 false => Duration::ZERO,
             };
-            gateway
-                .table_cache
-                .update(read.items, requested_at.later(waited));
+            let as_of = requested_at.later(waited);
+            gateway.table_cache.update(read.items, as_of, Source::Poll);
             Ok(Some(read.next_offset))
         }
     }
@@ -273,11 +294,13 @@
         };
         match result {
             Ok(ReadOutcome::Current) => {
-                backoff.record_success();
+                backoff.record_success(last_read);
                 is_complete = true;
             }
             Ok(ReadOutcome::OffsetOutOfRange) => is_complete = false,
-            Err(error) => sleep(backoff.record_failure(&gateway, &error)).await,
+            Err(error) => {
+                sleep(backoff.record_failure(&gateway, &error, last_read)).await;
+            }
         }
     }
 }
--- a/crates/anvil_gateway/src/follow/tests.rs
+++ b/crates/anvil_gateway/src/follow/tests.rs
@@ -28,6 +28,7 @@
     },
     port::{
         EngineReport,
+        Era,
         Forwarding,
         GroupMembership,
         HeaderCodec,
@@ -66,6 +67,10 @@
 }
 
 impl Store for TableStore {
+    fn era(&self) -> Option<Era> {
+        None
+    }
+
     fn newest_table(&self) -> PlatformResult<'_, Snapshot<Option<Table>>> {
         self.calls.set(self.calls.get() + 1);
         let is_up = self.is_up.get();
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -86,9 +86,9 @@
     /// Creates a gateway in the phase `Serving`.
     pub fn new(settings: Settings, platform: Platform) -> Self {
         Self {
+            table_cache: TableCache::new(settings.bounds.config_apply),
             settings,
             platform,
-            table_cache: TableCache::default(),
             targets: Targets::default(),
             metrics: Metrics::new(),
             peers: RefCell::new(PeerRegistry::default()),
--- a/crates/anvil_gateway/src/knowledge.rs
+++ b/crates/anvil_gateway/src/knowledge.rs
@@ -10,19 +10,49 @@
     time::Duration, //
 };
 
-use anvil_core::entry::Table;
+use anvil_core::{
+    entry::Table,
+    id::HostId, //
+};
+use derive_more::Display;
 
 use crate::clock::BootTime;
 
+/// How this host learned that a table is the newest.
+#[derive(Clone, Debug, PartialEq, Eq, Display)]
+pub enum Source {
+    /// It read the newest table from the store.
+    #[display("read")]
+    Read,
+    /// It read the changes since its last read, and may have waited for one.
+    #[display("poll")]
+    Poll,
+    /// A peer has the same table and confirmed it.
+    #[display("peer {_0}")]
+    Peer(HostId),
+}
+
 /// The operators' table in force.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct TableCache {
     table: RefCell<Option<Rc<Table>>>,
     /// Latest time at which the table is known to have been the newest.
     current_as_of: Cell<Option<BootTime>>,
+    /// Age from which on the next confirmation is logged.
+    late_age: Duration,
 }
 
 impl TableCache {
+    /// Creates a cache without a table. A confirmation is logged if the table was older than
+    /// `late_age` before it.
+    pub fn new(late_age: Duration) -> Self {
+        Self {
+            table: RefCell::new(None),
+            current_as_of: Cell::new(None),
+            late_age,
+        }
+    }
+
     /// Returns the table in force. Returns `None` before the first was read.
     pub fn table(&self) -> Option<Rc<Table>> {
         self.table.borrow().clone()
@@ -30,7 +60,7 @@
 
     /// Applies a read that shows the store's state at `as_of` or later. A table that is not newer
     /// than the one in force is ignored.
-    pub fn update(&self, table: Option<Table>, as_of: BootTime) {
+    pub fn update(&self, table: Option<Table>, as_of: BootTime, source: Source) {
         if let Some(table) = table {
             let held_version = self.table.borrow().as_ref().map(|held| held.version());
             if held_version.is_none_or(|held_version| held_version < table.version()) {
@@ -38,17 +68,30 @@
                     version = table.version(),
                     routes = table.route_count(),
                     before = held_version.unwrap_or(0),
+                    source: = source,
+                    as_of_age_ms = as_of.elapsed().as_millis() as u64,
                 });
                 *self.table.borrow_mut() = Some(Rc::new(table));
             }
         }
         if self.table.borrow().is_some() {
-            self.confirm_current(as_of);
+            self.confirm_current(as_of, source);
         }
     }
 
     /// Records that the table in force was the newest at `as_of`.
-    pub fn confirm_current(&self, as_of: BootTime) {
+    pub fn confirm_current(&self, as_of: BootTime, source: Source) {
+        if let Some(previous) = self.current_as_of.get()
+            && previous.elapsed() > self.late_age
+            && as_of > previous
+        {
+            spdlog::info!("config.confirmed", kv: {
+                version = self.table.borrow().as_ref().map_or(0, |table| table.version()),
+                source: = source,
+                before_age_ms = previous.elapsed().as_millis() as u64,
+                age_ms = as_of.elapsed().as_millis() as u64,
+            });
+        }
         self.current_as_of
             .set(self.current_as_of.get().max(Some(as_of)));
     }
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -48,6 +48,7 @@
     requests: IntCounterVec,
     sends: IntCounter,
     retries_denied: IntCounter,
+    store_failures: IntCounterVec,
     repairs: IntCounterVec,
     events: IntCounter,
     duration: Histogram,
@@ -58,6 +59,7 @@
     table_age_ms: IntGauge,
     targets_age_ms: IntGauge,
     peers_heard: IntGauge,
+    store_era: IntGauge,
 }
 
 impl Metrics {
@@ -106,6 +108,11 @@
                 "anvil_retries_denied_total",
                 "Extra sends that the fleet's budget did not allow",
             ),
+            store_failures: counters(
+                "anvil_store_failures_total",
+                "Reads from the store that failed",
+                &["reading"],
+            ),
             repairs: counters(
                 "anvil_stream_repairs_total",
                 "Looks for the cause of a silent stream",
@@ -135,6 +142,10 @@
                 "Time since which the list of targets may have changed; -1 before the first",
             ),
             peers_heard: gauge("anvil_peers_heard", "Other hosts that are heard of"),
+            store_era: gauge(
+                "anvil_store_era",
+                "Era that the store named last; -1 if it named none",
+            ),
             registry,
         }
     }
@@ -144,6 +155,11 @@
         self.retries_denied.inc();
     }
 
+    /// Counts a failed read from the store, by what was read.
+    pub fn record_store_failure(&self, reading: &str) {
+        self.store_failures.with_label_values(&[reading]).inc();
+    }
+
     /// Counts a check for the cause of a stalled stream, by its outcome.
     pub fn record_repair(&self, outcome: &str) {
         self.repairs.with_label_values(&[outcome]).inc();
@@ -184,6 +200,9 @@
             .set(i64::try_from(version).unwrap_or(i64::MAX));
         self.table_age_ms.set(age_ms(gateway.table_cache.age()));
         self.targets_age_ms.set(age_ms(gateway.targets.age()));
+        let era = gateway.platform.store.era();
+        self.store_era
+            .set(era.map_or(-1, |era| i64::try_from(era).unwrap_or(i64::MAX)));
         let live_peer_count = gateway
             .peers
             .borrow()
--- a/crates/anvil_gateway/src/peers.rs
+++ b/crates/anvil_gateway/src/peers.rs
@@ -31,6 +31,7 @@
 use crate::{
     clock::BootTime,
     gateway::Gateway,
+    knowledge::Source,
     port::{
         HostEntry,
         TargetChange, //
@@ -283,7 +284,10 @@
                     .table()
                     .map_or(0, |table| table.version());
                 if digest.table_version == version {
-                    gateway.table_cache.confirm_current(echo.earlier(age));
+                    let source = Source::Peer(sender.clone());
+                    gateway
+                        .table_cache
+                        .confirm_current(echo.earlier(age), source);
                 }
             }
             if let (Some(batch), Some(age)) = (&digest.target_changes, digest.targets_age) {
--- a/crates/anvil_gateway/src/port.rs
+++ b/crates/anvil_gateway/src/port.rs
@@ -173,6 +173,10 @@
     Unreadable(TargetId, SmolStr),
 }
 
+/// Number of the store's current history. It rises when the store is restored from an older copy,
+/// which reuses offsets for other records.
+pub type Era = u64;
+
 /// The entry that a host registered for itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HostEntry {
@@ -243,6 +247,9 @@
 
 /// The platform's store of routing tables, targets and hosts.
 pub trait Store {
+    /// Returns the era that the store named in its last answer. Returns `None` if it named none.
+    fn era(&self) -> Option<Era>;
+
     /// Reads the operators' newest routing table; the items are `None` if there is none yet.
     fn newest_table(&self) -> PlatformResult<'_, Snapshot<Option<Table>>>;
 
