Add failing tests for beliefs that outlive a store outage

The store of the tests can fall silent: calls that are pending or arrive then are never answered. Five tests concern the time in which a change of the table or a leaving target must be known, by what keeps the host from asking: a swallowed poll, trust in readers, a backoff, readers in step. Two concern targets whose entries lapsed in the outage.

--- a/crates/anvil_gateway/src/clock.rs
+++ b/crates/anvil_gateway/src/clock.rs
@@ -2,11 +2,15 @@
 
 use std::time::Duration;
 
+#[cfg(not(test))]
 use rustix::time::{
     ClockId,
     clock_gettime, //
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Time since the machine booted. Ages of cached data are measured with it, because the monotonic
 /// clock does not count a suspension and the time of day may jump.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -14,6 +18,7 @@
 
 impl BootTime {
     /// Returns the current time.
+    #[cfg(not(test))]
     pub fn now() -> Self {
         let time = clock_gettime(ClockId::Boottime);
         let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
@@ -21,6 +26,12 @@
         Self(Duration::new(seconds, nanoseconds))
     }
 
+    /// Returns the current time of tokio's clock, which tests can pause.
+    #[cfg(test)]
+    pub fn now() -> Self {
+        Self(tests::since_boot())
+    }
+
     /// Returns the time since then, or zero if it lies in the future.
     pub fn elapsed(self) -> Duration {
         Self::now().0.saturating_sub(self.0)
--- a/crates/anvil_gateway/src/follow/tests.rs
+++ b/crates/anvil_gateway/src/follow/tests.rs
@@ -1,205 +1,86 @@
 use std::{
-    cell::Cell,
+    future::Future,
     rc::Rc, //
 };
 
-use anvil_core::{
-    entry::{
-        CallerLimits,
-        Table, //
-    },
-    id::{
-        HostId,
-        TargetId, //
-    },
+use anvil_core::id::{
+    HostId,
+    TargetId,
+    Version, //
 };
 use googletest::prelude::*;
-use smol_str::SmolStr;
+use rand::{
+    SeedableRng,
+    rngs::SmallRng, //
+};
+use tokio::task::{
+    LocalSet,
+    spawn_local, //
+};
 
 use super::*;
 use crate::{
-    http1::{
-        RequestHead,
-        ResponseHead, //
-    },
     peers::{
         DatagramKey, //
         Digest,
     },
     port::{
-        EngineReport,
-        Era,
-        Forwarding,
-        GroupMembership,
-        HeaderCodec,
-        HostEntry,
-        OrderResponse,
-        Orders,
-        PlaceOrder,
-        Platform,
-        PlatformErrorKind,
-        PlatformResult,
-        RepathOrder,
-        RepathResponse,
-        RequestMetadata,
-        ResponseMetadata,
-        Snapshot,
-        Store,
-        TargetChange, //
+        TargetChange,
+        TargetEntry,
+        TargetState, //
     },
     settings, //
 };
+use fakes::{
+    Availability,
+    FakeStore, //
+};
 
-/// A store that is down at first and serves only tables. The tests below follow only the table, so
-/// every other call fails.
-#[derive(Default)]
-struct TableStore {
-    is_up: Cell<bool>,
-    calls: Cell<u32>,
-}
-
-fn not_executed<T>() -> std::result::Result<T, PlatformError> {
-    Err(PlatformError {
-        call: "test",
-        kind: PlatformErrorKind::NotExecuted,
-        message: SmolStr::new_static("down"),
-    })
-}
-
-impl Store for TableStore {
-    fn era(&self) -> Option<Era> {
-        None
-    }
-
-    fn newest_table(&self) -> PlatformResult<'_, Snapshot<Option<Table>>> {
-        self.calls.set(self.calls.get() + 1);
-        let is_up = self.is_up.get();
-        Box::pin(async move {
-            if !is_up {
-                return not_executed();
-            }
-            let items = Some(Table::new(7, [], [], None, CallerLimits::default()));
-            Ok(Snapshot {
-                items,
-                next_offset: 1,
-            })
-        })
-    }
-
-    fn tables_after(
-        &self,
-        _from: Offset,
-        _wait: Duration,
-    ) -> PlatformResult<'_, Changes<Option<Table>>> {
-        Box::pin(async { not_executed() })
-    }
-
-    fn newest_targets(&self) -> PlatformResult<'_, Snapshot<Vec<TargetChange>>> {
-        Box::pin(async { not_executed() })
-    }
-
-    fn targets_after(&self, _from: Offset) -> PlatformResult<'_, Changes<Vec<TargetChange>>> {
-        Box::pin(async { not_executed() })
-    }
-
-    fn register_host<'a>(&'a self, _host: &'a HostEntry) -> PlatformResult<'a, ()> {
-        Box::pin(async { not_executed() })
-    }
-
-    fn deregister_host<'a>(&'a self, _host: &'a HostId) -> PlatformResult<'a, ()> {
-        Box::pin(async { not_executed() })
-    }
-
-    fn hosts(&self) -> PlatformResult<'_, Vec<HostEntry>> {
-        Box::pin(async { not_executed() })
-    }
-
-    fn join_group<'a>(
-        &'a self,
-        _host: &'a HostId,
-        _lease: Duration,
-        _generation: u64,
-    ) -> PlatformResult<'a, GroupMembership> {
-        Box::pin(async { not_executed() })
-    }
-
-    fn leave_group<'a>(&'a self, _host: &'a HostId) -> PlatformResult<'a, ()> {
-        Box::pin(async { not_executed() })
-    }
-}
-
-struct NoEngines;
-
-impl Orders for NoEngines {
-    fn report<'a>(
-        &'a self,
-        _target: &'a TargetId,
-        _address: std::net::SocketAddr,
-    ) -> PlatformResult<'a, EngineReport> {
-        Box::pin(async { not_executed() })
-    }
-
-    fn place<'a>(&'a self, _order: &'a PlaceOrder) -> PlatformResult<'a, OrderResponse> {
-        Box::pin(async { not_executed() })
-    }
-
-    fn repath<'a>(&'a self, _order: &'a RepathOrder<'a>) -> PlatformResult<'a, RepathResponse> {
-        Box::pin(async { not_executed() })
-    }
-}
-
-struct NoHeaders;
-
-impl HeaderCodec for NoHeaders {
-    fn parse_request(&self, _head: &RequestHead) -> std::result::Result<RequestMetadata, SmolStr> {
-        Ok(RequestMetadata::default())
-    }
-
-    fn write_forwarded(
-        &self,
-        _head: &RequestHead,
-        _body_bytes: usize,
-        _forwarding: &Forwarding<'_>,
-        _out: &mut Vec<u8>,
-    ) {
-    }
+mod fakes;
 
-    fn parse_response(&self, _head: &ResponseHead) -> ResponseMetadata {
-        ResponseMetadata::default()
-    }
+const OLD_VERSION: Version = 7;
+const NEW_VERSION: Version = 8;
+/// Time after the end of an outage from which on all bounds hold again.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+/// Bound on changes and on leaving targets in the settings of the tests.
+const BOUND: Duration = Duration::from_secs(2);
+const TICK: Duration = Duration::from_millis(5);
 
-    fn request_id_header(&self) -> &'static str {
-        "id"
-    }
+fn store() -> Rc<FakeStore> {
+    let store = Rc::new(FakeStore::default());
+    store.write_table(OLD_VERSION);
+    store
 }
 
-/// Returns a gateway whose store is read by two peers with more processor time in its data centre.
-fn gateway(store: &Rc<TableStore>) -> Rc<Gateway> {
+/// Returns a gateway without peers, which therefore reads the store for itself.
+fn lone_gateway(store: &Rc<FakeStore>, seed: u64) -> Rc<Gateway> {
     let text = r#"
         host_id = "own"
         data_centre = "a"
         processor_share = 0.1
-        listen = { callers = "10.0.0.1:80", readiness = "10.0.0.1:81", peers = "10.0.0.1:82" }
+        listen = { callers = "10.0.0.1:80", readiness = "10.0.0.1:81", peers = "127.0.0.1:0" }
         platform = { store = "10.0.0.2:80" }
     "#;
     let settings = settings::read("test", text).unwrap();
-    let platform = Platform {
-        header_codec: Rc::new(NoHeaders),
-        store: Rc::clone(store) as Rc<dyn Store>,
-        orders: Rc::new(NoEngines),
-    };
-    let gateway = Rc::new(Gateway::new(settings, platform));
-    for host in ["one", "two"] {
+    let rng = SmallRng::seed_from_u64(seed);
+    Rc::new(Gateway::with_rng(settings, fakes::platform(store), rng))
+}
+
+/// Records a digest of each of `count` peers in this data centre. All have more processor time than
+/// this host, so that two of them read the store for it.
+fn record_digests(gateway: &Gateway, count: usize) {
+    for index in 0..count {
+        let host: HostId = format!("peer-{index}").into();
         let mut registry = gateway.peers.borrow_mut();
         let key = DatagramKey::from_hex(&"a1".repeat(16)).unwrap();
-        registry.register(host.into(), "10.0.0.3:82".parse().unwrap(), key);
+        registry.register(host.clone(), "10.0.0.3:82".parse().unwrap(), key);
         let digest = Digest {
-            host: host.into(),
+            host: host.clone(),
             data_centre: "a".into(),
             processor_millis: 500,
             sent: BootTime::now(),
             echo: None,
-            table_version: 7,
+            table_version: OLD_VERSION,
             table_age: None,
             targets_next: 0,
             targets_age: None,
@@ -209,20 +90,64 @@
             slow: Vec::new(),
             target_changes: None,
         };
-        registry.record_digest(&host.into(), digest, Instant::now());
+        registry.record_digest(&host, digest, Instant::now());
     }
+}
+
+/// Returns a gateway with live peers, two of which read the store for it.
+fn gateway_with_peers(store: &Rc<FakeStore>, count: usize, seed: u64) -> Rc<Gateway> {
+    let gateway = lone_gateway(store, seed);
+    record_digests(&gateway, count);
+    let sender = Rc::clone(&gateway);
+    spawn_local(async move {
+        loop {
+            sleep(Duration::from_millis(150)).await;
+            record_digests(&sender, count);
+        }
+    });
+    gateway
+}
+
+/// Records that a peer confirmed both the table and the target list as of now.
+fn confirm_by_peer(gateway: &Gateway) {
+    let now = BootTime::now();
+    gateway
+        .table_cache
+        .confirm_current(now, Source::Peer("peer-0".into()));
+    gateway.targets.confirm_current(now);
+}
+
+fn version(gateway: &Gateway) -> Version {
     gateway
+        .table_cache
+        .table()
+        .map_or(0, |table| table.version())
 }
 
 /// Runs a test on tokio's paused clock, which advances to the next timer whenever all tasks are
 /// idle.
-fn run_with_paused_clock(test: impl std::future::Future<Output = ()>) {
+fn run_with_paused_clock(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_time()
+        .enable_all()
         .start_paused(true)
         .build()
         .unwrap();
-    runtime.block_on(tokio::task::LocalSet::new().run_until(test));
+    runtime.block_on(LocalSet::new().run_until(test));
+}
+
+/// Waits until a condition holds and returns the time since `start`, or `None` after `limit`.
+async fn time_until(
+    start: Instant,
+    limit: Duration,
+    condition: impl Fn() -> bool,
+) -> Option<Duration> {
+    while !condition() {
+        if start.elapsed() > limit {
+            return None;
+        }
+        sleep(TICK).await;
+    }
+    Some(start.elapsed())
 }
 
 /// Guards against a host that waits out its long backoff although a peer has a newer table, which
@@ -230,16 +155,17 @@
 #[gtest]
 fn follow_table_reads_soon_when_peer_has_newer_table() {
     run_with_paused_clock(async {
-        let store = Rc::new(TableStore::default());
-        let gateway = gateway(&store);
-        tokio::task::spawn_local(follow_table(Rc::clone(&gateway)));
+        let store = store();
+        store.set_availability(Availability::Refusing);
+        let gateway = gateway_with_peers(&store, 2, 1);
+        spawn_local(follow_table(Rc::clone(&gateway)));
         sleep(OVERDUE_DELAY_MAX * 2).await;
-        expect_that!(store.calls.get(), ge(1));
-        store.is_up.set(true);
+        expect_that!(store.table_calls.borrow().len(), ge(1));
+        store.set_availability(Availability::Up);
         let notified_at = Instant::now();
         gateway.newer_table_notify.notify_one();
         while gateway.table_cache.table().is_none() {
-            sleep(Duration::from_millis(5)).await;
+            sleep(TICK).await;
         }
         expect_that!(notified_at.elapsed(), lt(BACKOFF_MAX));
     });
@@ -249,14 +175,170 @@
 #[gtest]
 fn follow_table_calls_failing_store_seldom() {
     run_with_paused_clock(async {
-        let store = Rc::new(TableStore::default());
-        let gateway = gateway(&store);
-        tokio::task::spawn_local(follow_table(Rc::clone(&gateway)));
+        let store = store();
+        store.set_availability(Availability::Refusing);
+        let gateway = gateway_with_peers(&store, 2, 1);
+        spawn_local(follow_table(Rc::clone(&gateway)));
         for second in 0..20 {
             sleep(Duration::from_secs(1)).await;
             let limit = 2 + 4 * (second + 1);
-            expect_that!(store.calls.get(), le(limit), "after {second} s");
+            expect_that!(
+                store.table_calls.borrow().len(),
+                le(limit),
+                "after {second} s"
+            );
         }
-        expect_that!(store.calls.get(), ge(10));
+        expect_that!(store.table_calls.borrow().len(), ge(10));
     });
 }
+
+/// Guards against a poll that an outage swallowed and that keeps a reader from the next change.
+#[gtest]
+fn follow_table_has_change_in_time_after_outage_swallowed_poll() {
+    for outage_ms in (500..7000).step_by(50) {
+        for ack_delay_ms in [50, 1000] {
+            run_with_paused_clock(async {
+                let store = store();
+                let gateway = lone_gateway(&store, outage_ms);
+                spawn_local(follow_table(Rc::clone(&gateway)));
+                sleep(Duration::from_millis(3100)).await;
+                store.set_availability(Availability::Silent);
+                sleep(Duration::from_millis(outage_ms)).await;
+                store.set_availability(Availability::Up);
+                let ack_delay = Duration::from_millis(ack_delay_ms);
+                sleep(ack_delay).await;
+                store.write_table(NEW_VERSION);
+                let bound = BOUND.max(SETTLE_TIME - ack_delay);
+                let in_force = time_until(Instant::now(), BOUND * 3, || {
+                    version(&gateway) == NEW_VERSION
+                });
+                expect_that!(
+                    in_force.await,
+                    some(le(bound)),
+                    "outage of {outage_ms} ms, change {ack_delay_ms} ms after it"
+                );
+            });
+        }
+    }
+}
+
+/// Guards against a host that trusts its readers for longer than a change may take.
+#[gtest]
+fn follow_table_has_change_in_time_when_readers_fall_silent() {
+    for ack_delay_ms in [1, 300, 700, 1500] {
+        run_with_paused_clock(async {
+            let store = store();
+            let gateway = gateway_with_peers(&store, 2, 1);
+            spawn_local(follow_table(Rc::clone(&gateway)));
+            for _ in 0..40 {
+                sleep(Duration::from_millis(100)).await;
+                confirm_by_peer(&gateway);
+            }
+            sleep(Duration::from_millis(ack_delay_ms)).await;
+            store.write_table(NEW_VERSION);
+            let in_force = time_until(Instant::now(), BOUND * 3, || {
+                version(&gateway) == NEW_VERSION
+            });
+            expect_that!(
+                in_force.await,
+                some(le(BOUND)),
+                "change {ack_delay_ms} ms after the last confirmation"
+            );
+        });
+    }
+}
+
+/// Guards against a backoff from an outage that goes on after a peer had an answer from the store.
+#[gtest]
+fn follow_table_has_change_in_time_when_peer_ended_outage() {
+    for seed in 0..10 {
+        run_with_paused_clock(async {
+            let store = store();
+            let gateway = gateway_with_peers(&store, 40, seed);
+            spawn_local(follow_table(Rc::clone(&gateway)));
+            sleep(Duration::from_secs(3)).await;
+            store.set_availability(Availability::Silent);
+            sleep(Duration::from_secs(10)).await;
+            store.set_availability(Availability::Up);
+            confirm_by_peer(&gateway);
+            sleep(SETTLE_TIME - BOUND).await;
+            store.write_table(NEW_VERSION);
+            let in_force = time_until(Instant::now(), BOUND * 5, || {
+                version(&gateway) == NEW_VERSION
+            });
+            expect_that!(in_force.await, some(le(BOUND)), "seed {seed}");
+        });
+    }
+}
+
+/// Guards against readers that retry in step, so that one outage swallows the calls of all of them.
+#[gtest]
+fn follow_table_spreads_retries_after_common_notification() {
+    run_with_paused_clock(async {
+        let stores = [store(), store()];
+        for (seed, store) in stores.iter().enumerate() {
+            let gateway = lone_gateway(store, seed as u64);
+            spawn_local(follow_table(Rc::clone(&gateway)));
+            sleep(Duration::from_millis(20)).await;
+            gateway.newer_table_notify.notify_one();
+        }
+        // Brings both to the same point, as a change does.
+        for store in &stores {
+            store.write_table(NEW_VERSION);
+        }
+        sleep(Duration::from_millis(20)).await;
+        for store in &stores {
+            store.table_calls.borrow_mut().clear();
+            store.set_availability(Availability::Silent);
+        }
+        sleep(Duration::from_secs(12)).await;
+        let [first, second] = stores.each_ref().map(|store| store.table_calls.borrow());
+        let is_in_step = first
+            .iter()
+            .zip(second.iter())
+            .all(|(left, right)| left.max(right).duration_since(*left.min(right)) < TICK);
+        expect_that!(first.len(), ge(2));
+        expect_that!(is_in_step, eq(false), "{first:?} and {second:?}");
+    });
+}
+
+fn entry(state: TargetState) -> TargetEntry {
+    TargetEntry {
+        service: "service".into(),
+        address: "10.0.0.4:80".parse().unwrap(),
+        data_centre: "a".into(),
+        slot_limit_requests: 4,
+        state,
+        kind: None,
+        layers: None,
+        started_unix_ms: 1,
+    }
+}
+
+/// Guards against a leaving target that stays in use because of a backoff from an outage that a
+/// peer saw end.
+#[gtest]
+fn follow_targets_sees_leaving_target_in_time_when_peer_ended_outage() {
+    for seed in 0..10 {
+        run_with_paused_clock(async {
+            let id: TargetId = "target".into();
+            let store = store();
+            store.write_target(TargetChange::Put(id.clone(), entry(TargetState::Ready)));
+            let gateway = gateway_with_peers(&store, 40, seed);
+            let peers = Rc::new(Peers::open(Rc::clone(&gateway)).await.unwrap());
+            spawn_local(follow_targets(Rc::clone(&gateway), peers));
+            sleep(Duration::from_secs(3)).await;
+            store.set_availability(Availability::Silent);
+            sleep(Duration::from_secs(10)).await;
+            store.set_availability(Availability::Up);
+            confirm_by_peer(&gateway);
+            sleep(SETTLE_TIME - BOUND).await;
+            store.write_target(TargetChange::Put(id.clone(), entry(TargetState::Leaving)));
+            let seen = time_until(Instant::now(), BOUND * 5, || {
+                let target = gateway.targets.get(&id);
+                target.is_some_and(|target| target.entry.borrow().state == TargetState::Leaving)
+            });
+            expect_that!(seen.await, some(le(BOUND)), "seed {seed}");
+        });
+    }
+}
--- /dev/null
+++ b/crates/anvil_gateway/src/follow/tests/fakes.rs
@@ -0,0 +1,302 @@
+//! A store that can be silent or refuse calls, and a platform with nothing else.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    rc::Rc,
+    time::Duration, //
+};
+
+use anvil_core::{
+    entry::{
+        CallerLimits,
+        Table, //
+    },
+    id::{
+        HostId,
+        Offset,
+        TargetId,
+        Version, //
+    },
+};
+use smol_str::SmolStr;
+use tokio::{
+    sync::Notify,
+    time::{
+        Instant,
+        sleep,
+        sleep_until, //
+    },
+};
+
+use crate::{
+    http1::{
+        RequestHead,
+        ResponseHead, //
+    },
+    port::{
+        Changes,
+        EngineReport,
+        Era,
+        Forwarding,
+        GroupMembership,
+        HeaderCodec,
+        HostEntry,
+        OrderResponse,
+        Orders,
+        PlaceOrder,
+        Platform,
+        PlatformError,
+        PlatformErrorKind,
+        PlatformResult,
+        RepathOrder,
+        RepathResponse,
+        RequestMetadata,
+        ResponseMetadata,
+        Snapshot,
+        Store,
+        TargetChange, //
+    },
+};
+
+/// Time in which the store answers.
+const ANSWER_TIME: Duration = Duration::from_millis(4);
+/// Time after which a caller gives up a call without an answer, in addition to the wait that it
+/// asked for.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1200);
+
+/// How the store treats calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum Availability {
+    /// It answers.
+    #[default]
+    Up,
+    /// It refuses them.
+    Refusing,
+    /// It never answers them, not even once it is up again.
+    Silent,
+}
+
+/// A store with a log of tables and a log of target changes.
+#[derive(Default)]
+pub(super) struct FakeStore {
+    availability: Cell<Availability>,
+    /// Number of times that the store fell silent. Calls that were pending at that moment are lost.
+    silence_count: Cell<u32>,
+    tables: RefCell<Vec<Version>>,
+    targets: RefCell<Vec<TargetChange>>,
+    changed: Notify,
+    /// When each call for tables arrived.
+    pub(super) table_calls: RefCell<Vec<Instant>>,
+}
+
+pub(super) fn not_executed<T>() -> Result<T, PlatformError> {
+    Err(PlatformError {
+        call: "test",
+        kind: PlatformErrorKind::NotExecuted,
+        message: SmolStr::new_static("refused"),
+    })
+}
+
+fn table(version: Version) -> Table {
+    Table::new(version, [], [], None, CallerLimits::default())
+}
+
+impl FakeStore {
+    pub(super) fn set_availability(&self, availability: Availability) {
+        if availability == Availability::Silent {
+            self.silence_count.set(self.silence_count.get() + 1);
+        }
+        self.availability.set(availability);
+    }
+
+    pub(super) fn write_table(&self, version: Version) {
+        self.tables.borrow_mut().push(version);
+        self.changed.notify_waiters();
+    }
+
+    pub(super) fn write_target(&self, change: TargetChange) {
+        self.targets.borrow_mut().push(change);
+    }
+
+    /// Waits up to `wait` until `is_due`, and returns `answer` then, unless the store falls silent.
+    async fn call<T>(
+        &self,
+        wait: Duration,
+        is_due: impl Fn() -> bool,
+        answer: impl FnOnce() -> T,
+    ) -> Result<T, PlatformError> {
+        let arrived = Instant::now();
+        let silence_count = self.silence_count.get();
+        if self.availability.get() == Availability::Refusing {
+            return not_executed();
+        }
+        let was_silent = self.availability.get() == Availability::Silent;
+        while !is_due() && arrived.elapsed() < wait {
+            tokio::select! {
+                () = self.changed.notified() => {}
+                () = sleep_until(arrived + wait) => {}
+            }
+        }
+        sleep(ANSWER_TIME).await;
+        if was_silent || self.silence_count.get() != silence_count {
+            sleep_until(arrived + wait + ANSWER_TIMEOUT).await;
+            return Err(PlatformError {
+                call: "test",
+                kind: PlatformErrorKind::AnswerLost,
+                message: SmolStr::new_static("no answer within the timeout"),
+            });
+        }
+        Ok(answer())
+    }
+}
+
+impl Store for FakeStore {
+    fn era(&self) -> Option<Era> {
+        None
+    }
+
+    fn newest_table(&self) -> PlatformResult<'_, Snapshot<Option<Table>>> {
+        self.table_calls.borrow_mut().push(Instant::now());
+        Box::pin(self.call(
+            Duration::ZERO,
+            || true,
+            || {
+                let tables = self.tables.borrow();
+                Snapshot {
+                    items: tables.last().copied().map(table),
+                    next_offset: tables.len() as Offset,
+                }
+            },
+        ))
+    }
+
+    fn tables_after(
+        &self,
+        from: Offset,
+        wait: Duration,
+    ) -> PlatformResult<'_, Changes<Option<Table>>> {
+        self.table_calls.borrow_mut().push(Instant::now());
+        Box::pin(self.call(
+            wait,
+            move || self.tables.borrow().len() as Offset > from,
+            move || {
+                let tables = self.tables.borrow();
+                let newer = tables.get(from as usize..).unwrap_or_default();
+                Changes::Listed(Snapshot {
+                    items: newer.last().copied().map(table),
+                    next_offset: tables.len() as Offset,
+                })
+            },
+        ))
+    }
+
+    fn newest_targets(&self) -> PlatformResult<'_, Snapshot<Vec<TargetChange>>> {
+        Box::pin(self.call(
+            Duration::ZERO,
+            || true,
+            || {
+                let targets = self.targets.borrow();
+                Snapshot {
+                    items: targets.clone(),
+                    next_offset: targets.len() as Offset,
+                }
+            },
+        ))
+    }
+
+    fn targets_after(&self, from: Offset) -> PlatformResult<'_, Changes<Vec<TargetChange>>> {
+        Box::pin(self.call(
+            Duration::ZERO,
+            || true,
+            move || {
+                let targets = self.targets.borrow();
+                Changes::Listed(Snapshot {
+                    items: targets.get(from as usize..).unwrap_or_default().to_vec(),
+                    next_offset: targets.len() as Offset,
+                })
+            },
+        ))
+    }
+
+    fn register_host<'a>(&'a self, _host: &'a HostEntry) -> PlatformResult<'a, ()> {
+        Box::pin(async { not_executed() })
+    }
+
+    fn deregister_host<'a>(&'a self, _host: &'a HostId) -> PlatformResult<'a, ()> {
+        Box::pin(async { not_executed() })
+    }
+
+    fn hosts(&self) -> PlatformResult<'_, Vec<HostEntry>> {
+        Box::pin(async { not_executed() })
+    }
+
+    fn join_group<'a>(
+        &'a self,
+        _host: &'a HostId,
+        _lease: Duration,
+        _generation: u64,
+    ) -> PlatformResult<'a, GroupMembership> {
+        Box::pin(async { not_executed() })
+    }
+
+    fn leave_group<'a>(&'a self, _host: &'a HostId) -> PlatformResult<'a, ()> {
+        Box::pin(async { not_executed() })
+    }
+}
+
+struct NoEngines;
+
+impl Orders for NoEngines {
+    fn report<'a>(
+        &'a self,
+        _target: &'a TargetId,
+        _address: std::net::SocketAddr,
+    ) -> PlatformResult<'a, EngineReport> {
+        Box::pin(async { not_executed() })
+    }
+
+    fn place<'a>(&'a self, _order: &'a PlaceOrder) -> PlatformResult<'a, OrderResponse> {
+        Box::pin(async { not_executed() })
+    }
+
+    fn repath<'a>(&'a self, _order: &'a RepathOrder<'a>) -> PlatformResult<'a, RepathResponse> {
+        Box::pin(async { not_executed() })
+    }
+}
+
+struct NoHeaders;
+
+impl HeaderCodec for NoHeaders {
+    fn parse_request(&self, _head: &RequestHead) -> Result<RequestMetadata, SmolStr> {
+        Ok(RequestMetadata::default())
+    }
+
+    fn write_forwarded(
+        &self,
+        _head: &RequestHead,
+        _body_bytes: usize,
+        _forwarding: &Forwarding<'_>,
+        _out: &mut Vec<u8>,
+    ) {
+    }
+
+    fn parse_response(&self, _head: &ResponseHead) -> ResponseMetadata {
+        ResponseMetadata::default()
+    }
+
+    fn request_id_header(&self) -> &'static str {
+        "id"
+    }
+}
+
+/// Returns a platform that consists of a store.
+pub(super) fn platform(store: &Rc<FakeStore>) -> Platform {
+    Platform {
+        header_codec: Rc::new(NoHeaders),
+        store: Rc::clone(store) as Rc<dyn Store>,
+        orders: Rc::new(NoEngines),
+    }
+}
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -85,6 +85,11 @@
 impl Gateway {
     /// Creates a gateway in the phase `Serving`.
     pub fn new(settings: Settings, platform: Platform) -> Self {
+        Self::with_rng(settings, platform, SmallRng::from_rng(&mut rand::rng()))
+    }
+
+    /// Creates a gateway that draws its random delays and choices from `rng`.
+    pub fn with_rng(settings: Settings, platform: Platform, rng: SmallRng) -> Self {
         Self {
             table_cache: TableCache::new(settings.bounds.config_apply),
             settings,
@@ -98,7 +103,7 @@
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
             phase: watch::Sender::new(Phase::Serving),
-            rng: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
+            rng: RefCell::new(rng),
             retry_budgets: RefCell::new(HashMap::new()),
             crossing_budget: RefCell::new(crossing::Budget::new(Duration::ZERO)),
             started: Instant::now(),
--- a/crates/anvil_gateway/src/knowledge.rs
+++ b/crates/anvil_gateway/src/knowledge.rs
@@ -83,7 +83,7 @@
     pub fn confirm_current(&self, as_of: BootTime, source: Source) {
         if let Some(previous) = self.current_as_of.get()
             && previous.elapsed() > self.late_age
-            && as_of > previous
+            && as_of.elapsed() <= self.late_age
         {
             spdlog::info!("config.confirmed", kv: {
                 version = self.table.borrow().as_ref().map_or(0, |table| table.version()),
--- a/crates/anvil_gateway/src/targets/tests.rs
+++ b/crates/anvil_gateway/src/targets/tests.rs
@@ -1,12 +1,16 @@
 use googletest::prelude::*;
+use tokio::time::advance;
 
 use super::*;
 use crate::port::TargetState;
 
-/// Returns a complete list with one target.
-fn list_with(id: &str) -> (Targets, Rc<Target>) {
-    let targets = Targets::default();
-    let entry = TargetEntry {
+/// Longer than the entries of targets last without renewal.
+const OUTAGE: Duration = Duration::from_secs(8);
+/// Time after an outage in which entries that lapsed during it are written again.
+const RELIST_TIME: Duration = Duration::from_secs(2);
+
+fn entry() -> TargetEntry {
+    TargetEntry {
         service: "service".into(),
         address: "10.0.0.1:80".parse().unwrap(),
         data_centre: "a".into(),
@@ -15,8 +19,13 @@
         kind: None,
         layers: None,
         started_unix_ms: 1,
-    };
-    let changes = vec![TargetChange::Put(id.into(), entry)];
+    }
+}
+
+/// Returns a complete list with one target.
+fn list_with(id: &str) -> (Targets, Rc<Target>) {
+    let targets = Targets::default();
+    let changes = vec![TargetChange::Put(id.into(), entry())];
     targets.replace(changes, 1, BootTime::now());
     let target = targets.get(&id.into()).unwrap();
     (targets, target)
@@ -46,3 +55,75 @@
         eq(0)
     );
 }
+
+/// Runs a test on tokio's paused clock.
+fn run_with_paused_clock(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    runtime.block_on(test);
+}
+
+/// Guards against a host that drops live targets after an outage in which their entries lapsed.
+#[gtest]
+fn apply_keeps_target_whose_entry_lapsed_in_outage() {
+    run_with_paused_clock(async {
+        let (targets, target) = list_with("target");
+        advance(OUTAGE).await;
+        targets.apply(
+            vec![TargetChange::Removed("target".into())],
+            2,
+            BootTime::now(),
+        );
+        expect_that!(target.is_listed_ready(), eq(true));
+        advance(RELIST_TIME.mul_f64(0.9)).await;
+        let again = vec![TargetChange::Put("target".into(), entry())];
+        targets.apply(again, 3, BootTime::now());
+        advance(RELIST_TIME).await;
+        targets.apply(Vec::new(), 3, BootTime::now());
+        expect_that!(target.is_listed_ready(), eq(true));
+        expect_that!(
+            Rc::ptr_eq(&targets.get(&"target".into()).unwrap(), &target),
+            eq(true)
+        );
+    });
+}
+
+/// The same for a host that reads the whole list after the outage.
+#[gtest]
+fn replace_keeps_target_whose_entry_lapsed_in_outage() {
+    run_with_paused_clock(async {
+        let (targets, target) = list_with("target");
+        advance(OUTAGE).await;
+        targets.replace(Vec::new(), 2, BootTime::now());
+        expect_that!(target.is_listed_ready(), eq(true));
+    });
+}
+
+/// Guards against targets that stay listed although they did not come back after an outage.
+#[gtest]
+fn apply_removes_target_that_stays_away_after_outage() {
+    run_with_paused_clock(async {
+        let (targets, target) = list_with("target");
+        advance(OUTAGE).await;
+        let removal = vec![TargetChange::Removed("target".into())];
+        targets.apply(removal, 2, BootTime::now());
+        advance(RELIST_TIME.mul_f64(1.1)).await;
+        targets.apply(Vec::new(), 2, BootTime::now());
+        expect_that!(target.is_listed_ready(), eq(false));
+        expect_that!(targets.get(&"target".into()).is_none(), eq(true));
+    });
+}
+
+#[gtest]
+fn apply_removes_target_at_once_while_list_is_current() {
+    run_with_paused_clock(async {
+        let (targets, target) = list_with("target");
+        advance(Duration::from_secs(1)).await;
+        let removal = vec![TargetChange::Removed("target".into())];
+        targets.apply(removal, 2, BootTime::now());
+        expect_that!(target.is_listed_ready(), eq(false));
+    });
+}
