Let a failed call count only until the store has answered a later one

Cause, first part: after a failed call a host slept through its backoff, up to 6 s in a large data centre, whatever its peers learned meanwhile: their confirmation ended neither the sleep for the table nor that for the target list.

Now each failure keeps the time at which its call was sent. Once any host is known to have been answered a question sent later, only the short backoff applies; then the age of the copy decides whether to ask. Whether a peer is ahead is read from its last digest, and a version for which the store was asked is not asked for again; the notification only ends a wait. Both loops share this.

--- a/crates/anvil_gateway/src/follow.rs
+++ b/crates/anvil_gateway/src/follow.rs
@@ -5,7 +5,13 @@
     time::Duration, //
 };
 
-use anvil_core::id::Offset;
+use anvil_core::{
+    entry::Table,
+    id::{
+        Offset,
+        Version, //
+    },
+};
 use tokio::time::{
     Instant,
     sleep, //
@@ -25,240 +31,209 @@
     }, //
 };
 
+use backoff::{
+    Backoff,
+    relayed_backoff, //
+};
+
+mod backoff;
+
 #[cfg(test)]
 mod tests;
 
 /// Longest time that one call waits at the store for a new table.
 const TABLE_WAIT_MAX: Duration = Duration::from_millis(1500);
+/// Age of the table from which a host reads it itself instead of waiting for the readers of its
+/// data centre, as a share of the bound on revoked keys.
+const TABLE_OVERDUE_SHARE: f64 = 0.5;
+/// Age of the target list from which a host reads it itself, as a share of the bound on leaving
+/// targets.
+const LIST_OVERDUE_SHARE: f64 = 0.65;
+/// Upper bound of the random delay of a host that has not heard from the readers in time. All hosts
+/// miss the readers at once, so the delay lets one of them make the first call.
+const OVERDUE_DELAY_MAX: Duration = Duration::from_millis(500);
 /// Interval between two reads of the target list by a reader, as a share of the bound on leaving
 /// targets.
 const LIST_INTERVAL_SHARE: f64 = 0.45;
 /// Interval between two reads of the target list by a host that waits for the list to be complete
 /// before it places a model.
 const LIST_INTERVAL_PLACING: Duration = Duration::from_millis(350);
-/// Age of the target list from which a host reads it itself instead of waiting for the readers of
-/// its data centre, as a share of the bound on leaving targets.
-const LIST_OVERDUE_SHARE: f64 = 0.65;
-/// Age of the table from which a host reads it itself instead of waiting for the readers of its
-/// data centre, as a share of the bound on revoked keys.
-const TABLE_OVERDUE_SHARE: f64 = 0.5;
 /// Interval between two checks whether this host must read for itself.
 const DUE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Backoff after a failed call. It doubles with each further failure up to `BACKOFF_MAX`.
-const BACKOFF_MIN: Duration = Duration::from_millis(60);
 /// Delay after a read that found no table.
 const NO_TABLE_DELAY: Duration = Duration::from_millis(300);
-/// Longest backoff of a host that must read for itself.
-const BACKOFF_MAX: Duration = Duration::from_millis(500);
-/// Interval between two calls of all hosts of a data centre taken together while calls fail. The
-/// first host whose call succeeds informs the others, and failed calls have a cost too.
-const FAILING_CALL_INTERVAL: Duration = Duration::from_millis(250);
-/// Longest backoff of one host in a large data centre.
-const FAILING_BACKOFF_MAX: Duration = Duration::from_secs(6);
-/// Backoff of a host that no longer hears from any peer. It is most likely cut off from the store
-/// as well, and hears from its peers again as soon as it is not.
-const CUT_OFF_BACKOFF: Duration = Duration::from_millis(1500);
-/// Upper bound of the random delay of a host that has not heard from the readers in time. All hosts
-/// miss the readers at once, so the delay lets one of them make the first call.
-const OVERDUE_DELAY_MAX: Duration = Duration::from_millis(500);
 
-/// Computes the backoff after failed calls, and logs the first failure and the recovery.
-struct Backoff {
-    reading: &'static str,
-    failures: u32,
-    /// When the last failed call was sent. `None` before the first failure.
-    last_failure_requested_at: Option<BootTime>,
+/// Waits for a random delay, in which another host may make the overdue read, and returns whether
+/// the read is still overdue. A host that no peer will inform doesn't wait.
+async fn is_overdue_after_delay(gateway: &Gateway, is_overdue: impl Fn() -> bool) -> bool {
+    if relayed_backoff(gateway).is_some() {
+        let delay = gateway.random_duration(Duration::ZERO, OVERDUE_DELAY_MAX);
+        sleep(delay).await;
+    }
+    is_overdue()
 }
 
-impl Backoff {
-    fn new(reading: &'static str) -> Self {
+/// Follows the operators' table in the store.
+struct TableFollower {
+    gateway: Rc<Gateway>,
+    backoff: Backoff,
+    /// Offset from which to read changes. `None` until the table was read.
+    next_offset: Option<Offset>,
+    /// Highest version of a peer for which the store was asked successfully. The store may have
+    /// none that is as new.
+    checked_version: Version,
+}
+
+impl TableFollower {
+    fn new(gateway: Rc<Gateway>) -> Self {
         Self {
-            reading,
-            failures: 0,
-            last_failure_requested_at: None,
+            gateway,
+            backoff: Backoff::new("table"),
+            next_offset: None,
+            checked_version: 0,
         }
     }
 
-    /// Records a failed call that was sent at `requested_at`, and returns the time to wait before
-    /// the next.
-    fn record_failure(
-        &mut self,
-        gateway: &Gateway,
-        error: &PlatformError,
-        requested_at: BootTime,
-    ) -> Duration {
-        gateway.metrics.record_store_failure(self.reading);
-        if self.failures == 0 {
-            spdlog::warn!("store.lost", kv: {
-                reading = self.reading,
-                error:,
-                requested_age_ms = requested_at.elapsed().as_millis() as u64,
-            });
-        }
-        self.last_failure_requested_at = Some(requested_at);
-        self.failures = self.failures.saturating_add(1);
-        let pause = relayed_backoff(gateway).unwrap_or_else(|| self.exponential_backoff());
-        gateway.random_duration(pause / 2, pause)
+    fn newest_peer_version(&self) -> Version {
+        let peers = self.gateway.peers.borrow();
+        peers.newest_table_version(Instant::now())
     }
 
-    /// Returns the backoff after the last failure of a host that must read for itself.
-    fn exponential_backoff(&self) -> Duration {
-        (BACKOFF_MIN * (1 << self.failures.min(5))).min(BACKOFF_MAX)
+    /// Returns whether a peer has a newer table that the store may have as well.
+    fn is_behind_peer(&self) -> bool {
+        let held_version = self
+            .gateway
+            .table_cache
+            .table()
+            .map_or(0, |table| table.version());
+        self.newest_peer_version() > held_version.max(self.checked_version)
     }
 
-    /// Records a call that was sent at `requested_at` and succeeded.
-    fn record_success(&mut self, requested_at: BootTime) {
-        if self.failures > 0 {
-            let age_ms = |time: BootTime| time.elapsed().as_millis() as u64;
-            spdlog::info!("store.regained", kv: {
-                reading = self.reading,
-                failures = self.failures,
-                requested_age_ms = age_ms(requested_at),
-                last_failure_requested_age_ms = self.last_failure_requested_at.map_or(0, age_ms),
-            });
-            self.failures = 0;
+    fn is_overdue(&self) -> bool {
+        let limit = self
+            .gateway
+            .settings
+            .bounds
+            .revoke
+            .mul_f64(TABLE_OVERDUE_SHARE);
+        let age = self.gateway.table_cache.age();
+        age.is_none_or(|age| age > limit)
+    }
+
+    /// Waits until this host must call the store: it reads for its peers, a peer has a newer table,
+    /// or the table in force has not been confirmed in time.
+    async fn wait_until_due(&self) {
+        loop {
+            let backoff = match self.is_behind_peer() {
+                // The peer's table shows that the store answers at least some hosts.
+                true => self.backoff.remaining(Some(BootTime::now())),
+                false => self.backoff.remaining(self.gateway.store_answered_as_of()),
+            };
+            if backoff.is_zero() {
+                if peers::is_reader(&self.gateway) || self.is_behind_peer() {
+                    return;
+                }
+                if self.is_overdue()
+                    && is_overdue_after_delay(&self.gateway, || self.is_overdue()).await
+                {
+                    return;
+                }
+            }
+            let pause = match backoff.is_zero() {
+                true => DUE_CHECK_INTERVAL,
+                false => backoff.min(DUE_CHECK_INTERVAL),
+            };
+            tokio::select! {
+                () = self.gateway.newer_table_notify.notified() => {}
+                () = sleep(pause) => {}
+            }
         }
     }
-}
 
-/// Returns the backoff after a failed call of a host that its peers will inform. Returns `None` for
-/// a host that reads for its peers or has never heard from any.
-fn relayed_backoff(gateway: &Gateway) -> Option<Duration> {
-    let now = Instant::now();
-    let peers = gateway.peers.borrow();
-    if peers.live_count(now) == 0 {
-        let is_cut_off = peers
-            .never_heard_count()
-            .is_some_and(|count| count < peers.len());
-        return is_cut_off.then_some(CUT_OFF_BACKOFF);
+    async fn call(&mut self, requested_at: BootTime) -> Result<(), PlatformError> {
+        let from = match self.next_offset {
+            Some(from) if peers::is_reader(&self.gateway) => from,
+            // The changes since this host last asked may be many, or the log may no longer keep
+            // them.
+            Some(_) | None => return self.read(requested_at).await,
+        };
+        self.read_changes(from, TABLE_WAIT_MAX, requested_at).await
     }
-    let peer_count = peers.same_data_centre_count(&gateway.settings.data_centre, now);
-    if peer_count == 0 || peers::is_reader(gateway) {
-        return None;
+
+    async fn read(&mut self, requested_at: BootTime) -> Result<(), PlatformError> {
+        let read = self.gateway.platform.store.newest_table().await?;
+        let table_cache = &self.gateway.table_cache;
+        table_cache.update(read.items, requested_at, Source::Read);
+        self.next_offset = Some(read.next_offset);
+        Ok(())
     }
-    let share = FAILING_CALL_INTERVAL * u32::try_from(peer_count).unwrap_or(u32::MAX);
-    Some(share.clamp(BACKOFF_MAX, FAILING_BACKOFF_MAX))
-}
 
-/// Waits for a random delay, in which another host may make the overdue read, and returns whether
-/// the read is still overdue. A host that no peer will inform doesn't wait.
-async fn is_overdue_after_delay(gateway: &Gateway, is_overdue: impl Fn() -> bool) -> bool {
-    if relayed_backoff(gateway).is_some() {
-        sleep(gateway.random_duration(Duration::ZERO, OVERDUE_DELAY_MAX)).await;
+    async fn read_changes(
+        &mut self,
+        from: Offset,
+        wait: Duration,
+        requested_at: BootTime,
+    ) -> Result<(), PlatformError> {
+        let changes = self.gateway.platform.store.tables_after(from, wait).await?;
+        self.apply_changes(changes, from, wait, requested_at)
     }
-    is_overdue()
-}
 
-/// Waits until this host must read the table: it reads for its peers, a peer has a newer table, or
-/// an update from the readers is overdue.
-async fn wait_until_table_due(gateway: &Gateway) {
-    let limit = gateway.settings.bounds.revoke.mul_f64(TABLE_OVERDUE_SHARE);
-    let is_overdue = || gateway.table_cache.age().is_none_or(|age| age > limit);
-    loop {
-        if peers::is_reader(gateway) {
-            return;
-        }
-        let overdue_check = async {
-            if is_overdue() {
-                is_overdue_after_delay(gateway, is_overdue).await
-            } else {
-                sleep(DUE_CHECK_INTERVAL).await;
-                false
+    fn apply_changes(
+        &mut self,
+        changes: Changes<Option<Table>>,
+        from: Offset,
+        wait: Duration,
+        requested_at: BootTime,
+    ) -> Result<(), PlatformError> {
+        match changes {
+            Changes::OffsetOutOfRange => {
+                spdlog::warn!("store.forgot", kv: { reading = "table", from });
+                self.next_offset = None;
             }
-        };
-        tokio::select! {
-            biased;
-            () = gateway.newer_table_notify.notified() => return,
-            is_due = overdue_check => if is_due {
-                return;
+            Changes::Listed(read) => {
+                // The store answers as soon as there is a record. An answer without one therefore
+                // shows that the table was unchanged until the wait ended.
+                let is_unchanged = read.next_offset == from;
+                let waited = match is_unchanged {
+                    true => wait.min(requested_at.elapsed()),
+                    false => Duration::ZERO,
+                };
+                let as_of = requested_at.later(waited);
+                let table_cache = &self.gateway.table_cache;
+                table_cache.update(read.items, as_of, Source::Poll);
+                self.next_offset = Some(read.next_offset);
             }
         }
+        Ok(())
     }
 }
 
 /// Keeps the operators' table up to date. Never returns.
 pub async fn follow_table(gateway: Rc<Gateway>) {
-    let mut backoff = Backoff::new("table");
-    let mut next_offset: Option<Offset> = None;
+    let mut follower = TableFollower::new(Rc::clone(&gateway));
     loop {
-        wait_until_table_due(&gateway).await;
+        follower.wait_until_due().await;
+        let peer_version = follower.newest_peer_version();
         let requested_at = BootTime::now();
-        let result = match next_offset {
-            None => read_table(&gateway, requested_at).await,
-            // The changes since this host last asked may be many, or the log may no longer keep
-            // them.
-            Some(_) if !peers::is_reader(&gateway) => read_table(&gateway, requested_at).await,
-            Some(from) => read_table_changes(&gateway, from, requested_at).await,
-        };
-        match result {
-            Ok(offset) => {
-                backoff.record_success(requested_at);
-                next_offset = offset;
+        match follower.call(requested_at).await {
+            Ok(()) => {
+                follower.backoff.record_success(requested_at);
+                follower.checked_version = follower.checked_version.max(peer_version);
                 if gateway.table_cache.table().is_none() {
                     // The operators have not written a table yet.
                     sleep(NO_TABLE_DELAY).await;
                 }
             }
-            Err(error) => {
-                let pause = backoff.record_failure(&gateway, &error, requested_at);
-                // A peer has a newer table, so the store answers at least some hosts: only the
-                // short backoff applies then.
-                tokio::select! {
-                    () = sleep(pause) => {}
-                    () = gateway.newer_table_notify.notified() => {
-                        sleep(backoff.exponential_backoff()).await;
-                        gateway.newer_table_notify.notify_one();
-                    }
-                }
-            }
-        }
-    }
-}
-
-async fn read_table(
-    gateway: &Gateway,
-    requested_at: BootTime,
-) -> Result<Option<Offset>, PlatformError> {
-    let read = gateway.platform.store.newest_table().await?;
-    gateway
-        .table_cache
-        .update(read.items, requested_at, Source::Read);
-    Ok(Some(read.next_offset))
-}
-
-async fn read_table_changes(
-    gateway: &Gateway,
-    from: Offset,
-    requested_at: BootTime,
-) -> Result<Option<Offset>, PlatformError> {
-    match gateway
-        .platform
-        .store
-        .tables_after(from, TABLE_WAIT_MAX)
-        .await?
-    {
-        Changes::OffsetOutOfRange => {
-            spdlog::warn!("store.forgot", kv: { reading = "table", from });
-            Ok(None)
-        }
-        Changes::Listed(read) => {
-            // The store answers as soon as there is a record. An answer without one therefore shows
-            // that the table was unchanged until the wait ended.
-            let is_unchanged = read.next_offset == from;
-            let waited = match is_unchanged {
-                true => TABLE_WAIT_MAX.min(requested_at.elapsed()),
-                false => Duration::ZERO,
-            };
-            let as_of = requested_at.later(waited);
-            gateway.table_cache.update(read.items, as_of, Source::Poll);
-            Ok(Some(read.next_offset))
+            Err(error) => follower
+                .backoff
+                .record_failure(&gateway, &error, requested_at),
         }
     }
 }
 
 /// Waits until this host must read the target list: the next read of a reader is due, an update
 /// from the readers is overdue, or the placer waits for a complete list.
-async fn wait_until_targets_due(gateway: &Gateway, last_read: BootTime) {
+async fn wait_until_targets_due(gateway: &Gateway, backoff: &Backoff, last_read: BootTime) {
     let bound = gateway.settings.bounds.leaving_target;
     loop {
         let is_due = || match gateway.targets.age() {
@@ -270,12 +245,18 @@
             }
             Some(age) => age > bound.mul_f64(LIST_OVERDUE_SHARE),
         };
-        if is_due()
+        let remaining = backoff.remaining(gateway.store_answered_as_of());
+        if remaining.is_zero()
+            && is_due()
             && (gateway.awaits_targets.get() || is_overdue_after_delay(gateway, is_due).await)
         {
             return;
         }
-        sleep(DUE_CHECK_INTERVAL).await;
+        let pause = match remaining.is_zero() {
+            true => DUE_CHECK_INTERVAL,
+            false => remaining.min(DUE_CHECK_INTERVAL),
+        };
+        sleep(pause).await;
     }
 }
 
@@ -286,7 +267,7 @@
     let mut is_complete = false;
     let mut last_read = BootTime::now();
     loop {
-        wait_until_targets_due(&gateway, last_read).await;
+        wait_until_targets_due(&gateway, &backoff, last_read).await;
         last_read = BootTime::now();
         let result = match is_complete {
             false => read_targets(&gateway, last_read).await,
@@ -298,9 +279,7 @@
                 is_complete = true;
             }
             Ok(ReadOutcome::OffsetOutOfRange) => is_complete = false,
-            Err(error) => {
-                sleep(backoff.record_failure(&gateway, &error, last_read)).await;
-            }
+            Err(error) => backoff.record_failure(&gateway, &error, last_read),
         }
     }
 }
--- a/crates/anvil_gateway/src/follow/tests.rs
+++ b/crates/anvil_gateway/src/follow/tests.rs
@@ -167,7 +167,7 @@
         while gateway.table_cache.table().is_none() {
             sleep(TICK).await;
         }
-        expect_that!(notified_at.elapsed(), lt(BACKOFF_MAX));
+        expect_that!(notified_at.elapsed(), lt(backoff::BACKOFF_MAX));
     });
 }
 
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -30,6 +30,7 @@
 };
 
 use crate::{
+    clock::BootTime,
     knowledge::TableCache,
     metrics::Metrics,
     peers::PeerRegistry,
@@ -127,6 +128,13 @@
         let _phase = phase.wait_for(|phase| *phase == Phase::Closing).await;
     }
 
+    /// Returns the latest time at which a question is known to have been sent that the store
+    /// answered, to this host or to a peer. Returns `None` before the first answer.
+    pub fn store_answered_as_of(&self) -> Option<BootTime> {
+        let table = self.table_cache.current_as_of();
+        table.max(self.targets.current_as_of())
+    }
+
     /// Returns a random number in `0.0..1.0`.
     pub fn random_unit(&self) -> f64 {
         self.rng.borrow_mut().random()
--- a/crates/anvil_gateway/src/knowledge.rs
+++ b/crates/anvil_gateway/src/knowledge.rs
@@ -96,6 +96,12 @@
             .set(self.current_as_of.get().max(Some(as_of)));
     }
 
+    /// Returns the latest time at which the table is known to have been the newest. Returns `None`
+    /// before the first table.
+    pub fn current_as_of(&self) -> Option<BootTime> {
+        self.current_as_of.get()
+    }
+
     /// Returns the time since the table was last known to be the newest. Returns `None` before the
     /// first table.
     pub fn age(&self) -> Option<Duration> {
--- a/crates/anvil_gateway/src/peers/view.rs
+++ b/crates/anvil_gateway/src/peers/view.rs
@@ -13,7 +13,8 @@
 use anvil_core::{
     id::{
         DataCentreId,
-        HostId, //
+        HostId,
+        Version, //
     },
     rendezvous,
 };
@@ -121,6 +122,17 @@
         self.is_listed.then(|| unheard.count())
     }
 
+    /// Returns the highest version of the operators' table that a live peer has, or 0.
+    pub fn newest_table_version(&self, now: Instant) -> Version {
+        self.peers
+            .values()
+            .filter(|peer| peer.is_live(now))
+            .filter_map(|peer| peer.digest.as_ref())
+            .map(|digest| digest.table_version)
+            .max()
+            .unwrap_or(0)
+    }
+
     /// Returns the number of peers that are live: a digest arrived from them recently.
     pub fn live_count(&self, now: Instant) -> usize {
         self.peers.values().filter(|peer| peer.is_live(now)).count()
--- a/crates/anvil_gateway/src/targets.rs
+++ b/crates/anvil_gateway/src/targets.rs
@@ -239,6 +239,12 @@
         self.by_id.borrow().values().cloned().collect()
     }
 
+    /// Returns the latest time at which the list is known to have been current. Returns `None` before
+    /// the first read.
+    pub fn current_as_of(&self) -> Option<BootTime> {
+        self.current_as_of.get()
+    }
+
     /// Returns the time since the list was last known to be current. Returns `None` before the
     /// first read.
     pub fn age(&self) -> Option<Duration> {
