Derive the time for which a host trusts others with the table from the bound on changes

Callers saw 404 for a route 2.009 s after the change that added it had been confirmed; the bound is 2 s. Cause, second part: a host counted on its readers up to an age of 2.5 s, half of the bound on revoked keys, and then delayed its read by up to 0.5 s more. The readers themselves counted on one call that waits at the store: sent shortly before the store came back, it was never answered, ended after 2.7 s, and was followed by a pause.

Evidence: config_age_ms 2755 at the refusal counts from the one read, at 34.30 s, that any host made between the store's return and 36.84 s, while the readers called the same store successfully for other things from 34.01 s on.

anvil_core::freshness derives all times from the bound that they serve: the wait of a reader's call, the age at which any host asks for itself, the random delay before it; the target list uses the same. A reader abandons a waiting call when its own table is overdue or a peer is ahead, and asks without waiting while the store fails. The first wait after a change is drawn at random, so that the readers' confirmations don't come at the same moment. Why it works: whatever the readers do, the age of a table stays below 0.85 of the bound plus one answer while the store answers.

--- a/crates/anvil_gateway/src/follow.rs
+++ b/crates/anvil_gateway/src/follow.rs
@@ -7,6 +7,7 @@
 
 use anvil_core::{
     entry::Table,
+    freshness::Limits,
     id::{
         Offset,
         Version, //
@@ -41,17 +42,6 @@
 #[cfg(test)]
 mod tests;
 
-/// Longest time that one call waits at the store for a new table.
-const TABLE_WAIT_MAX: Duration = Duration::from_millis(1500);
-/// Age of the table from which a host reads it itself instead of waiting for the readers of its
-/// data centre, as a share of the bound on revoked keys.
-const TABLE_OVERDUE_SHARE: f64 = 0.5;
-/// Age of the target list from which a host reads it itself, as a share of the bound on leaving
-/// targets.
-const LIST_OVERDUE_SHARE: f64 = 0.65;
-/// Upper bound of the random delay of a host that has not heard from the readers in time. All hosts
-/// miss the readers at once, so the delay lets one of them make the first call.
-const OVERDUE_DELAY_MAX: Duration = Duration::from_millis(500);
 /// Interval between two reads of the target list by a reader, as a share of the bound on leaving
 /// targets.
 const LIST_INTERVAL_SHARE: f64 = 0.45;
@@ -65,9 +55,13 @@
 
 /// Waits for a random delay, in which another host may make the overdue read, and returns whether
 /// the read is still overdue. A host that no peer will inform doesn't wait.
-async fn is_overdue_after_delay(gateway: &Gateway, is_overdue: impl Fn() -> bool) -> bool {
+async fn is_overdue_after_delay(
+    gateway: &Gateway,
+    limits: &Limits,
+    is_overdue: impl Fn() -> bool,
+) -> bool {
     if relayed_backoff(gateway).is_some() {
-        let delay = gateway.random_duration(Duration::ZERO, OVERDUE_DELAY_MAX);
+        let delay = gateway.random_duration(Duration::ZERO, limits.overdue_delay_max);
         sleep(delay).await;
     }
     is_overdue()
@@ -76,21 +70,27 @@
 /// Follows the operators' table in the store.
 struct TableFollower {
     gateway: Rc<Gateway>,
+    limits: Limits,
     backoff: Backoff,
     /// Offset from which to read changes. `None` until the table was read.
     next_offset: Option<Offset>,
     /// Highest version of a peer for which the store was asked successfully. The store may have
     /// none that is as new.
     checked_version: Version,
+    /// Whether the last call waited its full time without a change.
+    is_unchanged: bool,
 }
 
 impl TableFollower {
     fn new(gateway: Rc<Gateway>) -> Self {
+        let bounds = &gateway.settings.bounds;
         Self {
+            limits: Limits::for_bound(bounds.config_apply.min(bounds.revoke)),
             gateway,
             backoff: Backoff::new("table"),
             next_offset: None,
             checked_version: 0,
+            is_unchanged: false,
         }
     }
 
@@ -110,14 +110,8 @@
     }
 
     fn is_overdue(&self) -> bool {
-        let limit = self
-            .gateway
-            .settings
-            .bounds
-            .revoke
-            .mul_f64(TABLE_OVERDUE_SHARE);
         let age = self.gateway.table_cache.age();
-        age.is_none_or(|age| age > limit)
+        age.is_none_or(|age| age > self.limits.overdue_age)
     }
 
     /// Waits until this host must call the store: it reads for its peers, a peer has a newer table,
@@ -134,7 +128,8 @@
                     return;
                 }
                 if self.is_overdue()
-                    && is_overdue_after_delay(&self.gateway, || self.is_overdue()).await
+                    && is_overdue_after_delay(&self.gateway, &self.limits, || self.is_overdue())
+                        .await
                 {
                     return;
                 }
@@ -150,6 +145,20 @@
         }
     }
 
+    /// Waits until the call that waits for a change can't be relied on any more, and returns the
+    /// reason. A connection may break without a sign, or the store may have been away.
+    async fn wait_until_doubtful(&self) -> &'static str {
+        loop {
+            sleep(DUE_CHECK_INTERVAL).await;
+            if self.is_behind_peer() {
+                return "a peer has a newer table";
+            }
+            if self.gateway.table_cache.table().is_some() && self.is_overdue() {
+                return "the table in force is not confirmed";
+            }
+        }
+    }
+
     async fn call(&mut self, requested_at: BootTime) -> Result<(), PlatformError> {
         let from = match self.next_offset {
             Some(from) if peers::is_reader(&self.gateway) => from,
@@ -157,7 +166,29 @@
             // them.
             Some(_) | None => return self.read(requested_at).await,
         };
-        self.read_changes(from, TABLE_WAIT_MAX, requested_at).await
+        if self.backoff.has_failed() {
+            return self.read_changes(from, Duration::ZERO, requested_at).await;
+        }
+        let wait = match self.is_unchanged {
+            true => self.limits.wait,
+            false => self.limits.first_wait(self.gateway.random_unit()),
+        };
+        let gateway = Rc::clone(&self.gateway);
+        let doubt = {
+            let call = gateway.platform.store.tables_after(from, wait);
+            tokio::select! {
+                result = call => {
+                    return self.apply_changes(result?, from, wait, requested_at);
+                }
+                doubt = self.wait_until_doubtful() => doubt,
+            }
+        };
+        spdlog::info!("store.wait_abandoned", kv: {
+            reading = "table",
+            reason = doubt,
+            requested_age_ms = requested_at.elapsed().as_millis() as u64,
+        });
+        self.read(BootTime::now()).await
     }
 
     async fn read(&mut self, requested_at: BootTime) -> Result<(), PlatformError> {
@@ -165,6 +196,7 @@
         let table_cache = &self.gateway.table_cache;
         table_cache.update(read.items, requested_at, Source::Read);
         self.next_offset = Some(read.next_offset);
+        self.is_unchanged = false;
         Ok(())
     }
 
@@ -193,8 +225,8 @@
             Changes::Listed(read) => {
                 // The store answers as soon as there is a record. An answer without one therefore
                 // shows that the table was unchanged until the wait ended.
-                let is_unchanged = read.next_offset == from;
-                let waited = match is_unchanged {
+                self.is_unchanged = read.next_offset == from;
+                let waited = match self.is_unchanged {
                     true => wait.min(requested_at.elapsed()),
                     false => Duration::ZERO,
                 };
@@ -235,20 +267,22 @@
 /// from the readers is overdue, or the placer waits for a complete list.
 async fn wait_until_targets_due(gateway: &Gateway, backoff: &Backoff, last_read: BootTime) {
     let bound = gateway.settings.bounds.leaving_target;
+    let limits = Limits::for_bound(bound);
     loop {
         let is_due = || match gateway.targets.age() {
             None => true,
             Some(_) if gateway.awaits_targets.get() => last_read.elapsed() >= LIST_INTERVAL_PLACING,
             Some(age) if peers::is_reader(gateway) => {
                 last_read.elapsed() >= bound.mul_f64(LIST_INTERVAL_SHARE)
-                    || age > bound.mul_f64(LIST_OVERDUE_SHARE)
+                    || age > limits.overdue_age
             }
-            Some(age) => age > bound.mul_f64(LIST_OVERDUE_SHARE),
+            Some(age) => age > limits.overdue_age,
         };
         let remaining = backoff.remaining(gateway.store_answered_as_of());
         if remaining.is_zero()
             && is_due()
-            && (gateway.awaits_targets.get() || is_overdue_after_delay(gateway, is_due).await)
+            && (gateway.awaits_targets.get()
+                || is_overdue_after_delay(gateway, &limits, is_due).await)
         {
             return;
         }
--- a/crates/anvil_gateway/src/follow/backoff.rs
+++ b/crates/anvil_gateway/src/follow/backoff.rs
@@ -57,6 +57,11 @@
         }
     }
 
+    /// Returns whether the last call failed.
+    pub(super) fn has_failed(&self) -> bool {
+        self.last_failure.is_some()
+    }
+
     /// Records a failed call that was sent at `requested_at`.
     pub(super) fn record_failure(
         &mut self,
--- a/crates/anvil_gateway/src/follow/tests.rs
+++ b/crates/anvil_gateway/src/follow/tests.rs
@@ -159,7 +159,7 @@
         store.set_availability(Availability::Refusing);
         let gateway = gateway_with_peers(&store, 2, 1);
         spawn_local(follow_table(Rc::clone(&gateway)));
-        sleep(OVERDUE_DELAY_MAX * 2).await;
+        sleep(Limits::for_bound(BOUND).overdue_delay_max * 2).await;
         expect_that!(store.table_calls.borrow().len(), ge(1));
         store.set_availability(Availability::Up);
         let notified_at = Instant::now();
--- a/crates/anvil_observe/src/events.rs
+++ b/crates/anvil_observe/src/events.rs
@@ -114,6 +114,7 @@
     "store.forgot": "The store no longer has the records that follow the last ones read. The list is read completely again.",
     "store.lost": "A read from the store failed. Further failures are not logged until a read succeeds.",
     "store.regained": "A read from the store succeeded after one or more failures.",
+    "store.wait_abandoned": "A call that waited at the store for changes was abandoned, and the table is read instead. The line gives the reason.",
     "stream.repair_unknown": "An order to continue a request on another path was not answered.",
     "stream.silent": "The cause of a silent stream was investigated. The line tells whether the stream continues on another path.",
     "stream.state_unknown": "The first engine of a silent stream could not be asked what it is waiting for.",
