Test that a reader abandons its call when a peer is ahead, and that no host asks for it in a loop

The first takes the abandoned call on the way that the incident's readers had: the call that waits is lost, a peer has the change. The second guards the price: a peer's version that the store lacks is asked for once.

--- a/crates/anvil_gateway/src/follow/tests.rs
+++ b/crates/anvil_gateway/src/follow/tests.rs
@@ -74,23 +74,27 @@
         let mut registry = gateway.peers.borrow_mut();
         let key = DatagramKey::from_hex(&"a1".repeat(16)).unwrap();
         registry.register(host.clone(), "10.0.0.3:82".parse().unwrap(), key);
-        let digest = Digest {
-            host: host.clone(),
-            data_centre: "a".into(),
-            processor_millis: 500,
-            sent: BootTime::now(),
-            echo: None,
-            table_version: OLD_VERSION,
-            table_age: None,
-            targets_next: 0,
-            targets_age: None,
-            loads: Vec::new(),
-            avoided: Vec::new(),
-            refusing: Vec::new(),
-            slow: Vec::new(),
-            target_changes: None,
-        };
-        registry.record_digest(&host, digest, Instant::now());
+        registry.record_digest(&host, digest(&host), Instant::now());
+    }
+}
+
+/// Returns the digest of a peer in this data centre with more processor time than this host.
+fn digest(host: &str) -> Digest {
+    Digest {
+        host: host.into(),
+        data_centre: "a".into(),
+        processor_millis: 500,
+        sent: BootTime::now(),
+        echo: None,
+        table_version: OLD_VERSION,
+        table_age: None,
+        targets_next: 0,
+        targets_age: None,
+        loads: Vec::new(),
+        avoided: Vec::new(),
+        refusing: Vec::new(),
+        slow: Vec::new(),
+        target_changes: None,
     }
 }
 
@@ -117,6 +121,14 @@
     gateway.targets.confirm_current(now);
 }
 
+/// Confirms the table and the target list by a peer all the time. Never returns.
+async fn confirm_always(gateway: Rc<Gateway>) {
+    loop {
+        confirm_by_peer(&gateway);
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
 fn version(gateway: &Gateway) -> Version {
     gateway
         .table_cache
@@ -271,6 +283,55 @@
     }
 }
 
+/// Guards against a reader that waits at the store although a peer has a change already.
+#[gtest]
+fn follow_table_abandons_wait_when_peer_is_ahead() {
+    run_with_paused_clock(async {
+        let store = store();
+        let gateway = lone_gateway(&store, 1);
+        spawn_local(follow_table(Rc::clone(&gateway)));
+        sleep(Duration::from_millis(50)).await;
+        // Swallows the call that is waiting, and no later one.
+        store.set_availability(Availability::Silent);
+        store.set_availability(Availability::Up);
+        store.write_table(NEW_VERSION);
+        record_digests(&gateway, 1);
+        let mut digest = digest("peer-0");
+        digest.table_version = NEW_VERSION;
+        let mut registry = gateway.peers.borrow_mut();
+        registry.record_digest(&"peer-0".into(), digest, Instant::now());
+        drop(registry);
+        let in_force = time_until(Instant::now(), BOUND, || version(&gateway) == NEW_VERSION);
+        expect_that!(in_force.await, some(le(DUE_CHECK_INTERVAL * 2)));
+    });
+}
+
+/// Guards against load on the store from a host whose peer has a version that the store lacks.
+#[gtest]
+fn follow_table_asks_once_for_version_that_store_lacks() {
+    run_with_paused_clock(async {
+        let store = store();
+        let gateway = gateway_with_peers(&store, 2, 1);
+        spawn_local(follow_table(Rc::clone(&gateway)));
+        spawn_local(confirm_always(Rc::clone(&gateway)));
+        sleep(Duration::from_secs(1)).await;
+        let ahead = Rc::clone(&gateway);
+        spawn_local(async move {
+            loop {
+                let mut digest = digest("peer-0");
+                digest.table_version = NEW_VERSION;
+                let mut registry = ahead.peers.borrow_mut();
+                registry.record_digest(&"peer-0".into(), digest, Instant::now());
+                drop(registry);
+                sleep(Duration::from_millis(20)).await;
+            }
+        });
+        store.table_calls.borrow_mut().clear();
+        sleep(Duration::from_secs(5)).await;
+        expect_that!(store.table_calls.borrow().len(), eq(1));
+    });
+}
+
 /// Guards against readers that retry in step, so that one outage swallows the calls of all of them.
 #[gtest]
 fn follow_table_spreads_retries_after_common_notification() {
