Keep targets whose entries lapsed while the store was away until they can be listed again

Callers were refused for want of a path for two seconds after the store had come back, although all engines lived. Cause: the store drops entries that are not renewed for three heartbeats, also while it is away; the first read after the outage listed these removals and the host dropped the targets, with its count of their requests, until the entries were written again.

A removal that is read after the list was without confirmation for two heartbeats, and for two seconds from then on, keeps the target until the end of that time; one that isn't listed again by then goes. A host that heard from no peer meanwhile can't tell an outage of the store from its own and drops the target at once, as before. Readers pass the renewed entry of such a target on, also if it didn't change, since peers may have dropped it.

--- a/crates/anvil_gateway/src/follow.rs
+++ b/crates/anvil_gateway/src/follow.rs
@@ -269,6 +269,9 @@
     let bound = gateway.settings.bounds.leaving_target;
     let limits = Limits::for_bound(bound);
     loop {
+        if gateway.peers.borrow().is_isolated(Instant::now()) {
+            gateway.targets.record_isolation();
+        }
         let is_due = || match gateway.targets.age() {
             None => true,
             Some(_) if gateway.awaits_targets.get() => last_read.elapsed() >= LIST_INTERVAL_PLACING,
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -93,9 +93,9 @@
     pub fn with_rng(settings: Settings, platform: Platform, rng: SmallRng) -> Self {
         Self {
             table_cache: TableCache::new(settings.bounds.config_apply),
+            targets: Targets::new(settings.heartbeat),
             settings,
             platform,
-            targets: Targets::default(),
             metrics: Metrics::new(),
             peers: RefCell::new(PeerRegistry::default()),
             newer_table_notify: Notify::new(),
--- a/crates/anvil_gateway/src/peers/view.rs
+++ b/crates/anvil_gateway/src/peers/view.rs
@@ -138,6 +138,11 @@
         self.peers.values().filter(|peer| peer.is_live(now)).count()
     }
 
+    /// Returns whether peers are known and none of them is live.
+    pub fn is_isolated(&self, now: Instant) -> bool {
+        !self.is_empty() && self.live_count(now) == 0
+    }
+
     /// Returns whether no peer is known.
     pub fn is_empty(&self) -> bool {
         self.peers.is_empty()
--- a/crates/anvil_gateway/src/targets.rs
+++ b/crates/anvil_gateway/src/targets.rs
@@ -5,7 +5,10 @@
         Cell,
         RefCell, //
     },
-    collections::HashMap,
+    collections::{
+        HashMap,
+        HashSet, //
+    },
     net::SocketAddr,
     rc::Rc,
     time::Duration, //
@@ -40,20 +43,95 @@
 /// Slowdown from which on a target's report is passed on to peers.
 const RELAYED_SLOWDOWN_MIN: f64 = 1.5;
 
+/// Age of the list, in heartbeats, from which on entries may have lapsed because the store was away.
+/// The store drops an entry after three heartbeats without a renewal.
+const LAPSE_AGE_HEARTBEATS: u32 = 2;
+/// Time after the store's return within which live targets whose entries lapsed register again.
+const RELIST_TIME: Duration = Duration::from_secs(2);
+
 /// All listed targets.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Targets {
     by_id: RefCell<HashMap<TargetId, Rc<Target>>>,
     /// Latest time at which the list is known to have been current.
     current_as_of: Cell<Option<BootTime>>,
     /// Offset of the next change of the store's list; 0 before the first read.
     next_offset: Cell<Offset>,
+    /// Age of the list from which on entries may have lapsed.
+    lapse_age: Duration,
+    /// Latest time at which this host heard from none of its peers.
+    isolated_at: Cell<Option<BootTime>>,
+    /// End of the time in which a removed entry may only have lapsed. `None` unless the store was
+    /// away shortly before.
+    relist_until: Cell<Option<BootTime>>,
+    /// Targets whose entries were removed in that time. Invariant: all are in `by_id`, and none is
+    /// left once the time has ended.
+    lapsed: RefCell<HashSet<TargetId>>,
 }
 
 impl Targets {
+    /// Creates an empty list of targets that renew their entries every `heartbeat`.
+    pub fn new(heartbeat: Duration) -> Self {
+        Self {
+            by_id: RefCell::new(HashMap::new()),
+            current_as_of: Cell::new(None),
+            next_offset: Cell::new(0),
+            lapse_age: heartbeat * LAPSE_AGE_HEARTBEATS,
+            isolated_at: Cell::new(None),
+            relist_until: Cell::new(None),
+            lapsed: RefCell::new(HashSet::new()),
+        }
+    }
+
+    /// Records that this host hears from none of its peers. It can't tell then whether the store was
+    /// away for all, so that removed entries count at once.
+    pub fn record_isolation(&self) {
+        self.isolated_at.set(Some(BootTime::now()));
+    }
+
+    /// Begins the time in which a removed entry may only have lapsed, if the list has been without
+    /// confirmation for long and this host was not isolated.
+    fn begin_relisting_if_stale(&self) {
+        let Some(as_of) = self.current_as_of.get() else {
+            return;
+        };
+        let was_isolated = self.isolated_at.get().is_some_and(|at| at > as_of);
+        if as_of.elapsed() > self.lapse_age && !was_isolated {
+            self.relist_until
+                .set(Some(BootTime::now().later(RELIST_TIME)));
+        }
+    }
+
+    /// Removes a target, or keeps it for a while if its entry may only have lapsed.
+    fn remove_unless_lapsed(&self, id: &TargetId, reason: &'static str) {
+        if self.relist_until.get().is_none() {
+            self.remove(id, reason);
+        } else if self.by_id.borrow().contains_key(id)
+            && self.lapsed.borrow_mut().insert(id.clone())
+        {
+            spdlog::info!("target.lapsed", kv: { target = id.as_str(), reason });
+        }
+    }
+
+    /// Removes the lapsed targets that did not register again in time.
+    fn remove_lapsed(&self) {
+        let is_over = self
+            .relist_until
+            .get()
+            .is_some_and(|until| until <= BootTime::now());
+        if is_over {
+            self.relist_until.set(None);
+            let lapsed = std::mem::take(&mut *self.lapsed.borrow_mut());
+            for id in lapsed {
+                self.remove(&id, "not listed again");
+            }
+        }
+    }
+
     /// Replaces the whole list. Targets that are not in it are removed.
     pub fn replace(&self, changes: Vec<TargetChange>, next_offset: Offset, as_of: BootTime) {
-        let listed: std::collections::HashSet<_> = changes
+        self.begin_relisting_if_stale();
+        let listed: HashSet<_> = changes
             .iter()
             .filter_map(|change| match change {
                 TargetChange::Put(id, _) => Some(id.clone()),
@@ -68,7 +146,7 @@
             .cloned()
             .collect();
         for id in missing {
-            self.remove(&id, "not listed");
+            self.remove_unless_lapsed(&id, "not listed");
         }
         self.apply(changes, next_offset, as_of);
     }
@@ -93,7 +171,10 @@
     /// heartbeats.
     pub fn effective_changes(&self, changes: &[TargetChange]) -> Vec<TargetChange> {
         let by_id = self.by_id.borrow();
+        let lapsed = self.lapsed.borrow();
         let is_effective = |change: &&TargetChange| match change {
+            // Peers may not keep lapsed targets, or not for as long.
+            TargetChange::Put(id, _) if lapsed.contains(id) => true,
             TargetChange::Put(id, entry) => by_id
                 .get(id)
                 .is_none_or(|target| *target.entry.borrow() != *entry),
@@ -106,6 +187,7 @@
     pub fn confirm_current(&self, as_of: BootTime) {
         self.current_as_of
             .set(self.current_as_of.get().max(Some(as_of)));
+        self.remove_lapsed();
     }
 
     /// Returns the offset of the next change of the store's list; 0 before the first read.
@@ -155,10 +237,11 @@
 
     /// Applies all changes of the list before `next_offset`.
     pub fn apply(&self, changes: Vec<TargetChange>, next_offset: Offset, as_of: BootTime) {
+        self.begin_relisting_if_stale();
         for change in changes {
             match change {
                 TargetChange::Put(id, entry) => self.put(id, entry),
-                TargetChange::Removed(id) => self.remove(&id, "removed"),
+                TargetChange::Removed(id) => self.remove_unless_lapsed(&id, "removed"),
                 TargetChange::Unreadable(id, error) => {
                     spdlog::warn!("target.unreadable", kv: {
                         target = id.as_str(),
@@ -173,6 +256,7 @@
     }
 
     fn put(&self, id: TargetId, entry: TargetEntry) {
+        self.lapsed.borrow_mut().remove(&id);
         let mut by_id = self.by_id.borrow_mut();
         if let Some(existing) = by_id.get(&id) {
             let same_run = {
@@ -200,6 +284,7 @@
     }
 
     fn remove(&self, id: &TargetId, reason: &'static str) {
+        self.lapsed.borrow_mut().remove(id);
         if let Some(target) = self.by_id.borrow_mut().remove(id) {
             target.is_removed.set(true);
             target.pool.clear();
--- a/crates/anvil_gateway/src/targets/tests.rs
+++ b/crates/anvil_gateway/src/targets/tests.rs
@@ -4,6 +4,7 @@
 use super::*;
 use crate::port::TargetState;
 
+const HEARTBEAT: Duration = Duration::from_millis(1200);
 /// Longer than the entries of targets last without renewal.
 const OUTAGE: Duration = Duration::from_secs(8);
 /// Time after an outage in which entries that lapsed during it are written again.
@@ -24,7 +25,7 @@
 
 /// Returns a complete list with one target.
 fn list_with(id: &str) -> (Targets, Rc<Target>) {
-    let targets = Targets::default();
+    let targets = Targets::new(HEARTBEAT);
     let changes = vec![TargetChange::Put(id.into(), entry())];
     targets.replace(changes, 1, BootTime::now());
     let target = targets.get(&id.into()).unwrap();
@@ -117,6 +118,33 @@
     });
 }
 
+/// Guards against a host that keeps a target although the store was away for this host alone.
+#[gtest]
+fn apply_removes_target_at_once_after_isolation() {
+    run_with_paused_clock(async {
+        let (targets, target) = list_with("target");
+        advance(OUTAGE).await;
+        targets.record_isolation();
+        let removal = vec![TargetChange::Removed("target".into())];
+        targets.apply(removal, 2, BootTime::now());
+        expect_that!(target.is_listed_ready(), eq(false));
+    });
+}
+
+/// Guards against peers that lose a target for good because the host that reads for them kept it.
+#[gtest]
+fn effective_changes_contains_renewed_entry_of_lapsed_target() {
+    run_with_paused_clock(async {
+        let (targets, _target) = list_with("target");
+        let renewal = [TargetChange::Put("target".into(), entry())];
+        expect_that!(targets.effective_changes(&renewal).len(), eq(0));
+        advance(OUTAGE).await;
+        let removal = vec![TargetChange::Removed("target".into())];
+        targets.apply(removal, 2, BootTime::now());
+        expect_that!(targets.effective_changes(&renewal).len(), eq(1));
+    });
+}
+
 #[gtest]
 fn apply_removes_target_at_once_while_list_is_current() {
     run_with_paused_clock(async {
--- a/crates/anvil_observe/src/events.rs
+++ b/crates/anvil_observe/src/events.rs
@@ -122,6 +122,7 @@
     "target.connection_silent": "A connection to a target stopped answering. A new one is opened.",
     "target.gone": "A target is no longer used. The line gives the reason.",
     "target.health": "A target was ejected, or was readmitted because it answered again.",
+    "target.lapsed": "The entry of a target was removed right after the store had been away. The target stays in use for the time in which live targets register again.",
     "target.listed": "The entry of a target appeared, or its state or layers changed.",
     "target.reached": "A target that had been unreachable answered a load report. A request may be tried on it now.",
     "target.speed": "An engine on a path that was slower than predicted reported its own slowdown.",
