--- a/crates/anvil_gateway/src/follow/tests.rs
+++ b/crates/anvil_gateway/src/follow/tests.rs
@@ -98,6 +98,14 @@
     }
 }
 
+/// Records a digest of a known peer that has the new table.
+fn record_digest_with_new_table(gateway: &Gateway) {
+    let mut digest = digest("peer-0");
+    digest.table_version = NEW_VERSION;
+    let mut registry = gateway.peers.borrow_mut();
+    registry.record_digest(&"peer-0".into(), digest, Instant::now());
+}
+
 /// Returns a gateway with live peers, two of which read the store for it.
 fn gateway_with_peers(store: &Rc<FakeStore>, count: usize, seed: u64) -> Rc<Gateway> {
     let gateway = lone_gateway(store, seed);
@@ -296,11 +304,7 @@
         store.set_availability(Availability::Up);
         store.write_table(NEW_VERSION);
         record_digests(&gateway, 1);
-        let mut digest = digest("peer-0");
-        digest.table_version = NEW_VERSION;
-        let mut registry = gateway.peers.borrow_mut();
-        registry.record_digest(&"peer-0".into(), digest, Instant::now());
-        drop(registry);
+        record_digest_with_new_table(&gateway);
         let in_force = time_until(Instant::now(), BOUND, || version(&gateway) == NEW_VERSION);
         expect_that!(in_force.await, some(le(DUE_CHECK_INTERVAL * 2)));
     });
@@ -318,11 +322,7 @@
         let ahead = Rc::clone(&gateway);
         spawn_local(async move {
             loop {
-                let mut digest = digest("peer-0");
-                digest.table_version = NEW_VERSION;
-                let mut registry = ahead.peers.borrow_mut();
-                registry.record_digest(&"peer-0".into(), digest, Instant::now());
-                drop(registry);
+                record_digest_with_new_table(&ahead);
                 sleep(Duration::from_millis(20)).await;
             }
         });
