Bind each position in the store to the era in which it was read

Where the operators had meanwhile written as many records as were lost, the read found nothing new and confirmed the old table as the newest for good; records at lower offsets were never seen. The target list had the same fault, and digests compared offsets of different eras.

A position is now an era and an offset. The offset can be had only for a named era, and positions have no order, so that comparing across eras doesn't compile. Digests carry the era, so that a host doesn't wait for its own read; confirmations count within one era. A reader abandons its waiting call and reads the whole table; the list is read whole, and targets whose entries were lost stay for the time in which they register again. Digests without the new fields, of an older release, count as era 0.

follow_table_reads_again_after_restore_that_reused_offsets and follow_targets_reads_again_after_restore_that_reused_offsets failed before (the change was never seen) and pass now.

--- a/crates/anvil_gateway/src/follow.rs
+++ b/crates/anvil_gateway/src/follow.rs
@@ -8,10 +8,7 @@
 use anvil_core::{
     entry::Table,
     freshness::Limits,
-    id::{
-        Offset,
-        Version, //
-    },
+    id::Version, //
 };
 use tokio::time::{
     Instant,
@@ -28,7 +25,8 @@
     },
     port::{
         Changes,
-        PlatformError, //
+        PlatformError,
+        Position, //
     }, //
 };
 
@@ -72,8 +70,8 @@
     gateway: Rc<Gateway>,
     limits: Limits,
     backoff: Backoff,
-    /// Offset from which to read changes. `None` until the table was read.
-    next_offset: Option<Offset>,
+    /// Position from which to read changes. `None` until the table was read.
+    next: Option<Position>,
     /// Highest version of a peer for which the store was asked successfully. The store may have
     /// none that is as new.
     checked_version: Version,
@@ -88,7 +86,7 @@
             limits: Limits::for_bound(bounds.config_apply.min(bounds.revoke)),
             gateway,
             backoff: Backoff::new("table"),
-            next_offset: None,
+            next: None,
             checked_version: 0,
             is_unchanged: false,
         }
@@ -99,6 +97,12 @@
         peers.newest_table_version(Instant::now())
     }
 
+    /// Returns whether the store was restored since the table was read from it.
+    fn is_of_older_era(&self) -> bool {
+        let era = self.gateway.platform.store.era();
+        self.next.is_some_and(|next| next.offset_in(era).is_none())
+    }
+
     /// Returns whether a peer has a newer table that the store may have as well.
     fn is_behind_peer(&self) -> bool {
         let held_version = self
@@ -153,6 +157,9 @@
             if self.is_behind_peer() {
                 return "a peer has a newer table";
             }
+            if self.is_of_older_era() {
+                return "the store was restored";
+            }
             if self.gateway.table_cache.table().is_some() && self.is_overdue() {
                 return "the table in force is not confirmed";
             }
@@ -160,7 +167,7 @@
     }
 
     async fn call(&mut self, requested_at: BootTime) -> Result<(), PlatformError> {
-        let from = match self.next_offset {
+        let from = match self.next {
             Some(from) if peers::is_reader(&self.gateway) => from,
             // The changes since this host last asked may be many, or the log may no longer keep
             // them.
@@ -195,14 +202,14 @@
         let read = self.gateway.platform.store.newest_table().await?;
         let table_cache = &self.gateway.table_cache;
         table_cache.update(read.items, requested_at, Source::Read);
-        self.next_offset = Some(read.next_offset);
+        self.next = Some(read.next);
         self.is_unchanged = false;
         Ok(())
     }
 
     async fn read_changes(
         &mut self,
-        from: Offset,
+        from: Position,
         wait: Duration,
         requested_at: BootTime,
     ) -> Result<(), PlatformError> {
@@ -213,19 +220,19 @@
     fn apply_changes(
         &mut self,
         changes: Changes<Option<Table>>,
-        from: Offset,
+        from: Position,
         wait: Duration,
         requested_at: BootTime,
     ) -> Result<(), PlatformError> {
         match changes {
-            Changes::OffsetOutOfRange => {
-                spdlog::warn!("store.forgot", kv: { reading = "table", from });
-                self.next_offset = None;
+            Changes::PositionOutOfRange => {
+                spdlog::warn!("store.forgot", kv: { reading = "table", from: });
+                self.next = None;
             }
             Changes::Listed(read) => {
                 // The store answers as soon as there is a record. An answer without one therefore
                 // shows that the table was unchanged until the wait ended.
-                self.is_unchanged = read.next_offset == from;
+                self.is_unchanged = read.next == from;
                 let waited = match self.is_unchanged {
                     true => wait.min(requested_at.elapsed()),
                     false => Duration::ZERO,
@@ -233,7 +240,7 @@
                 let as_of = requested_at.later(waited);
                 let table_cache = &self.gateway.table_cache;
                 table_cache.update(read.items, as_of, Source::Poll);
-                self.next_offset = Some(read.next_offset);
+                self.next = Some(read.next);
             }
         }
         Ok(())
@@ -315,7 +322,7 @@
                 backoff.record_success(last_read);
                 is_complete = true;
             }
-            Ok(ReadOutcome::OffsetOutOfRange) => is_complete = false,
+            Ok(ReadOutcome::PositionOutOfRange) => is_complete = false,
             Err(error) => backoff.record_failure(&gateway, &error, last_read),
         }
     }
@@ -325,8 +332,8 @@
 enum ReadOutcome {
     /// The target list is current.
     Current,
-    /// The log no longer keeps some of the changes, so the whole list must be read.
-    OffsetOutOfRange,
+    /// The store doesn't have some of the changes, so the whole list must be read.
+    PositionOutOfRange,
 }
 
 async fn read_targets(
@@ -334,9 +341,7 @@
     requested_at: BootTime,
 ) -> Result<ReadOutcome, PlatformError> {
     let read = gateway.platform.store.newest_targets().await?;
-    gateway
-        .targets
-        .replace(read.items, read.next_offset, requested_at);
+    gateway.targets.replace(read.items, read.next, requested_at);
     Ok(ReadOutcome::Current)
 }
 
@@ -345,18 +350,18 @@
     peers: &Peers,
     requested_at: BootTime,
 ) -> Result<ReadOutcome, PlatformError> {
-    let from = gateway.targets.next_offset();
+    let from = gateway.targets.next();
     match gateway.platform.store.targets_after(from).await? {
-        Changes::OffsetOutOfRange => {
-            spdlog::warn!("store.forgot", kv: { reading = "targets", from });
-            Ok(ReadOutcome::OffsetOutOfRange)
+        Changes::PositionOutOfRange => {
+            spdlog::warn!("store.forgot", kv: { reading = "targets", from: });
+            Ok(ReadOutcome::PositionOutOfRange)
         }
         Changes::Listed(read) => {
             let changes = gateway.targets.effective_changes(&read.items);
-            gateway
-                .targets
-                .apply(read.items, read.next_offset, requested_at);
-            if peers::is_reader(gateway) {
+            gateway.targets.apply(read.items, read.next, requested_at);
+            if let Some(from) = from.offset_in(read.next.era())
+                && peers::is_reader(gateway)
+            {
                 peers.send_changes(from, &changes).await;
             }
             Ok(ReadOutcome::Current)
--- a/crates/anvil_gateway/src/follow/tests.rs
+++ b/crates/anvil_gateway/src/follow/tests.rs
@@ -88,7 +88,8 @@
         echo: None,
         table_version: OLD_VERSION,
         table_age: None,
-        targets_next: 0,
+        store_era: 0,
+        targets_next: Position::default(),
         targets_age: None,
         loads: Vec::new(),
         avoided: Vec::new(),
@@ -403,3 +404,65 @@
         });
     }
 }
+
+/// Guards against a host that goes on reading at its old offset after the store was restored from an
+/// older copy, and so skips records that were written at lower ones.
+#[gtest]
+fn follow_table_reads_again_after_restore_that_reused_offsets() {
+    for change_count in 1..4 {
+        run_with_paused_clock(async {
+            let store = store();
+            for lost_version in 0..3 {
+                store.write_table(OLD_VERSION + lost_version);
+            }
+            for _ in 0..3 {
+                store.write_target(TargetChange::Put(
+                    "target".into(),
+                    entry(TargetState::Ready),
+                ));
+            }
+            let gateway = lone_gateway(&store, change_count);
+            spawn_local(follow_table(Rc::clone(&gateway)));
+            sleep(Duration::from_secs(2)).await;
+            store.set_availability(Availability::Silent);
+            sleep(Duration::from_millis(700)).await;
+            store.restore(3);
+            let newest = OLD_VERSION + 10 + change_count;
+            for index in (0..change_count).rev() {
+                store.write_table(newest - index);
+            }
+            store.set_availability(Availability::Up);
+            let in_force = time_until(Instant::now(), BOUND * 3, || version(&gateway) == newest);
+            expect_that!(
+                in_force.await,
+                some(le(SETTLE_TIME)),
+                "{change_count} changes"
+            );
+        });
+    }
+}
+
+/// The same for the target list.
+#[gtest]
+fn follow_targets_reads_again_after_restore_that_reused_offsets() {
+    run_with_paused_clock(async {
+        let id: TargetId = "target".into();
+        let store = store();
+        store.write_target(TargetChange::Put(id.clone(), entry(TargetState::Ready)));
+        store.write_target(TargetChange::Put("lost".into(), entry(TargetState::Ready)));
+        let gateway = lone_gateway(&store, 1);
+        let peers = Rc::new(Peers::open(Rc::clone(&gateway)).await.unwrap());
+        spawn_local(follow_targets(Rc::clone(&gateway), peers));
+        sleep(Duration::from_secs(2)).await;
+        store.restore(1);
+        store.write_target(TargetChange::Put(id.clone(), entry(TargetState::Leaving)));
+        let seen = time_until(Instant::now(), BOUND * 3, || {
+            let target = gateway.targets.get(&id);
+            target.is_some_and(|target| target.entry.borrow().state == TargetState::Leaving)
+        });
+        expect_that!(seen.await, some(le(BOUND)));
+        // The other one never registers again.
+        sleep(BOUND * 2).await;
+        expect_that!(gateway.targets.get(&"lost".into()).is_none(), eq(true));
+    });
+}
--- a/crates/anvil_gateway/src/follow/tests/fakes.rs
+++ b/crates/anvil_gateway/src/follow/tests/fakes.rs
@@ -51,6 +51,7 @@
         PlatformError,
         PlatformErrorKind,
         PlatformResult,
+        Position,
         RepathOrder,
         RepathResponse,
         RequestMetadata,
@@ -88,6 +89,9 @@
     tables: RefCell<Vec<Version>>,
     targets: RefCell<Vec<TargetChange>>,
     changed: Notify,
+    era: Cell<Era>,
+    /// Newest era that an answer or a peer named.
+    known_era: Cell<Era>,
     /// When each call for tables arrived.
     pub(super) table_calls: RefCell<Vec<Instant>>,
 }
@@ -121,6 +125,17 @@
         self.targets.borrow_mut().push(change);
     }
 
+    /// Restores the logs from a copy that has `lost` records less in each, and raises the era.
+    pub(super) fn restore(&self, lost: usize) {
+        let mut tables = self.tables.borrow_mut();
+        let length = tables.len() - lost;
+        tables.truncate(length);
+        let mut targets = self.targets.borrow_mut();
+        let length = targets.len() - lost;
+        targets.truncate(length);
+        self.era.set(self.era.get() + 1);
+    }
+
     /// Waits up to `wait` until `is_due`, and returns `answer` then, unless the store falls silent.
     async fn call<T>(
         &self,
@@ -149,13 +164,18 @@
                 message: SmolStr::new_static("no answer within the timeout"),
             });
         }
+        self.observe_era(self.era.get());
         Ok(answer())
     }
 }
 
 impl Store for FakeStore {
-    fn era(&self) -> Option<Era> {
-        None
+    fn era(&self) -> Era {
+        self.known_era.get()
+    }
+
+    fn observe_era(&self, era: Era) {
+        self.known_era.set(self.known_era.get().max(era));
     }
 
     fn newest_table(&self) -> PlatformResult<'_, Snapshot<Option<Table>>> {
@@ -167,7 +187,7 @@
                 let tables = self.tables.borrow();
                 Snapshot {
                     items: tables.last().copied().map(table),
-                    next_offset: tables.len() as Offset,
+                    next: Position::new(self.era.get(), tables.len() as Offset),
                 }
             },
         ))
@@ -175,19 +195,24 @@
 
     fn tables_after(
         &self,
-        from: Offset,
+        from: Position,
         wait: Duration,
     ) -> PlatformResult<'_, Changes<Option<Table>>> {
         self.table_calls.borrow_mut().push(Instant::now());
+        // The store knows offsets only; it is the answer that names the era.
+        let offset = from.offset_in(from.era()).unwrap_or(0);
         Box::pin(self.call(
             wait,
-            move || self.tables.borrow().len() as Offset > from,
+            move || self.tables.borrow().len() as Offset > offset,
             move || {
+                if from.era() != self.era.get() {
+                    return Changes::PositionOutOfRange;
+                }
                 let tables = self.tables.borrow();
-                let newer = tables.get(from as usize..).unwrap_or_default();
+                let newer = tables.get(offset as usize..).unwrap_or_default();
                 Changes::Listed(Snapshot {
                     items: newer.last().copied().map(table),
-                    next_offset: tables.len() as Offset,
+                    next: Position::new(self.era.get(), tables.len() as Offset),
                 })
             },
         ))
@@ -201,21 +226,25 @@
                 let targets = self.targets.borrow();
                 Snapshot {
                     items: targets.clone(),
-                    next_offset: targets.len() as Offset,
+                    next: Position::new(self.era.get(), targets.len() as Offset),
                 }
             },
         ))
     }
 
-    fn targets_after(&self, from: Offset) -> PlatformResult<'_, Changes<Vec<TargetChange>>> {
+    fn targets_after(&self, from: Position) -> PlatformResult<'_, Changes<Vec<TargetChange>>> {
+        let offset = from.offset_in(from.era()).unwrap_or(0);
         Box::pin(self.call(
             Duration::ZERO,
             || true,
             move || {
+                if from.era() != self.era.get() {
+                    return Changes::PositionOutOfRange;
+                }
                 let targets = self.targets.borrow();
                 Changes::Listed(Snapshot {
-                    items: targets.get(from as usize..).unwrap_or_default().to_vec(),
-                    next_offset: targets.len() as Offset,
+                    items: targets.get(offset as usize..).unwrap_or_default().to_vec(),
+                    next: Position::new(self.era.get(), targets.len() as Offset),
                 })
             },
         ))
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -144,7 +144,7 @@
             peers_heard: gauge("anvil_peers_heard", "Other hosts that are heard of"),
             store_era: gauge(
                 "anvil_store_era",
-                "Era that the store named last; -1 if it named none",
+                "Newest known era of the store; 0 while it names none",
             ),
             registry,
         }
@@ -201,8 +201,7 @@
         self.table_age_ms.set(age_ms(gateway.table_cache.age()));
         self.targets_age_ms.set(age_ms(gateway.targets.age()));
         let era = gateway.platform.store.era();
-        self.store_era
-            .set(era.map_or(-1, |era| i64::try_from(era).unwrap_or(i64::MAX)));
+        self.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
         let live_peer_count = gateway
             .peers
             .borrow()
--- a/crates/anvil_gateway/src/peers.rs
+++ b/crates/anvil_gateway/src/peers.rs
@@ -211,7 +211,8 @@
                 .table()
                 .map_or(0, |table| table.version()),
             table_age: gateway.table_cache.age(),
-            targets_next: gateway.targets.next_offset(),
+            store_era: gateway.platform.store.era(),
+            targets_next: gateway.targets.next(),
             targets_age: gateway.targets.age(),
             loads: gateway.targets.own_loads(),
             avoided: gateway.targets.own_avoided(AvoidReason::Unresponsive, now),
@@ -275,10 +276,14 @@
     fn apply_digest(&self, sender: &HostId, digest: Digest) {
         let gateway = &self.gateway;
         let now = Instant::now();
+        gateway.platform.store.observe_era(digest.store_era);
         // The peer measured the ages in its digest after this host had sent the digest that it
         // echoes. Counted back from the echo, they never make a reading look newer than it is.
         if let Some(echo) = digest.echo {
-            if let Some(age) = digest.table_age {
+            // What a peer knows of an older era is no confirmation: the store may have other tables.
+            if let Some(age) = digest.table_age
+                && digest.store_era == gateway.platform.store.era()
+            {
                 let version = gateway
                     .table_cache
                     .table()
@@ -298,7 +303,7 @@
                     echo.earlier(age),
                 );
             } else if let Some(age) = digest.targets_age
-                && digest.targets_next == gateway.targets.next_offset()
+                && digest.targets_next == gateway.targets.next()
             {
                 gateway.targets.confirm_current(echo.earlier(age));
             }
--- a/crates/anvil_gateway/src/peers/message.rs
+++ b/crates/anvil_gateway/src/peers/message.rs
@@ -15,6 +15,8 @@
 use crate::{
     clock::BootTime,
     port::{
+        Era,
+        Position,
         TargetChange,
         TargetEntry,
         TargetState, //
@@ -44,8 +46,10 @@
     pub table_version: Version,
     /// Time since that table was last known to be the newest. `None` before the first.
     pub table_age: Option<Duration>,
-    /// Offset of the next change of the target list that the sender will read.
-    pub targets_next: Offset,
+    /// Newest era of the store that the sender knows.
+    pub store_era: Era,
+    /// Position of the next change of the target list that the sender will read.
+    pub targets_next: Position,
     /// Time since the sender's target list was last known to be current. `None` before the first
     /// read.
     pub targets_age: Option<Duration>,
@@ -112,7 +116,12 @@
         echo_ms: digest.echo.map_or(0, BootTime::as_millis),
         table_version: digest.table_version,
         table_age_ms: millis(digest.table_age),
-        targets_next: digest.targets_next,
+        targets_next: digest
+            .targets_next
+            .offset_in(digest.targets_next.era())
+            .unwrap_or(0),
+        store_era: Some(digest.store_era),
+        targets_era: Some(digest.targets_next.era()),
         targets_age_ms: millis(digest.targets_age),
         load_targets: loads.iter().map(|load| load.target_hash).collect(),
         load_sequences: loads.iter().map(|load| round_u32(load.sequences)).collect(),
@@ -172,7 +181,8 @@
         echo: (digest.echo_ms > 0).then(|| BootTime::from_millis(digest.echo_ms)),
         table_version: digest.table_version,
         table_age: age(digest.table_age_ms),
-        targets_next: digest.targets_next,
+        store_era: digest.store_era.unwrap_or(0),
+        targets_next: Position::new(digest.targets_era.unwrap_or(0), digest.targets_next),
         targets_age: age(digest.targets_age_ms),
         loads,
         avoided: digest.avoided,
--- a/crates/anvil_gateway/src/peers/tests.rs
+++ b/crates/anvil_gateway/src/peers/tests.rs
@@ -6,6 +6,7 @@
 
 use super::*;
 use crate::port::{
+    Position,
     TargetEntry,
     TargetState, //
 };
@@ -23,7 +24,8 @@
         echo: Some(BootTime::from_millis(4000)),
         table_version: 3,
         table_age: Some(Duration::from_millis(70)),
-        targets_next: 12,
+        store_era: 2,
+        targets_next: Position::new(2, 12),
         targets_age: None,
         loads: vec![TargetLoad {
             target_hash: 7,
--- a/crates/anvil_gateway/src/port.rs
+++ b/crates/anvil_gateway/src/port.rs
@@ -174,9 +174,37 @@
 }
 
 /// Number of the store's current history. It rises when the store is restored from an older copy,
-/// which reuses offsets for other records.
+/// which reuses offsets for other records; 0 while the store names none.
 pub type Era = u64;
 
+/// Position in one of the store's logs.
+///
+/// The offsets of two eras don't name the same records. Positions therefore have no order, and an
+/// offset can be read only together with the era that it is meant for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display)]
+#[display("{offset} in era {era}")]
+pub struct Position {
+    era: Era,
+    offset: Offset,
+}
+
+impl Position {
+    /// Creates the position of an offset in an era.
+    pub fn new(era: Era, offset: Offset) -> Self {
+        Self { era, offset }
+    }
+
+    /// Returns the era.
+    pub fn era(self) -> Era {
+        self.era
+    }
+
+    /// Returns the offset. Returns `None` if the position belongs to another era.
+    pub fn offset_in(self, era: Era) -> Option<Offset> {
+        (self.era == era).then_some(self.offset)
+    }
+}
+
 /// The entry that a host registered for itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HostEntry {
@@ -193,8 +221,8 @@
 pub struct Snapshot<T> {
     /// The content of the list.
     pub items: T,
-    /// Offset of the next change after this read.
-    pub next_offset: Offset,
+    /// Position of the next change after this read.
+    pub next: Position,
 }
 
 /// Changes to a list since an offset.
@@ -202,8 +230,9 @@
 pub enum Changes<T> {
     /// The changes, oldest first; may be none.
     Listed(Snapshot<T>),
-    /// The store no longer keeps some of the changes, so that the whole list must be read again.
-    OffsetOutOfRange,
+    /// The store doesn't have some of the changes, because it dropped them or was restored from an
+    /// older copy, so that the whole list must be read again.
+    PositionOutOfRange,
 }
 
 /// A host's membership in the group that elects the placer.
@@ -247,24 +276,27 @@
 
 /// The platform's store of routing tables, targets and hosts.
 pub trait Store {
-    /// Returns the era that the store named in its last answer. Returns `None` if it named none.
-    fn era(&self) -> Option<Era>;
+    /// Returns the newest era that is known.
+    fn era(&self) -> Era;
+
+    /// Records that a peer knows an era. Answers of older ones no longer count.
+    fn observe_era(&self, era: Era);
 
     /// Reads the operators' newest routing table; the items are `None` if there is none yet.
     fn newest_table(&self) -> PlatformResult<'_, Snapshot<Option<Table>>>;
 
-    /// Waits up to `wait` for tables from offset `from` on, and returns the newest of them.
+    /// Waits up to `wait` for tables from position `from` on, and returns the newest of them.
     fn tables_after(
         &self,
-        from: Offset,
+        from: Position,
         wait: Duration,
     ) -> PlatformResult<'_, Changes<Option<Table>>>;
 
     /// Reads the whole list of targets.
     fn newest_targets(&self) -> PlatformResult<'_, Snapshot<Vec<TargetChange>>>;
 
-    /// Reads the changes to the list of targets from offset `from` on.
-    fn targets_after(&self, from: Offset) -> PlatformResult<'_, Changes<Vec<TargetChange>>>;
+    /// Reads the changes to the list of targets from position `from` on.
+    fn targets_after(&self, from: Position) -> PlatformResult<'_, Changes<Vec<TargetChange>>>;
 
     /// Registers this host, so that its peers find it.
     fn register_host<'a>(&'a self, host: &'a HostEntry) -> PlatformResult<'a, ()>;
--- a/crates/anvil_gateway/src/targets.rs
+++ b/crates/anvil_gateway/src/targets.rs
@@ -28,6 +28,7 @@
         TargetLoad, //
     },
     port::{
+        Position,
         TargetChange,
         TargetEntry, //
     }, //
@@ -55,8 +56,8 @@
     by_id: RefCell<HashMap<TargetId, Rc<Target>>>,
     /// Latest time at which the list is known to have been current.
     current_as_of: Cell<Option<BootTime>>,
-    /// Offset of the next change of the store's list; 0 before the first read.
-    next_offset: Cell<Offset>,
+    /// Position of the next change of the store's list; the default before the first read.
+    next: Cell<Position>,
     /// Age of the list from which on entries may have lapsed.
     lapse_age: Duration,
     /// Latest time at which this host heard from none of its peers.
@@ -75,7 +76,7 @@
         Self {
             by_id: RefCell::new(HashMap::new()),
             current_as_of: Cell::new(None),
-            next_offset: Cell::new(0),
+            next: Cell::new(Position::default()),
             lapse_age: heartbeat * LAPSE_AGE_HEARTBEATS,
             isolated_at: Cell::new(None),
             relist_until: Cell::new(None),
@@ -90,13 +91,16 @@
     }
 
     /// Begins the time in which a removed entry may only have lapsed, if the list has been without
-    /// confirmation for long and this host was not isolated.
-    fn begin_relisting_if_stale(&self) {
+    /// confirmation for long and this host was not isolated, or if the store lost entries: a read up
+    /// to `next` belongs to another era than the list.
+    fn begin_relisting_if_stale(&self, next: Position) {
         let Some(as_of) = self.current_as_of.get() else {
             return;
         };
         let was_isolated = self.isolated_at.get().is_some_and(|at| at > as_of);
-        if as_of.elapsed() > self.lapse_age && !was_isolated {
+        let was_away = as_of.elapsed() > self.lapse_age && !was_isolated;
+        let was_restored = next.era() != self.next.get().era();
+        if was_away || was_restored {
             self.relist_until
                 .set(Some(BootTime::now().later(RELIST_TIME)));
         }
@@ -129,8 +133,8 @@
     }
 
     /// Replaces the whole list. Targets that are not in it are removed.
-    pub fn replace(&self, changes: Vec<TargetChange>, next_offset: Offset, as_of: BootTime) {
-        self.begin_relisting_if_stale();
+    pub fn replace(&self, changes: Vec<TargetChange>, next: Position, as_of: BootTime) {
+        self.begin_relisting_if_stale(next);
         let listed: HashSet<_> = changes
             .iter()
             .filter_map(|change| match change {
@@ -148,7 +152,7 @@
         for id in missing {
             self.remove_unless_lapsed(&id, "not listed");
         }
-        self.apply(changes, next_offset, as_of);
+        self.apply(changes, next, as_of);
     }
 
     /// Applies changes that a peer read, if they continue what is known here.
@@ -156,12 +160,16 @@
         &self,
         from: Offset,
         changes: &[TargetChange],
-        next_offset: Offset,
+        next: Position,
         as_of: BootTime,
     ) {
-        let known_offset = self.next_offset.get();
+        let era = next.era();
+        let offsets = (self.next.get().offset_in(era), next.offset_in(era));
+        let (Some(known_offset), Some(next_offset)) = offsets else {
+            return;
+        };
         if known_offset >= from && known_offset < next_offset {
-            self.apply(changes.to_vec(), next_offset, as_of);
+            self.apply(changes.to_vec(), next, as_of);
         } else if known_offset == next_offset {
             self.confirm_current(as_of);
         }
@@ -190,9 +198,10 @@
         self.remove_lapsed();
     }
 
-    /// Returns the offset of the next change of the store's list; 0 before the first read.
-    pub fn next_offset(&self) -> Offset {
-        self.next_offset.get()
+    /// Returns the position of the next change of the store's list; the default before the first
+    /// read.
+    pub fn next(&self) -> Position {
+        self.next.get()
     }
 
     /// Returns the hashes of the targets that this host avoids for `reason`.
@@ -235,9 +244,9 @@
             .collect()
     }
 
-    /// Applies all changes of the list before `next_offset`.
-    pub fn apply(&self, changes: Vec<TargetChange>, next_offset: Offset, as_of: BootTime) {
-        self.begin_relisting_if_stale();
+    /// Applies all changes of the list before `next`.
+    pub fn apply(&self, changes: Vec<TargetChange>, next: Position, as_of: BootTime) {
+        self.begin_relisting_if_stale(next);
         for change in changes {
             match change {
                 TargetChange::Put(id, entry) => self.put(id, entry),
@@ -251,7 +260,7 @@
                 }
             }
         }
-        self.next_offset.set(next_offset);
+        self.next.set(next);
         self.confirm_current(as_of);
     }
 
--- a/crates/anvil_gateway/src/targets/tests.rs
+++ b/crates/anvil_gateway/src/targets/tests.rs
@@ -27,7 +27,7 @@
 fn list_with(id: &str) -> (Targets, Rc<Target>) {
     let targets = Targets::new(HEARTBEAT);
     let changes = vec![TargetChange::Put(id.into(), entry())];
-    targets.replace(changes, 1, BootTime::now());
+    targets.replace(changes, Position::new(0, 1), BootTime::now());
     let target = targets.get(&id.into()).unwrap();
     (targets, target)
 }
@@ -75,15 +75,15 @@
         advance(OUTAGE).await;
         targets.apply(
             vec![TargetChange::Removed("target".into())],
-            2,
+            Position::new(0, 2),
             BootTime::now(),
         );
         expect_that!(target.is_listed_ready(), eq(true));
         advance(RELIST_TIME.mul_f64(0.9)).await;
         let again = vec![TargetChange::Put("target".into(), entry())];
-        targets.apply(again, 3, BootTime::now());
+        targets.apply(again, Position::new(0, 3), BootTime::now());
         advance(RELIST_TIME).await;
-        targets.apply(Vec::new(), 3, BootTime::now());
+        targets.apply(Vec::new(), Position::new(0, 3), BootTime::now());
         expect_that!(target.is_listed_ready(), eq(true));
         expect_that!(
             Rc::ptr_eq(&targets.get(&"target".into()).unwrap(), &target),
@@ -98,7 +98,7 @@
     run_with_paused_clock(async {
         let (targets, target) = list_with("target");
         advance(OUTAGE).await;
-        targets.replace(Vec::new(), 2, BootTime::now());
+        targets.replace(Vec::new(), Position::new(0, 2), BootTime::now());
         expect_that!(target.is_listed_ready(), eq(true));
     });
 }
@@ -110,9 +110,9 @@
         let (targets, target) = list_with("target");
         advance(OUTAGE).await;
         let removal = vec![TargetChange::Removed("target".into())];
-        targets.apply(removal, 2, BootTime::now());
+        targets.apply(removal, Position::new(0, 2), BootTime::now());
         advance(RELIST_TIME.mul_f64(1.1)).await;
-        targets.apply(Vec::new(), 2, BootTime::now());
+        targets.apply(Vec::new(), Position::new(0, 2), BootTime::now());
         expect_that!(target.is_listed_ready(), eq(false));
         expect_that!(targets.get(&"target".into()).is_none(), eq(true));
     });
@@ -126,7 +126,7 @@
         advance(OUTAGE).await;
         targets.record_isolation();
         let removal = vec![TargetChange::Removed("target".into())];
-        targets.apply(removal, 2, BootTime::now());
+        targets.apply(removal, Position::new(0, 2), BootTime::now());
         expect_that!(target.is_listed_ready(), eq(false));
     });
 }
@@ -140,7 +140,7 @@
         expect_that!(targets.effective_changes(&renewal).len(), eq(0));
         advance(OUTAGE).await;
         let removal = vec![TargetChange::Removed("target".into())];
-        targets.apply(removal, 2, BootTime::now());
+        targets.apply(removal, Position::new(0, 2), BootTime::now());
         expect_that!(targets.effective_changes(&renewal).len(), eq(1));
     });
 }
@@ -151,7 +151,31 @@
         let (targets, target) = list_with("target");
         advance(Duration::from_secs(1)).await;
         let removal = vec![TargetChange::Removed("target".into())];
-        targets.apply(removal, 2, BootTime::now());
+        targets.apply(removal, Position::new(0, 2), BootTime::now());
         expect_that!(target.is_listed_ready(), eq(false));
     });
 }
+
+/// Guards against a host that drops live targets because the store lost their entries.
+#[gtest]
+fn replace_keeps_target_whose_entry_was_lost_in_restore() {
+    run_with_paused_clock(async {
+        let (targets, target) = list_with("target");
+        targets.replace(Vec::new(), Position::new(1, 0), BootTime::now());
+        expect_that!(target.is_listed_ready(), eq(true));
+        advance(RELIST_TIME.mul_f64(1.1)).await;
+        targets.apply(Vec::new(), Position::new(1, 0), BootTime::now());
+        expect_that!(target.is_listed_ready(), eq(false));
+    });
+}
+
+/// Guards against changes of one era that are applied to a list of another.
+#[gtest]
+fn apply_peer_changes_ignores_other_era() {
+    let (targets, target) = list_with("target");
+    let removal = [TargetChange::Removed("target".into())];
+    targets.apply_peer_changes(1, &removal, Position::new(1, 2), BootTime::now());
+    expect_that!(target.is_listed_ready(), eq(true));
+    targets.apply_peer_changes(1, &removal, Position::new(0, 2), BootTime::now());
+    expect_that!(target.is_listed_ready(), eq(false));
+}
