End the placer's lease and keep its fencing tokens rising when the store is restored

Two faults of one kind: a host that held the lease went on ordering under it for up to 2.25 s after the store had forgotten it, and the token was the group's generation, which a restored store counts from a lower number again. Engines refuse a falling token, so that no host could have placed a model until the generation had passed the old one.

The lease is a type of its own, bound to an era. Its token is the era above the generation; without an era it is the generation as before, so that a host of the older release is fenced by one of this release and not the other way round once an era is known. A host registers again in each new era.

token_rises_across_restore and token_is_void_in_other_era describe both; the old code has no era to test with.

--- a/crates/anvil_gateway/src/peers.rs
+++ b/crates/anvil_gateway/src/peers.rs
@@ -33,6 +33,7 @@
     gateway::Gateway,
     knowledge::Source,
     port::{
+        Era,
         HostEntry,
         TargetChange, //
     },
@@ -107,12 +108,13 @@
             address: self.gateway.settings.peers,
             key: self.key.hex(),
         };
-        while let Err(error) = self.gateway.platform.store.register_host(&entry).await {
-            spdlog::warn!("peers.register_failed", kv: { error: });
-            sleep(REGISTER_RETRY_DELAY).await;
-        }
+        let mut registered_era = self.register(&entry).await;
         sleep(HOST_LIST_DELAY).await;
         loop {
+            if registered_era != self.gateway.platform.store.era() {
+                // The store may have lost the entry.
+                registered_era = self.register(&entry).await;
+            }
             if self.is_list_outdated.replace(false) {
                 match self.gateway.platform.store.hosts().await {
                     Ok(hosts) => self.apply_host_list(hosts),
@@ -130,6 +132,25 @@
         }
     }
 
+    /// Registers this host, repeatedly until it succeeds, and returns the era of the store in which
+    /// it did.
+    async fn register(&self, entry: &HostEntry) -> Era {
+        let store = &self.gateway.platform.store;
+        loop {
+            let era = store.era();
+            match store.register_host(entry).await {
+                // The era before the call, unless the store named none before: if it changed during
+                // the call, the entry may be lost.
+                Ok(()) if era == 0 => return store.era(),
+                Ok(()) => return era,
+                Err(error) => {
+                    spdlog::warn!("peers.register_failed", kv: { error: });
+                    sleep(REGISTER_RETRY_DELAY).await;
+                }
+            }
+        }
+    }
+
     fn apply_host_list(&self, hosts: Vec<HostEntry>) {
         let own = &self.gateway.settings.host_id;
         let mut registry = self.gateway.peers.borrow_mut();
--- a/crates/anvil_gateway/src/placer.rs
+++ b/crates/anvil_gateway/src/placer.rs
@@ -2,10 +2,7 @@
 //! orders.
 
 use std::{
-    cell::{
-        Cell,
-        RefCell, //
-    },
+    cell::RefCell,
     collections::HashMap,
     rc::Rc,
     time::Duration, //
@@ -15,6 +12,7 @@
     engine_model::EngineProfile,
     id::{
         DataCentreId,
+        FencingToken,
         LayerRange,
         ServiceId,
         TargetId, //
@@ -35,6 +33,7 @@
     gateway::Gateway,
     peers,
     port::{
+        GroupMembership,
         OrderResponse,
         PlaceOrder,
         PlatformErrorKind, //
@@ -42,14 +41,15 @@
     target::Target,
 };
 
+use lease::Lease;
+
+mod lease;
+
 /// Duration of the lease. It is longer than a slow answer of the store, and short enough that
 /// engines that come back empty are filled again soon after the placer is lost.
 const LEASE_DURATION: Duration = Duration::from_secs(3);
 /// Share of the lease duration after which the lease is renewed.
 const LEASE_RENEW_SHARE: f64 = 0.35;
-/// Share of the lease duration after which the holder sends no more orders unless the lease was
-/// renewed.
-const LEASE_ORDER_SHARE: f64 = 0.75;
 /// Interval between two checks of the placement.
 const PLACEMENT_INTERVAL: Duration = Duration::from_millis(200);
 /// Time without a change in the number of targets after which the target list counts as complete at
@@ -89,13 +89,7 @@
 /// Places models on engines while this host holds the lease.
 pub struct Placer {
     gateway: Rc<Gateway>,
-    /// Generation of the group that the store reported last.
-    generation: Cell<u64>,
-    /// When the call that last renewed the lease was sent, and the fencing token. `None` while this
-    /// host doesn't hold the lease.
-    lease: Cell<Option<(BootTime, u64)>>,
-    /// Highest fencing token that a target refused. Orders need a higher one.
-    max_refused_token: Cell<u64>,
+    lease: RefCell<Lease>,
     sent_orders: RefCell<HashMap<TargetId, SentOrder>>,
     /// Start of the wait before a move, by data centre: when a shortage that a move would reduce
     /// was first seen there, an accelerator was last moved, or a target was last seen empty or with
@@ -110,9 +104,7 @@
     pub fn new(gateway: Rc<Gateway>) -> Self {
         Self {
             gateway,
-            generation: Cell::new(0),
-            lease: Cell::new(None),
-            max_refused_token: Cell::new(0),
+            lease: RefCell::new(Lease::default()),
             sent_orders: RefCell::new(HashMap::new()),
             shortage_since: RefCell::new(HashMap::new()),
             order_counts: RefCell::new(HashMap::new()),
@@ -123,76 +115,76 @@
     /// because the placer must know the target list early. A host that holds the lease stays in the
     /// group. Never returns.
     pub async fn maintain_lease(self: Rc<Self>) {
-        let lease = LEASE_DURATION.max(self.gateway.settings.lease_min);
+        let duration = self.lease_duration();
         sleep(GROUP_JOIN_DELAY).await;
         loop {
-            if self.lease.get().is_none() && !peers::is_reader(&self.gateway) {
+            if !self.lease.borrow().is_held() && !peers::is_reader(&self.gateway) {
                 sleep(PLACEMENT_INTERVAL).await;
                 continue;
             }
             let requested_at = BootTime::now();
-            let joined = self
-                .gateway
-                .platform
-                .store
-                .join_group(&self.gateway.settings.host_id, lease, self.generation.get())
+            let store = &self.gateway.platform.store;
+            let generation = self.lease.borrow().generation(store.era());
+            let joined = store
+                .join_group(&self.gateway.settings.host_id, duration, generation)
                 .await;
             match joined {
-                Ok(membership) => {
-                    self.generation.set(membership.generation);
-                    self.apply_membership(
-                        membership.is_placer,
-                        requested_at,
-                        membership.generation,
-                    );
-                }
+                Ok(membership) => self.apply_membership(membership, requested_at),
                 Err(error) => {
                     spdlog::warn!("placer.lease_not_renewed", kv: { error: });
-                    self.drop_expired_lease(lease);
+                    self.drop_expired_lease();
                 }
             }
-            let pause = lease.mul_f64(LEASE_RENEW_SHARE);
+            let pause = duration.mul_f64(LEASE_RENEW_SHARE);
             sleep(self.gateway.random_duration(pause.mul_f64(0.8), pause)).await;
         }
     }
 
-    fn apply_membership(&self, is_placer: bool, requested_at: BootTime, generation: u64) {
-        let was_placer = self.lease.get().is_some();
+    fn lease_duration(&self) -> Duration {
+        LEASE_DURATION.max(self.gateway.settings.lease_min)
+    }
+
+    fn apply_membership(&self, membership: GroupMembership, requested_at: BootTime) {
+        self.drop_expired_lease();
+        let mut lease = self.lease.borrow_mut();
+        let was_placer = lease.is_held();
+        let GroupMembership {
+            era,
+            generation,
+            is_placer,
+        } = membership;
         if is_placer && !was_placer {
-            spdlog::info!("placer.began", kv: { generation });
+            spdlog::info!("placer.began", kv: { era, generation });
             self.sent_orders.borrow_mut().clear();
             self.order_counts.borrow_mut().clear();
         }
         if !is_placer && was_placer {
             spdlog::info!("placer.ended", kv: {
+                era,
                 generation,
                 reason = "another host is the placer",
             });
         }
-        self.lease
-            .set(is_placer.then_some((requested_at, generation)));
+        lease.renew(membership, requested_at);
     }
 
-    fn drop_expired_lease(&self, lease: Duration) {
-        if let Some((renewed_at, generation)) = self.lease.get()
-            && renewed_at.elapsed() > lease
-        {
-            spdlog::info!("placer.ended", kv: { generation, reason = "lease expired" });
-            self.lease.set(None);
+    fn drop_expired_lease(&self) {
+        let era = self.gateway.platform.store.era();
+        let mut lease = self.lease.borrow_mut();
+        if let Some(reason) = lease.expire(self.lease_duration(), era) {
+            spdlog::info!("placer.ended", kv: { era, reason });
         }
     }
 
     /// Returns the fencing token, or `None` while this host must not send orders.
-    fn token(&self) -> Option<u64> {
-        let (renewed_at, generation) = self.lease.get()?;
-        let lease = LEASE_DURATION.max(self.gateway.settings.lease_min);
-        let is_valid = renewed_at.elapsed() < lease.mul_f64(LEASE_ORDER_SHARE);
-        (is_valid && generation > self.max_refused_token.get()).then_some(generation)
+    fn token(&self) -> Option<FencingToken> {
+        let era = self.gateway.platform.store.era();
+        self.lease.borrow().token(self.lease_duration(), era)
     }
 
     /// Gives up the lease and leaves the group that elects the placer, at a planned stop.
     pub async fn close(&self) {
-        self.lease.set(None);
+        self.lease.borrow_mut().give_up();
         let host_id = &self.gateway.settings.host_id;
         if let Err(error) = self.gateway.platform.store.leave_group(host_id).await {
             spdlog::warn!("placer.leave_failed", kv: { error: });
@@ -480,8 +472,7 @@
         let retry = match &answer {
             Ok(OrderResponse::Begun | OrderResponse::Holds) => None,
             Ok(OrderResponse::Fenced) => {
-                self.max_refused_token
-                    .set(self.max_refused_token.get().max(order.fencing_token));
+                self.lease.borrow_mut().record_refused(order.fencing_token);
                 Some(UNCERTAIN_ORDER_PAUSE)
             }
             // The target's entry shows its state after the next heartbeat.
--- a/crates/anvil_gateway/src/port.rs
+++ b/crates/anvil_gateway/src/port.rs
@@ -238,7 +238,9 @@
 /// A host's membership in the group that elects the placer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct GroupMembership {
-    /// Generation of the group; grows with each change of its members.
+    /// Era of the store in which it holds.
+    pub era: Era,
+    /// Generation of the group; grows with each change of its members within an era.
     pub generation: u64,
     /// Whether this host is the placer.
     pub is_placer: bool,
@@ -307,7 +309,8 @@
     /// Reads the list of hosts.
     fn hosts(&self) -> PlatformResult<'_, Vec<HostEntry>>;
 
-    /// Joins the group that elects the placer, or renews the membership for `lease`.
+    /// Joins the group that elects the placer, or renews the membership for `lease`. `generation` is
+    /// the last one of this era, or 0.
     fn join_group<'a>(
         &'a self,
         host: &'a HostId,
--- a/crates/anvil_observe/src/events.rs
+++ b/crates/anvil_observe/src/events.rs
@@ -100,6 +100,7 @@
     "placer.leave_failed": "The store could not be told at a graceful shutdown that this host gives up its duties.",
     "placer.order": "An engine was ordered to hold layers.",
     "placer.rebalance": "An engine was ordered to hold other layers, because its data centre has a shortage of those layers.",
+    "placer.token_too_large": "The store's era or the group's generation is too large for a fencing token, so this host sends no orders.",
     "placer.state": "An engine's state was read back after an order that conflicted with it.",
     "placer.state_unknown": "An engine's state could not be read back.",
     "recovery.chosen": "A request lost a stage, and a method to continue it was chosen.",
