Refuse neither route nor key by a table that a peer knows to be replaced

And a host that starts after a restore reads an older table from the store than its peers have: it would have served with revoked keys until the operators wrote again.

While a live peer has a newer table, a refusal by route or key is a 503 that tells the caller to come back at once, to another host. If the store was asked after the peer was heard and lacks that table, the host isn't ready and serves no keys until it has a newer one or the peer is gone.

follow_table_knows_that_restored_table_is_superseded and is_table_superseded_needs_answer_of_store test the two states; without the fix there is no such state to test.

--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -294,9 +294,17 @@
             ErrorResponse::not_run(ErrorReason::Unconfigured, Some(OTHER_HOST_RETRY_AFTER));
         return (metadata, RequestOutcome::Error(error_response), true);
     };
+    // A newer table may allow what this one refuses, so another host must decide.
+    let rejected_by_table = |reason| match gateway.is_behind_peer() {
+        true => RequestOutcome::Error(ErrorResponse::not_run(
+            ErrorReason::Stale,
+            Some(OTHER_HOST_RETRY_AFTER),
+        )),
+        false => rejected(reason),
+    };
     let host = head.headers.text("host").unwrap_or_default();
     let Some(route) = table.route(host, head.path()) else {
-        return (metadata, rejected(ErrorReason::NoRoute), true);
+        return (metadata, rejected_by_table(ErrorReason::NoRoute), true);
     };
     let team = if table.needs_key(route) {
         if are_keys_stale(gateway) {
@@ -306,7 +314,7 @@
         }
         match metadata.key.as_deref().and_then(|key| table.team(key)) {
             Some(team) => Some(team.name.clone()),
-            None => return (metadata, rejected(ErrorReason::UnknownKey), true),
+            None => return (metadata, rejected_by_table(ErrorReason::UnknownKey), true),
         }
     } else {
         None
@@ -342,8 +350,11 @@
 }
 
 /// Returns whether the table is so old that one of its keys may have been revoked for longer than
-/// the revocation bound allows.
+/// the revocation bound allows, or a newer one is known that this host can't get.
 pub fn are_keys_stale(gateway: &Gateway) -> bool {
+    if gateway.is_table_superseded() {
+        return true;
+    }
     let bound = gateway.settings.bounds.revoke.mul_f64(STALE_AGE_RATIO);
     gateway.table_cache.age().is_none_or(|age| age > bound)
 }
@@ -408,7 +419,7 @@
         via = trace.via.join(" then ").as_str(),
         failures = trace.failures.join("; ").as_str(),
         prompt_tokens = metadata.prompt_tokens,
-        config_version = gateway.table_cache.table().map_or(0, |table| table.version()),
+        config_version = gateway.table_cache.version(),
         config_age_ms = age_ms,
     });
 }
--- a/crates/anvil_gateway/src/follow.rs
+++ b/crates/anvil_gateway/src/follow.rs
@@ -5,11 +5,7 @@
     time::Duration, //
 };
 
-use anvil_core::{
-    entry::Table,
-    freshness::Limits,
-    id::Version, //
-};
+use anvil_core::{entry::Table, freshness::Limits};
 use tokio::time::{
     Instant,
     sleep, //
@@ -72,9 +68,6 @@
     backoff: Backoff,
     /// Position from which to read changes. `None` until the table was read.
     next: Option<Position>,
-    /// Highest version of a peer for which the store was asked successfully. The store may have
-    /// none that is as new.
-    checked_version: Version,
     /// Whether the last call waited its full time without a change.
     is_unchanged: bool,
 }
@@ -87,16 +80,10 @@
             gateway,
             backoff: Backoff::new("table"),
             next: None,
-            checked_version: 0,
             is_unchanged: false,
         }
     }
 
-    fn newest_peer_version(&self) -> Version {
-        let peers = self.gateway.peers.borrow();
-        peers.newest_table_version(Instant::now())
-    }
-
     /// Returns whether the store was restored since the table was read from it.
     fn is_of_older_era(&self) -> bool {
         let era = self.gateway.platform.store.era();
@@ -105,12 +92,7 @@
 
     /// Returns whether a peer has a newer table that the store may have as well.
     fn is_behind_peer(&self) -> bool {
-        let held_version = self
-            .gateway
-            .table_cache
-            .table()
-            .map_or(0, |table| table.version());
-        self.newest_peer_version() > held_version.max(self.checked_version)
+        self.gateway.is_behind_peer() && !self.gateway.is_table_superseded()
     }
 
     fn is_overdue(&self) -> bool {
@@ -252,12 +234,12 @@
     let mut follower = TableFollower::new(Rc::clone(&gateway));
     loop {
         follower.wait_until_due().await;
-        let peer_version = follower.newest_peer_version();
+        let peer_version = gateway.newest_peer_version();
         let requested_at = BootTime::now();
         match follower.call(requested_at).await {
             Ok(()) => {
                 follower.backoff.record_success(requested_at);
-                follower.checked_version = follower.checked_version.max(peer_version);
+                gateway.table_cache.record_checked(peer_version);
                 if gateway.table_cache.table().is_none() {
                     // The operators have not written a table yet.
                     sleep(NO_TABLE_DELAY).await;
--- a/crates/anvil_gateway/src/follow/tests.rs
+++ b/crates/anvil_gateway/src/follow/tests.rs
@@ -139,10 +139,7 @@
 }
 
 fn version(gateway: &Gateway) -> Version {
-    gateway
-        .table_cache
-        .table()
-        .map_or(0, |table| table.version())
+    gateway.table_cache.version()
 }
 
 /// Runs a test on tokio's paused clock, which advances to the next timer whenever all tasks are
@@ -466,3 +463,49 @@
         expect_that!(gateway.targets.get(&"lost".into()).is_none(), eq(true));
     });
 }
+
+/// Guards against a host that started after a restore and serves by a table that its peers know to be
+/// replaced: its keys may be revoked.
+#[gtest]
+fn follow_table_knows_that_restored_table_is_superseded() {
+    run_with_paused_clock(async {
+        let store = store();
+        let gateway = gateway_with_peers(&store, 2, 1);
+        let ahead = Rc::clone(&gateway);
+        let sender = spawn_local(async move {
+            loop {
+                record_digest_with_new_table(&ahead);
+                sleep(Duration::from_millis(20)).await;
+            }
+        });
+        spawn_local(follow_table(Rc::clone(&gateway)));
+        sleep(Duration::from_secs(1)).await;
+        expect_that!(version(&gateway), eq(OLD_VERSION));
+        expect_that!(gateway.is_table_superseded(), eq(true));
+        // The operators write again what the store has lost.
+        store.write_table(NEW_VERSION);
+        let in_force = time_until(Instant::now(), BOUND * 2, || {
+            version(&gateway) == NEW_VERSION
+        });
+        expect_that!(in_force.await, some(le(BOUND)));
+        expect_that!(gateway.is_table_superseded(), eq(false));
+        sender.abort();
+    });
+}
+
+/// Guards against a host that counts as superseded while it only lags behind a peer.
+#[gtest]
+fn is_table_superseded_needs_answer_of_store() {
+    run_with_paused_clock(async {
+        let store = store();
+        let gateway = gateway_with_peers(&store, 2, 1);
+        spawn_local(follow_table(Rc::clone(&gateway)));
+        sleep(Duration::from_secs(1)).await;
+        store.set_availability(Availability::Silent);
+        record_digest_with_new_table(&gateway);
+        sleep(Duration::from_millis(100)).await;
+        record_digest_with_new_table(&gateway);
+        expect_that!(gateway.is_behind_peer(), eq(true));
+        expect_that!(gateway.is_table_superseded(), eq(false));
+    });
+}
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -11,7 +11,10 @@
 };
 
 use anvil_core::{
-    id::ServiceId,
+    id::{
+        ServiceId,
+        Version, //
+    },
     retry::window,
     route::crossing, //
 };
@@ -135,6 +138,23 @@
         table.max(self.targets.current_as_of())
     }
 
+    /// Returns the highest version of the operators' table that a live peer has, or 0.
+    pub fn newest_peer_version(&self) -> Version {
+        self.peers.borrow().newest_table_version(Instant::now())
+    }
+
+    /// Returns whether a live peer has a newer table than this host.
+    pub fn is_behind_peer(&self) -> bool {
+        self.newest_peer_version() > self.table_cache.version()
+    }
+
+    /// Returns whether a live peer has a newer table than this host and the store, which has lost it
+    /// in a restore. The table in force may then hold keys that are revoked.
+    pub fn is_table_superseded(&self) -> bool {
+        self.is_behind_peer()
+            && self.newest_peer_version() <= self.table_cache.checked_peer_version()
+    }
+
     /// Returns a random number in `0.0..1.0`.
     pub fn random_unit(&self) -> f64 {
         self.rng.borrow_mut().random()
--- a/crates/anvil_gateway/src/knowledge.rs
+++ b/crates/anvil_gateway/src/knowledge.rs
@@ -12,7 +12,10 @@
 
 use anvil_core::{
     entry::Table,
-    id::HostId, //
+    id::{
+        HostId,
+        Version, //
+    },
 };
 use derive_more::Display;
 
@@ -40,6 +43,9 @@
     current_as_of: Cell<Option<BootTime>>,
     /// Age from which on the next confirmation is logged.
     late_age: Duration,
+    /// Highest version of a peer for which the store was asked successfully. The store lacks it if it
+    /// was restored from an older copy.
+    checked_peer_version: Cell<Version>,
 }
 
 impl TableCache {
@@ -50,9 +56,29 @@
             table: RefCell::new(None),
             current_as_of: Cell::new(None),
             late_age,
+            checked_peer_version: Cell::new(0),
         }
     }
 
+    /// Returns the version of the table in force, or 0 before the first was read.
+    pub fn version(&self) -> Version {
+        self.table
+            .borrow()
+            .as_ref()
+            .map_or(0, |table| table.version())
+    }
+
+    /// Records that the store was asked successfully for a version that a peer has.
+    pub fn record_checked(&self, peer_version: Version) {
+        let checked = self.checked_peer_version.get().max(peer_version);
+        self.checked_peer_version.set(checked);
+    }
+
+    /// Returns the highest version of a peer for which the store was asked successfully.
+    pub fn checked_peer_version(&self) -> Version {
+        self.checked_peer_version.get()
+    }
+
     /// Returns the table in force. Returns `None` before the first was read.
     pub fn table(&self) -> Option<Rc<Table>> {
         self.table.borrow().clone()
@@ -86,7 +112,7 @@
             && as_of.elapsed() <= self.late_age
         {
             spdlog::info!("config.confirmed", kv: {
-                version = self.table.borrow().as_ref().map_or(0, |table| table.version()),
+                version = self.version(),
                 source: = source,
                 before_age_ms = previous.elapsed().as_millis() as u64,
                 age_ms = as_of.elapsed().as_millis() as u64,
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -190,10 +190,7 @@
         let age_ms = |age: Option<std::time::Duration>| {
             age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX))
         };
-        let version = gateway
-            .table_cache
-            .table()
-            .map_or(0, |table| table.version());
+        let version = gateway.table_cache.version();
         self.open_requests
             .set(i64::from(gateway.open_requests.get()));
         self.table_version
--- a/crates/anvil_gateway/src/peers.rs
+++ b/crates/anvil_gateway/src/peers.rs
@@ -227,10 +227,7 @@
             processor_millis: gateway.settings.processor_millis(),
             sent: BootTime::now(),
             echo: None,
-            table_version: gateway
-                .table_cache
-                .table()
-                .map_or(0, |table| table.version()),
+            table_version: gateway.table_cache.version(),
             table_age: gateway.table_cache.age(),
             store_era: gateway.platform.store.era(),
             targets_next: gateway.targets.next(),
@@ -305,11 +302,7 @@
             if let Some(age) = digest.table_age
                 && digest.store_era == gateway.platform.store.era()
             {
-                let version = gateway
-                    .table_cache
-                    .table()
-                    .map_or(0, |table| table.version());
-                if digest.table_version == version {
+                if digest.table_version == gateway.table_cache.version() {
                     let source = Source::Peer(sender.clone());
                     gateway
                         .table_cache
@@ -329,11 +322,7 @@
                 gateway.targets.confirm_current(echo.earlier(age));
             }
         }
-        let version = gateway
-            .table_cache
-            .table()
-            .map_or(0, |table| table.version());
-        if digest.table_version > version {
+        if digest.table_version > gateway.table_cache.version() {
             gateway.newer_table_notify.notify_one();
         }
         gateway
--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -222,6 +222,7 @@
     let age_limit = gateway.settings.bounds.revoke.mul_f64(READY_AGE_RATIO);
     gateway.phase() == Phase::Serving
         && gateway.table_cache.table().is_some()
+        && !gateway.is_table_superseded()
         && gateway
             .table_cache
             .age()
