--- a/crates/anvil_gateway/src/peers.rs
+++ b/crates/anvil_gateway/src/peers.rs
@@ -301,13 +301,11 @@
             // What a peer knows of an older era is no confirmation: the store may have other tables.
             if let Some(age) = digest.table_age
                 && digest.store_era == gateway.platform.store.era()
+                && digest.table_version == gateway.table_cache.version()
             {
-                if digest.table_version == gateway.table_cache.version() {
-                    let source = Source::Peer(sender.clone());
-                    gateway
-                        .table_cache
-                        .confirm_current(echo.earlier(age), source);
-                }
+                gateway
+                    .table_cache
+                    .confirm_current(echo.earlier(age), Source::Peer(sender.clone()));
             }
             if let (Some(batch), Some(age)) = (&digest.target_changes, digest.targets_age) {
                 gateway.targets.apply_peer_changes(
