Count a poll that the store cut short from its request

An answer without records confirmed the table as of its arrival, also where the store answered before the wait was over: the way back, which a slow store or link makes long, made the table look newer than it was known to be. Only a wait that lasted its full time moves the confirmation on, by that time.

follow_table_counts_early_answer_from_its_request failed before and passes now.

--- a/crates/anvil_gateway/src/follow.rs
+++ b/crates/anvil_gateway/src/follow.rs
@@ -212,11 +212,11 @@
                 self.next = None;
             }
             Changes::Listed(read) => {
-                // The store answers as soon as there is a record. An answer without one therefore
-                // shows that the table was unchanged until the wait ended.
+                // The store answers as soon as there is a record. An answer without one after the
+                // whole wait therefore shows that the table was unchanged until then.
                 self.is_unchanged = read.next == from;
-                let waited = match self.is_unchanged {
-                    true => wait.min(requested_at.elapsed()),
+                let waited = match self.is_unchanged && requested_at.elapsed() >= wait {
+                    true => wait,
                     false => Duration::ZERO,
                 };
                 let as_of = requested_at.later(waited);
--- a/crates/anvil_gateway/src/follow/tests.rs
+++ b/crates/anvil_gateway/src/follow/tests.rs
@@ -509,3 +509,23 @@
         expect_that!(gateway.is_table_superseded(), eq(false));
     });
 }
+
+/// Guards against a table that counts as confirmed at the end of a wait that the store cut short: the
+/// answer may have been under way for long.
+#[gtest]
+fn follow_table_counts_early_answer_from_its_request() {
+    run_with_paused_clock(async {
+        let store = store();
+        let gateway = lone_gateway(&store, 1);
+        store.wait_limit.set(Some(Duration::from_millis(10)));
+        spawn_local(follow_table(Rc::clone(&gateway)));
+        for _ in 0..100 {
+            sleep(Duration::from_millis(1)).await;
+            let answered = store.table_calls.borrow();
+            if let [.., previous, _] = answered[..] {
+                let current_as_of = gateway.table_cache.age().unwrap();
+                expect_that!(current_as_of, ge(previous.elapsed()));
+            }
+        }
+    });
+}
--- a/crates/anvil_gateway/src/follow/tests/fakes.rs
+++ b/crates/anvil_gateway/src/follow/tests/fakes.rs
@@ -92,6 +92,8 @@
     era: Cell<Era>,
     /// Newest era that an answer or a peer named.
     known_era: Cell<Era>,
+    /// Longest time that a call waits for a change, whatever it asked for. `None` if unlimited.
+    pub(super) wait_limit: Cell<Option<Duration>>,
     /// When each call for tables arrived.
     pub(super) table_calls: RefCell<Vec<Instant>>,
 }
@@ -148,11 +150,12 @@
         if self.availability.get() == Availability::Refusing {
             return not_executed();
         }
+        let answer_by = wait.min(self.wait_limit.get().unwrap_or(wait));
         let was_silent = self.availability.get() == Availability::Silent;
-        while !is_due() && arrived.elapsed() < wait {
+        while !is_due() && arrived.elapsed() < answer_by {
             tokio::select! {
                 () = self.changed.notified() => {}
-                () = sleep_until(arrived + wait) => {}
+                () = sleep_until(arrived + answer_by) => {}
             }
         }
         sleep(ANSWER_TIME).await;
