Act on what a target states about itself: that it leaves, and for how long it wants no requests

A target that leaves says so in all its answers; a host that was told sends it nothing new, whether the list or the store is in reach or not: not on pooled connections, not in a retry that waits, not as a part of a path, no orders. The statement belongs to one run of the target and outlasts its absence from the list. Digests tell peers. A refusal with a time closes the target for that time and up to a quarter more, drawn at random, so that hosts don't come back together; the time is bounded by 60 s. Where all targets of a plain service are closed, callers are told when the first opens.

Answers to orders and reports are not read for this, and a part of a path that isn't the first is heard only through its own answers as a first part, through peers, or through the list.

--- a/crates/anvil_gateway/src/follow/tests.rs
+++ b/crates/anvil_gateway/src/follow/tests.rs
@@ -94,6 +94,7 @@
         loads: Vec::new(),
         avoided: Vec::new(),
         refusing: Vec::new(),
+        leaving: Vec::new(),
         slow: Vec::new(),
         target_changes: None,
     }
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -34,11 +34,16 @@
 
 use crate::{
     clock::BootTime,
+    http1::ResponseHead,
     knowledge::TableCache,
     metrics::Metrics,
     peers::PeerRegistry,
-    port::Platform,
+    port::{
+        Platform,
+        ResponseMetadata, //
+    },
     settings::Settings,
+    target::Target,
     targets::Targets, //
 };
 
@@ -138,6 +143,14 @@
         table.max(self.targets.current_as_of())
     }
 
+    /// Reads the metadata of a target's answer and applies what the target states about itself.
+    pub fn parse_answer(&self, target: &Target, head: &ResponseHead) -> ResponseMetadata {
+        let metadata = self.platform.header_codec.parse_response(head);
+        self.targets
+            .apply_answer(target, &metadata, Instant::now(), self.random_unit());
+        metadata
+    }
+
     /// Returns the highest version of the operators' table that a live peer has, or 0.
     pub fn newest_peer_version(&self) -> Version {
         self.peers.borrow().newest_table_version(Instant::now())
--- a/crates/anvil_gateway/src/paths.rs
+++ b/crates/anvil_gateway/src/paths.rs
@@ -339,11 +339,16 @@
         excluded: &[Rc<Target>],
     ) -> Self {
         let now = Instant::now();
+        let peer_leaving = gateway.peers.borrow().leaving(now);
         let ready_targets: Vec<Rc<Target>> = gateway
             .targets
             .of_service(request.service_id)
             .into_iter()
-            .filter(|target| target.is_listed_ready() && target.entry.borrow().layers.is_some())
+            .filter(|target| {
+                target.is_listed_ready()
+                    && !peer_leaving.contains(&target.id_hash)
+                    && target.entry.borrow().layers.is_some()
+            })
             .collect();
         let peer_loads = gateway.peers.borrow().loads(now);
         let peer_slow = gateway.peers.borrow().slowdowns(now);
@@ -389,7 +394,7 @@
                 let data_centre = index_or_insert(&mut data_centres, &entry.data_centre);
                 let (layers, _) = entry.layers?;
                 let kind = *engine.kinds.get(entry.kind.as_ref()?)?;
-                let is_avoided = target.is_avoided(now);
+                let is_avoided = target.is_avoided(now) || !target.closed_for(now).is_zero();
                 let is_excluded = excluded.iter().any(|other| Rc::ptr_eq(other, target));
                 let is_avoided_by_peers = trusts_avoidance
                     && peer_avoided.contains(&target.id_hash)
--- a/crates/anvil_gateway/src/peers.rs
+++ b/crates/anvil_gateway/src/peers.rs
@@ -235,6 +235,7 @@
             loads: gateway.targets.own_loads(),
             avoided: gateway.targets.own_avoided(AvoidReason::Unresponsive, now),
             refusing: gateway.targets.own_avoided(AvoidReason::Refusing, now),
+            leaving: gateway.targets.own_leaving(),
             slow: gateway.targets.own_slow(now),
             target_changes: None,
         }
--- a/crates/anvil_gateway/src/peers/message.rs
+++ b/crates/anvil_gateway/src/peers/message.rs
@@ -61,6 +61,8 @@
     /// Hashes of the targets that refuse the sender's requests although they are alive and have
     /// capacity.
     pub refusing: Vec<u32>,
+    /// Hashes of the targets that stated to the sender that they are shutting down.
+    pub leaving: Vec<u32>,
     /// Targets that reported a slowdown to the sender.
     pub slow: Vec<SlowTarget>,
     /// Changes of the target list that the sender has just read from the store.
@@ -135,6 +137,7 @@
             .collect(),
         avoided: digest.avoided.clone(),
         refusing: digest.refusing.clone(),
+        leaving: digest.leaving.clone(),
         slow_targets: digest.slow.iter().map(|slow| slow.target_hash).collect(),
         slow_percents: digest
             .slow
@@ -187,6 +190,7 @@
         loads,
         avoided: digest.avoided,
         refusing: digest.refusing,
+        leaving: digest.leaving,
         slow: digest
             .slow_targets
             .into_iter()
--- a/crates/anvil_gateway/src/peers/tests.rs
+++ b/crates/anvil_gateway/src/peers/tests.rs
@@ -35,6 +35,7 @@
         }],
         avoided: vec![7, 8],
         refusing: vec![9],
+        leaving: vec![10, 11],
         slow: vec![SlowTarget {
             target_hash: 8,
             slowdown: 12.5,
--- a/crates/anvil_gateway/src/peers/view.rs
+++ b/crates/anvil_gateway/src/peers/view.rs
@@ -220,6 +220,17 @@
             .collect()
     }
 
+    /// Returns the hashes of the targets that stated to at least one live peer that they are shutting
+    /// down.
+    pub fn leaving(&self, now: Instant) -> HashSet<u32> {
+        self.peers
+            .values()
+            .filter(|peer| peer.is_live(now))
+            .flat_map(|peer| &peer.digest)
+            .flat_map(|digest| digest.leaving.iter().copied())
+            .collect()
+    }
+
     /// Returns the slowdowns that targets reported to live peers, by the hash of the target's name.
     /// The largest one counts where several peers report a target.
     pub fn slowdowns(&self, now: Instant) -> HashMap<u32, f64> {
--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -169,8 +169,8 @@
             false => ErrorReason::AnswerLost,
         }));
     }
-    let retry_after =
-        gateway.random_duration(RETRY_AFTER_MIN, RETRY_AFTER_MIN + RETRY_AFTER_JITTER);
+    let retry_after = shortest_closed_time(gateway, request)
+        + gateway.random_duration(RETRY_AFTER_MIN, RETRY_AFTER_MIN + RETRY_AFTER_JITTER);
     Err(ErrorResponse::not_run(
         ErrorReason::NoTarget,
         Some(retry_after),
@@ -185,6 +185,19 @@
     Instant::now() + attempt_timeout.min(time_left / 2)
 }
 
+/// Returns the time until the first target of the service wants requests again, or zero if one does
+/// now or none is listed.
+fn shortest_closed_time(gateway: &Gateway, request: &RequestContext<'_>) -> Duration {
+    let now = Instant::now();
+    let targets = gateway.targets.of_service(request.service_id);
+    targets
+        .iter()
+        .filter(|target| target.is_listed_ready())
+        .map(|target| target.closed_for(now))
+        .min()
+        .unwrap_or_default()
+}
+
 /// Chooses the target with the fewest requests in flight from this host, and prefers this host's
 /// data centre. Returns `None` if every listed target was tried.
 fn choose(
@@ -194,6 +207,7 @@
 ) -> Option<Rc<Target>> {
     let now = Instant::now();
     let candidates = gateway.targets.of_service(request.service_id);
+    let peer_leaving = gateway.peers.borrow().leaving(now);
     let cost = |target: &Rc<Target>| {
         let is_remote = target.entry.borrow().data_centre != gateway.settings.data_centre;
         let avoided = f64::from(u8::from(target.is_avoided(now)));
@@ -205,7 +219,7 @@
     };
     candidates
         .into_iter()
-        .filter(|target| target.is_listed_ready())
+        .filter(|target| target.accepts(now) && !peer_leaving.contains(&target.id_hash))
         .filter(|target| !tried.iter().any(|other| Rc::ptr_eq(other, target)))
         .map(|target| (cost(&target), target))
         .min_by(|left, right| left.0.total_cmp(&right.0))
@@ -231,8 +245,8 @@
             return AttemptResult::NotRun("no connection");
         }
     };
-    if !target.is_listed_ready() {
-        return AttemptResult::NotRun("target is leaving");
+    if !target.accepts(Instant::now()) {
+        return AttemptResult::NotRun("target takes no requests");
     }
     if request.team.is_some() && are_keys_stale(gateway) {
         return AttemptResult::NotRun("keys may be outdated");
@@ -256,7 +270,7 @@
     trace.via.push(target.id.to_string());
     match timeout_at(
         attempt_deadline,
-        send_and_receive(gateway, request, &mut acquired.connection, &out),
+        send_and_receive(gateway, request, target, &mut acquired.connection, &out),
     )
     .await
     {
@@ -298,6 +312,7 @@
 async fn send_and_receive(
     gateway: &Gateway,
     request: &RequestContext<'_>,
+    target: &Target,
     connection: &mut Connection,
     out: &[u8],
 ) -> Result<(ResponseHead, ResponseMetadata, Bytes), &'static str> {
@@ -310,7 +325,7 @@
             .read_response()
             .await
             .map_err(|_| "connection ended before the answer")?;
-        let metadata = gateway.platform.header_codec.parse_response(&head);
+        let metadata = gateway.parse_answer(target, &head);
         let mut decoder = match request.head.method.as_str() {
             "HEAD" => BodyDecoder::new(crate::http1::Framing::Length(0)),
             _ => BodyDecoder::new(head.framing),
--- a/crates/anvil_gateway/src/port.rs
+++ b/crates/anvil_gateway/src/port.rs
@@ -104,6 +104,11 @@
     pub load: Option<ReportedLoad>,
     /// Time for which the target keeps an idle connection open; `None` where it states none.
     pub idle_timeout: Option<Duration>,
+    /// Whether the target states that it is shutting down.
+    pub is_leaving: bool,
+    /// Time for which a target that refused the request wants no other from this host; `None` where
+    /// it states none.
+    pub retry_after: Option<Duration>,
 }
 
 /// Reads and writes the headers that the platform defines for callers and targets.
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -290,8 +290,8 @@
                 return AttemptResult::NotRun("no connection", Some(first.address()));
             }
         };
-        if !first.is_listed_ready() {
-            return AttemptResult::NotRun("engine is leaving", None);
+        if !first.accepts(Instant::now()) {
+            return AttemptResult::NotRun("engine takes no requests", None);
         }
         // Keys are checked only before the first send: a request that was accepted continues under
         // the key that it came with.
@@ -350,7 +350,7 @@
                 }
                 Ok(Ok(head)) => head,
             };
-            let metadata = gateway.platform.header_codec.parse_response(&head);
+            let metadata = gateway.parse_answer(first, &head);
             if is_response_to(&metadata, &self.request.metadata.id) {
                 break (head, metadata);
             }
--- a/crates/anvil_gateway/src/target.rs
+++ b/crates/anvil_gateway/src/target.rs
@@ -84,6 +84,10 @@
     slowdown: Cell<f64>,
     /// When the target last reported a slowdown, and that slowdown.
     reported: Cell<Option<(Instant, f64)>>,
+    /// Whether the target stated that it is shutting down. Invariant: never reset.
+    says_leaving: Cell<bool>,
+    /// Time until which the target wants no requests from this host.
+    closed_until: Cell<Option<Instant>>,
     /// Whether the target is no longer listed, or another run has taken its name.
     pub(crate) is_removed: Cell<bool>,
 }
@@ -105,6 +109,8 @@
             consecutive_failures: Cell::new(0),
             slowdown: Cell::new(1.0),
             reported: Cell::new(None),
+            says_leaving: Cell::new(false),
+            closed_until: Cell::new(None),
             is_removed: Cell::new(false),
         }
     }
@@ -114,9 +120,39 @@
         self.entry.borrow().address
     }
 
-    /// Returns whether the list says that the target takes new requests.
+    /// Returns whether the target takes new requests, according to the list and its own answers.
     pub fn is_listed_ready(&self) -> bool {
-        !self.is_removed.get() && self.entry.borrow().state == TargetState::Ready
+        !self.is_removed.get()
+            && !self.says_leaving.get()
+            && self.entry.borrow().state == TargetState::Ready
+    }
+
+    /// Returns whether the target stated that it is shutting down.
+    pub fn says_leaving(&self) -> bool {
+        self.says_leaving.get()
+    }
+
+    /// Records that the target stated that it is shutting down. Returns whether this is new.
+    pub(crate) fn record_leaving(&self) -> bool {
+        !self.says_leaving.replace(true)
+    }
+
+    /// Returns the time for which the target still wants no requests from this host.
+    pub fn closed_for(&self, now: Instant) -> Duration {
+        self.closed_until
+            .get()
+            .map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
+    /// Records that the target wants no requests from this host until `until`.
+    pub(crate) fn record_closed(&self, until: Instant) {
+        self.closed_until
+            .set(self.closed_until.get().max(Some(until)));
+    }
+
+    /// Returns whether this host may send the target a new request at `now`.
+    pub fn accepts(&self, now: Instant) -> bool {
+        self.is_listed_ready() && self.closed_for(now).is_zero()
     }
 
     /// Returns whether the target is avoided at `now`.
--- a/crates/anvil_gateway/src/targets.rs
+++ b/crates/anvil_gateway/src/targets.rs
@@ -29,6 +29,7 @@
     },
     port::{
         Position,
+        ResponseMetadata,
         TargetChange,
         TargetEntry, //
     }, //
@@ -50,6 +51,15 @@
 /// Time after the store's return within which live targets whose entries lapsed register again.
 const RELIST_TIME: Duration = Duration::from_secs(2);
 
+/// Largest number of runs of targets that are remembered as shutting down before those that are no
+/// longer listed are forgotten.
+const LEAVING_RUNS_MAX: usize = 1024;
+/// Longest time for which a target may ask for no requests.
+const CLOSED_TIME_MAX: Duration = Duration::from_secs(60);
+/// Share of the time that a target states by which hosts come back later, at random, so that they
+/// don't come back together.
+const CLOSED_SPREAD: f64 = 0.25;
+
 /// All listed targets.
 #[derive(Debug)]
 pub struct Targets {
@@ -65,6 +75,9 @@
     /// End of the time in which a removed entry may only have lapsed. `None` unless the store was
     /// away shortly before.
     relist_until: Cell<Option<BootTime>>,
+    /// Runs of targets that stated that they are shutting down, by the start of the run. They are
+    /// kept while the target is not listed, because the store may list it again.
+    leaving_runs: RefCell<HashMap<TargetId, u64>>,
     /// Targets whose entries were removed in that time. Invariant: all are in `by_id`, and none is
     /// left once the time has ended.
     lapsed: RefCell<HashSet<TargetId>>,
@@ -80,10 +93,51 @@
             lapse_age: heartbeat * LAPSE_AGE_HEARTBEATS,
             isolated_at: Cell::new(None),
             relist_until: Cell::new(None),
+            leaving_runs: RefCell::new(HashMap::new()),
             lapsed: RefCell::new(HashSet::new()),
         }
     }
 
+    /// Applies what a target states about itself in an answer. `random_unit` is a random number in
+    /// `0.0..1.0`.
+    pub fn apply_answer(
+        &self,
+        target: &Target,
+        metadata: &ResponseMetadata,
+        now: Instant,
+        random_unit: f64,
+    ) {
+        if metadata.is_leaving && target.record_leaving() {
+            spdlog::info!("target.says_leaving", kv: { target = target.id.as_str() });
+            let mut leaving_runs = self.leaving_runs.borrow_mut();
+            if leaving_runs.len() >= LEAVING_RUNS_MAX {
+                let by_id = self.by_id.borrow();
+                leaving_runs.retain(|id, _| by_id.contains_key(id));
+            }
+            leaving_runs.insert(target.id.clone(), target.entry.borrow().started_unix_ms);
+        }
+        if let Some(retry_after) = metadata.retry_after {
+            let bounded = retry_after.min(CLOSED_TIME_MAX);
+            let time = bounded.mul_f64(1.0 + CLOSED_SPREAD * random_unit);
+            target.record_closed(now + time);
+            spdlog::info!("target.closed", kv: {
+                target = target.id.as_str(),
+                stated_ms = retry_after.as_millis() as u64,
+                time_ms = time.as_millis() as u64,
+            });
+        }
+    }
+
+    /// Returns the hashes of the targets that stated to this host that they are shutting down.
+    pub fn own_leaving(&self) -> Vec<u32> {
+        self.by_id
+            .borrow()
+            .values()
+            .filter(|target| target.says_leaving())
+            .map(|target| target.id_hash)
+            .collect()
+    }
+
     /// Records that this host hears from none of its peers. It can't tell then whether the store was
     /// away for all, so that removed entries count at once.
     pub fn record_isolation(&self) {
@@ -289,7 +343,19 @@
             existing.is_removed.set(true);
         }
         log_entry(&id, &entry);
-        by_id.insert(id.clone(), Rc::new(Target::new(id, entry)));
+        let started_unix_ms = entry.started_unix_ms;
+        let target = Target::new(id.clone(), entry);
+        let mut leaving_runs = self.leaving_runs.borrow_mut();
+        match leaving_runs.get(&id) {
+            Some(leaving_run) if *leaving_run == started_unix_ms => {
+                target.record_leaving();
+            }
+            Some(_) => {
+                leaving_runs.remove(&id);
+            }
+            None => {}
+        }
+        by_id.insert(id, Rc::new(target));
     }
 
     fn remove(&self, id: &TargetId, reason: &'static str) {
--- a/crates/anvil_gateway/src/targets/tests.rs
+++ b/crates/anvil_gateway/src/targets/tests.rs
@@ -2,7 +2,10 @@
 use tokio::time::advance;
 
 use super::*;
-use crate::port::TargetState;
+use crate::port::{
+    ResponseMetadata,
+    TargetState, //
+};
 
 const HEARTBEAT: Duration = Duration::from_millis(1200);
 /// Longer than the entries of targets last without renewal.
@@ -179,3 +182,72 @@
     targets.apply_peer_changes(1, &removal, Position::new(0, 2), BootTime::now());
     expect_that!(target.is_listed_ready(), eq(false));
 }
+
+fn leaving_answer() -> ResponseMetadata {
+    ResponseMetadata {
+        is_leaving: true,
+        ..ResponseMetadata::default()
+    }
+}
+
+/// Guards against requests to a target that stated in an answer that it is shutting down, while the
+/// list still calls it ready.
+#[gtest]
+fn apply_answer_ends_use_of_leaving_target_for_its_run() {
+    let now = Instant::now();
+    let (targets, target) = list_with("target");
+    targets.apply_answer(&target, &leaving_answer(), now, 0.5);
+    expect_that!(target.accepts(now), eq(false));
+    expect_that!(targets.own_leaving(), elements_are![eq(&target.id_hash)]);
+    // Neither an answer without the statement nor a renewal of the entry ends it.
+    targets.apply_answer(&target, &ResponseMetadata::default(), now, 0.5);
+    let renewal = vec![TargetChange::Put("target".into(), entry())];
+    targets.apply(renewal.clone(), Position::new(0, 2), BootTime::now());
+    expect_that!(target.accepts(now), eq(false));
+    // Nor does a listing after the target had gone.
+    let removal = vec![TargetChange::Removed("target".into())];
+    targets.apply(removal, Position::new(0, 3), BootTime::now());
+    targets.apply(renewal, Position::new(0, 4), BootTime::now());
+    let listed = targets.get(&"target".into()).unwrap();
+    expect_that!(listed.accepts(now), eq(false));
+    // Another run takes requests.
+    let next_run = TargetEntry {
+        started_unix_ms: 2,
+        ..entry()
+    };
+    let listing = vec![TargetChange::Put("target".into(), next_run)];
+    targets.apply(listing, Position::new(0, 5), BootTime::now());
+    let listed = targets.get(&"target".into()).unwrap();
+    expect_that!(listed.accepts(now), eq(true));
+    expect_that!(targets.own_leaving().len(), eq(0));
+}
+
+/// Guards against requests to a target within the time for which it wants none, and against hosts that
+/// come back together.
+#[gtest]
+fn apply_answer_closes_target_for_stated_time() {
+    let now = Instant::now();
+    let stated = Duration::from_secs(3);
+    let answer = |retry_after| ResponseMetadata {
+        retry_after: Some(retry_after),
+        ..ResponseMetadata::default()
+    };
+    let mut closed_times = Vec::new();
+    for random_unit in [0.0, 0.5, 0.999] {
+        let (targets, target) = list_with("target");
+        expect_that!(target.accepts(now), eq(true));
+        targets.apply_answer(&target, &answer(stated), now, random_unit);
+        expect_that!(target.accepts(now), eq(false));
+        expect_that!(target.accepts(now + stated.mul_f64(0.99)), eq(false));
+        expect_that!(target.accepts(now + stated * 2), eq(true));
+        // A shorter time does not shorten a longer one.
+        targets.apply_answer(&target, &answer(Duration::ZERO), now, random_unit);
+        expect_that!(target.closed_for(now), ge(stated));
+        closed_times.push(target.closed_for(now));
+    }
+    closed_times.dedup();
+    expect_that!(closed_times.len(), eq(3));
+    let (targets, target) = list_with("target");
+    targets.apply_answer(&target, &answer(Duration::from_secs(1 << 40)), now, 0.999);
+    expect_that!(target.closed_for(now), le(CLOSED_TIME_MAX * 2));
+}
--- a/crates/anvil_observe/src/events.rs
+++ b/crates/anvil_observe/src/events.rs
@@ -22,6 +22,7 @@
 pub const EVENTS: &[Event] = events! {
     "admission.refused": "A request was refused at admission. The line gives the predicted wait and the queue length.",
     "answer.crossed": "A target sent an answer to a request other than the awaited one. The answer was dropped.",
+    "answer.header_unreadable": "A header of a target's answer can't be read and was ignored.",
     "claims.answer_lost": "A call was sent under a claim and its answer was lost, so its outcome is unknown.",
     "claims.append_failed": "Records of a shard could not be appended. They are read back before they are appended again.",
     "claims.applied": "A record of a shard's stream was applied.",
@@ -127,6 +128,8 @@
     "target.lapsed": "The entry of a target was removed right after the store had been away. The target stays in use for the time in which live targets register again.",
     "target.listed": "The entry of a target appeared, or its state or layers changed.",
     "target.reached": "A target that had been unreachable answered a load report. A request may be tried on it now.",
+    "target.says_leaving": "A target stated in an answer that it is shutting down. It gets nothing new until another run of it registers.",
+    "target.closed": "A target refused a request and stated for how long it wants no other. It gets none until that time, and a little more, is over.",
     "target.speed": "An engine on a path that was slower than predicted reported its own slowdown.",
     "target.speed_unknown": "An engine on a path that was slower than predicted could not be asked for its slowdown.",
     "target.state": "The state of a target changed to leaving, or back to staying.",
