Bound interim and crossed answers of a target, and let a flooded stream end at its deadline

Heads, bodies and events were bounded by length. Interim answers were not: a target that sends 1xx heads without end kept the only thread in one loop without an await that waits, so that no timeout fired and the host served nobody. The same held for complete answers to other requests, and for a stream whose bytes are always there.

Eight interim and eight crossed answers are skipped at most; the connection is then closed and counts as a failure of the target. The relay of a stream checks its deadline itself and yields to other tasks.

No test covers the crossed answers and the relay.

--- a/crates/anvil_gateway/src/http1/connection.rs
+++ b/crates/anvil_gateway/src/http1/connection.rs
@@ -43,6 +43,9 @@
 const READ_RESERVE_BYTES: usize = 4096;
 /// Largest head of an answer. Engines and services send far smaller ones.
 const RESPONSE_HEAD_LIMIT_BYTES: usize = 32 << 10;
+/// Most interim answers before an answer. A peer that sends them without end would otherwise keep
+/// the only thread busy, so that no timeout fires.
+const INTERIM_ANSWERS_MAX: u32 = 8;
 /// Time without acknowledgement of sent bytes after which a connection counts as dead. It is
 /// shorter than the two seconds without events after which callers disconnect.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1800);
@@ -162,17 +165,23 @@
         }
     }
 
-    /// Reads an answer's head; skips interim answers with a status of 1xx.
+    /// Reads an answer's head; skips a few interim answers with a status of 1xx.
     ///
     /// # Errors
     ///
-    /// Returns an error if the connection fails or ends, or if the head is malformed or too large.
+    /// Returns an error if the connection fails or ends, if the head is malformed or too large, or if
+    /// more interim answers come.
     pub async fn read_response(&mut self) -> Result<ResponseHead, ReadError> {
+        let mut interim_answers = 0;
         loop {
             if let Some(head) = ResponseHead::take(&mut self.buffer, RESPONSE_HEAD_LIMIT_BYTES)
                 .map_err(ReadError::Head)?
             {
                 if (100..200).contains(&head.status) {
+                    interim_answers += 1;
+                    if interim_answers > INTERIM_ANSWERS_MAX {
+                        return Err(ReadError::Head(HeadError::Malformed));
+                    }
                     continue;
                 }
                 return Ok(head);
--- a/crates/anvil_gateway/src/http1/tests.rs
+++ b/crates/anvil_gateway/src/http1/tests.rs
@@ -1,3 +1,9 @@
+use std::{
+    future::Future,
+    io::Write,
+    time::Duration, //
+};
+
 use bytes::BytesMut;
 use googletest::prelude::*;
 
@@ -126,3 +132,79 @@
     expect_that!(decoder.end_of_connection(), ok(anything()));
     expect_that!(decoder.is_done(), eq(true));
 }
+
+/// Opens a connection to a peer that sends `head` once and then `endless` until this side closes.
+async fn connect_to_endless(head: &'static str, endless: &'static str) -> Connection {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let block = endless.repeat(1 + 4096 / endless.len());
+        let mut result = stream.write_all(head.as_bytes());
+        while result.is_ok() {
+            result = stream.write_all(block.as_bytes());
+        }
+    });
+    Connection::open(address, Duration::from_secs(10))
+        .await
+        .unwrap()
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    runtime.block_on(test);
+}
+
+/// Guards against a host that reads bytes without end from a target that sends no answer.
+#[gtest]
+fn read_response_gives_up_on_endless_bytes() {
+    let endless = [
+        "garbage",
+        "X-Header: value\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\n",
+    ];
+    for endless in endless {
+        run(async {
+            let mut connection = connect_to_endless("HTTP/1.1 100 Continue\r\n\r\n", endless).await;
+            expect_that!(
+                connection.read_response().await,
+                err(anything()),
+                "{endless:?}"
+            );
+        });
+    }
+    run(async {
+        let mut connection = connect_to_endless("HTTP/1.1 200 OK\r\n", "A: b\r\n").await;
+        expect_that!(connection.read_response().await, err(anything()));
+    });
+}
+
+/// The same for the body of an answer, in each framing.
+#[gtest]
+fn read_whole_body_gives_up_on_endless_bytes() {
+    const LIMIT_BYTES: usize = 1 << 20;
+    let cases = [
+        ("", "garbage"),
+        ("Transfer-Encoding: chunked\r\n", "garbage"),
+        ("Transfer-Encoding: chunked\r\n", "4\r\ndata\r\n"),
+        ("Transfer-Encoding: chunked\r\n", "0"),
+        ("Content-Length: 99999999999\r\n", "garbage"),
+    ];
+    for (framing, endless) in cases {
+        run(async {
+            let head = format!("HTTP/1.1 200 OK\r\n{framing}\r\n").leak();
+            let mut connection = connect_to_endless(head, endless).await;
+            let head = connection.read_response().await.unwrap();
+            let mut decoder = BodyDecoder::new(head.framing);
+            let body = connection.read_whole_body(&mut decoder, LIMIT_BYTES).await;
+            expect_that!(
+                matches!(body, Err(_) | Ok(None)),
+                eq(true),
+                "{framing:?} {endless:?}"
+            );
+        });
+    }
+}
--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -58,6 +58,9 @@
 /// unless half of the time left is shorter.
 const ATTEMPT_TIMEOUT_MIN: Duration = Duration::from_millis(150);
 
+/// Most answers to other requests that are skipped before the one that is awaited.
+pub const CROSSED_ANSWERS_MAX: u32 = 8;
+
 /// The result of sending a request to one target.
 enum AttemptResult {
     /// The complete answer of the target.
@@ -320,7 +323,7 @@
         .write_all(out)
         .await
         .map_err(|_| "connection failed while sending")?;
-    loop {
+    for _ in 0..=CROSSED_ANSWERS_MAX {
         let head = connection
             .read_response()
             .await
@@ -344,4 +347,5 @@
             answers = metadata.id.as_deref().unwrap_or_default(),
         });
     }
+    Err("too many answers to other requests")
 }
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -48,6 +48,7 @@
         PriorAttempts, //
     },
     plain::{
+        CROSSED_ANSWERS_MAX,
         READ_AHEAD_LIMIT_BYTES,
         is_response_to, //
     },
@@ -330,6 +331,7 @@
         }
         let upstream = &mut acquired.connection;
         let mut stall_timer = StallTimer::start(sent_at);
+        let mut crossed_answers = 0;
         let (head, metadata) = loop {
             let head = tokio::select! {
                 biased;
@@ -358,6 +360,10 @@
                 request = self.request.metadata.id.as_str(),
                 answers = metadata.id.as_deref().unwrap_or_default(),
             });
+            crossed_answers += 1;
+            if crossed_answers > CROSSED_ANSWERS_MAX {
+                return AttemptResult::Lost("too many answers to other requests");
+            }
             let mut decoder = BodyDecoder::new(head.framing);
             // The answer belongs to another request. It is skipped if it is short; otherwise the
             // connection is given up rather than waited for.
@@ -452,6 +458,11 @@
         let mut is_first = true;
         let mut out = Vec::new();
         loop {
+            // While bytes are always available, the timeout below never fires, and no other task runs.
+            if Instant::now() >= self.request.deadline {
+                return AttemptResult::DeadlineExceeded;
+            }
+            tokio::task::consume_budget().await;
             let piece = tokio::select! {
                 biased;
                 piece = timeout_at(self.request.deadline, upstream.read_body(decoder)) => piece,
