Read the whole list at once when the position is void, and move relisting out of the target list

After a restore or a compaction a reader waited for its next interval, up to 0.9 s, before it read the whole target list; it reads it in the same turn now, and a reader whose position belongs to an older era reads the whole table instead of asking with it. The state of removed entries that may only have lapsed is a type of its own; its behaviour is unchanged. Tests register peers at a loopback address.

--- a/crates/anvil_gateway/src/follow.rs
+++ b/crates/anvil_gateway/src/follow.rs
@@ -150,7 +150,7 @@
 
     async fn call(&mut self, requested_at: BootTime) -> Result<(), PlatformError> {
         let from = match self.next {
-            Some(from) if peers::is_reader(&self.gateway) => from,
+            Some(from) if peers::is_reader(&self.gateway) && !self.is_of_older_era() => from,
             // The changes since this host last asked may be many, or the log may no longer keep
             // them.
             Some(_) | None => return self.read(requested_at).await,
@@ -300,43 +300,31 @@
             true => read_target_changes(&gateway, &peers, last_read).await,
         };
         match result {
-            Ok(ReadOutcome::Current) => {
+            Ok(()) => {
                 backoff.record_success(last_read);
                 is_complete = true;
             }
-            Ok(ReadOutcome::PositionOutOfRange) => is_complete = false,
             Err(error) => backoff.record_failure(&gateway, &error, last_read),
         }
     }
 }
 
-/// Outcome of a read of the target list.
-enum ReadOutcome {
-    /// The target list is current.
-    Current,
-    /// The store doesn't have some of the changes, so the whole list must be read.
-    PositionOutOfRange,
-}
-
-async fn read_targets(
-    gateway: &Gateway,
-    requested_at: BootTime,
-) -> Result<ReadOutcome, PlatformError> {
+async fn read_targets(gateway: &Gateway, requested_at: BootTime) -> Result<(), PlatformError> {
     let read = gateway.platform.store.newest_targets().await?;
     gateway.targets.replace(read.items, read.next, requested_at);
-    Ok(ReadOutcome::Current)
+    Ok(())
 }
 
 async fn read_target_changes(
     gateway: &Gateway,
     peers: &Peers,
     requested_at: BootTime,
-) -> Result<ReadOutcome, PlatformError> {
+) -> Result<(), PlatformError> {
     let from = gateway.targets.next();
     match gateway.platform.store.targets_after(from).await? {
         Changes::PositionOutOfRange => {
             spdlog::warn!("store.forgot", kv: { reading = "targets", from: });
-            Ok(ReadOutcome::PositionOutOfRange)
+            read_targets(gateway, BootTime::now()).await
         }
         Changes::Listed(read) => {
             let changes = gateway.targets.effective_changes(&read.items);
@@ -346,7 +334,7 @@
             {
                 peers.send_changes(from, &changes).await;
             }
-            Ok(ReadOutcome::Current)
+            Ok(())
         }
     }
 }
--- a/crates/anvil_gateway/src/follow/tests.rs
+++ b/crates/anvil_gateway/src/follow/tests.rs
@@ -73,7 +73,7 @@
         let host: HostId = format!("peer-{index}").into();
         let mut registry = gateway.peers.borrow_mut();
         let key = DatagramKey::from_hex(&"a1".repeat(16)).unwrap();
-        registry.register(host.clone(), "10.0.0.3:82".parse().unwrap(), key);
+        registry.register(host.clone(), "127.0.0.1:9".parse().unwrap(), key);
         registry.record_digest(&host, digest(&host), Instant::now());
     }
 }
--- a/crates/anvil_gateway/src/targets.rs
+++ b/crates/anvil_gateway/src/targets.rs
@@ -39,18 +39,16 @@
     },
 };
 
+use relisting::Relisting;
+
+mod relisting;
+
 #[cfg(test)]
 mod tests;
 
 /// Slowdown from which on a target's report is passed on to peers.
 const RELAYED_SLOWDOWN_MIN: f64 = 1.5;
 
-/// Age of the list, in heartbeats, from which on entries may have lapsed because the store was away.
-/// The store drops an entry after three heartbeats without a renewal.
-const LAPSE_AGE_HEARTBEATS: u32 = 2;
-/// Time after the store's return within which live targets whose entries lapsed register again.
-const RELIST_TIME: Duration = Duration::from_secs(2);
-
 /// Largest number of runs of targets that are remembered as shutting down before those that are no
 /// longer listed are forgotten.
 const LEAVING_RUNS_MAX: usize = 1024;
@@ -68,19 +66,11 @@
     current_as_of: Cell<Option<BootTime>>,
     /// Position of the next change of the store's list; the default before the first read.
     next: Cell<Position>,
-    /// Age of the list from which on entries may have lapsed.
-    lapse_age: Duration,
-    /// Latest time at which this host heard from none of its peers.
-    isolated_at: Cell<Option<BootTime>>,
-    /// End of the time in which a removed entry may only have lapsed. `None` unless the store was
-    /// away shortly before.
-    relist_until: Cell<Option<BootTime>>,
+    /// Targets whose entries may only have lapsed. Invariant: all are in `by_id`.
+    relisting: Relisting,
     /// Runs of targets that stated that they are shutting down, by the start of the run. They are
     /// kept while the target is not listed, because the store may list it again.
     leaving_runs: RefCell<HashMap<TargetId, u64>>,
-    /// Targets whose entries were removed in that time. Invariant: all are in `by_id`, and none is
-    /// left once the time has ended.
-    lapsed: RefCell<HashSet<TargetId>>,
 }
 
 impl Targets {
@@ -90,11 +80,8 @@
             by_id: RefCell::new(HashMap::new()),
             current_as_of: Cell::new(None),
             next: Cell::new(Position::default()),
-            lapse_age: heartbeat * LAPSE_AGE_HEARTBEATS,
-            isolated_at: Cell::new(None),
-            relist_until: Cell::new(None),
+            relisting: Relisting::new(heartbeat),
             leaving_runs: RefCell::new(HashMap::new()),
-            lapsed: RefCell::new(HashSet::new()),
         }
     }
 
@@ -138,57 +125,31 @@
             .collect()
     }
 
-    /// Records that this host hears from none of its peers. It can't tell then whether the store was
-    /// away for all, so that removed entries count at once.
+    /// Records that this host hears from none of its peers.
     pub fn record_isolation(&self) {
-        self.isolated_at.set(Some(BootTime::now()));
+        self.relisting.record_isolation();
     }
 
-    /// Begins the time in which a removed entry may only have lapsed, if the list has been without
-    /// confirmation for long and this host was not isolated, or if the store lost entries: a read up
-    /// to `next` belongs to another era than the list.
-    fn begin_relisting_if_stale(&self, next: Position) {
-        let Some(as_of) = self.current_as_of.get() else {
-            return;
-        };
-        let was_isolated = self.isolated_at.get().is_some_and(|at| at > as_of);
-        let was_away = as_of.elapsed() > self.lapse_age && !was_isolated;
-        let was_restored = next.era() != self.next.get().era();
-        if was_away || was_restored {
-            self.relist_until
-                .set(Some(BootTime::now().later(RELIST_TIME)));
+    /// Prepares for changes up to `next`, after which removed entries may only have lapsed.
+    fn begin_relisting_if_needed(&self, next: Position) {
+        if let Some(as_of) = self.current_as_of.get() {
+            let is_restored = next.era() != self.next.get().era();
+            self.relisting.begin_if_needed(as_of, is_restored);
         }
     }
 
     /// Removes a target, or keeps it for a while if its entry may only have lapsed.
     fn remove_unless_lapsed(&self, id: &TargetId, reason: &'static str) {
-        if self.relist_until.get().is_none() {
+        if !self.relisting.is_active() {
             self.remove(id, reason);
-        } else if self.by_id.borrow().contains_key(id)
-            && self.lapsed.borrow_mut().insert(id.clone())
-        {
+        } else if self.by_id.borrow().contains_key(id) && self.relisting.insert(id) {
             spdlog::info!("target.lapsed", kv: { target = id.as_str(), reason });
         }
     }
 
-    /// Removes the lapsed targets that did not register again in time.
-    fn remove_lapsed(&self) {
-        let is_over = self
-            .relist_until
-            .get()
-            .is_some_and(|until| until <= BootTime::now());
-        if is_over {
-            self.relist_until.set(None);
-            let lapsed = std::mem::take(&mut *self.lapsed.borrow_mut());
-            for id in lapsed {
-                self.remove(&id, "not listed again");
-            }
-        }
-    }
-
     /// Replaces the whole list. Targets that are not in it are removed.
     pub fn replace(&self, changes: Vec<TargetChange>, next: Position, as_of: BootTime) {
-        self.begin_relisting_if_stale(next);
+        self.begin_relisting_if_needed(next);
         let listed: HashSet<_> = changes
             .iter()
             .filter_map(|change| match change {
@@ -233,10 +194,9 @@
     /// heartbeats.
     pub fn effective_changes(&self, changes: &[TargetChange]) -> Vec<TargetChange> {
         let by_id = self.by_id.borrow();
-        let lapsed = self.lapsed.borrow();
         let is_effective = |change: &&TargetChange| match change {
             // Peers may not keep lapsed targets, or not for as long.
-            TargetChange::Put(id, _) if lapsed.contains(id) => true,
+            TargetChange::Put(id, _) if self.relisting.contains(id) => true,
             TargetChange::Put(id, entry) => by_id
                 .get(id)
                 .is_none_or(|target| *target.entry.borrow() != *entry),
@@ -249,7 +209,9 @@
     pub fn confirm_current(&self, as_of: BootTime) {
         self.current_as_of
             .set(self.current_as_of.get().max(Some(as_of)));
-        self.remove_lapsed();
+        for id in self.relisting.take_expired() {
+            self.remove(&id, "not listed again");
+        }
     }
 
     /// Returns the position of the next change of the store's list; the default before the first
@@ -300,7 +262,7 @@
 
     /// Applies all changes of the list before `next`.
     pub fn apply(&self, changes: Vec<TargetChange>, next: Position, as_of: BootTime) {
-        self.begin_relisting_if_stale(next);
+        self.begin_relisting_if_needed(next);
         for change in changes {
             match change {
                 TargetChange::Put(id, entry) => self.put(id, entry),
@@ -319,7 +281,7 @@
     }
 
     fn put(&self, id: TargetId, entry: TargetEntry) {
-        self.lapsed.borrow_mut().remove(&id);
+        self.relisting.remove(&id);
         let mut by_id = self.by_id.borrow_mut();
         if let Some(existing) = by_id.get(&id) {
             let same_run = {
@@ -359,7 +321,7 @@
     }
 
     fn remove(&self, id: &TargetId, reason: &'static str) {
-        self.lapsed.borrow_mut().remove(id);
+        self.relisting.remove(id);
         if let Some(target) = self.by_id.borrow_mut().remove(id) {
             target.is_removed.set(true);
             target.pool.clear();
