Keep lapsed targets only after an outage in which the store answered nobody

Cause: the time in which a removed entry may only have lapsed began whenever this host's list was older than two heartbeats, 2.4 s. On a site with a bound of 3 s, a host that the store turns away, or that missed a batch of its readers, gets there while the store serves everyone else, and kept each target that had left for two seconds more.

An outage is now a time in which no host is known to have been answered: digests carry how old the sender's table and list are, so that each host knows the latest question that the store answered to anyone. The time for relisting runs from the first answer after such a gap, and not from this host's own read, so that it ends within three seconds of the store's return on every host.

apply_removes_target_at_once_when_peers_were_answered and apply_keeps_target_no_longer_than_relist_time_after_first_answer describe the two cases; the state that they need did not exist before.

--- a/crates/anvil_gateway/src/follow.rs
+++ b/crates/anvil_gateway/src/follow.rs
@@ -184,6 +184,7 @@
         let read = self.gateway.platform.store.newest_table().await?;
         let table_cache = &self.gateway.table_cache;
         table_cache.update(read.items, requested_at, Source::Read);
+        self.gateway.targets.record_store_answer(requested_at);
         self.next = Some(read.next);
         self.is_unchanged = false;
         Ok(())
@@ -222,6 +223,7 @@
                 let as_of = requested_at.later(waited);
                 let table_cache = &self.gateway.table_cache;
                 table_cache.update(read.items, as_of, Source::Poll);
+                self.gateway.targets.record_store_answer(as_of);
                 self.next = Some(read.next);
             }
         }
--- a/crates/anvil_gateway/src/peers.rs
+++ b/crates/anvil_gateway/src/peers.rs
@@ -296,6 +296,11 @@
         let gateway = &self.gateway;
         let now = Instant::now();
         gateway.platform.store.observe_era(digest.store_era);
+        if let Some(echo) = digest.echo {
+            for age in [digest.table_age, digest.targets_age].into_iter().flatten() {
+                gateway.targets.record_store_answer(echo.earlier(age));
+            }
+        }
         // The peer measured the ages in its digest after this host had sent the digest that it
         // echoes. Counted back from the echo, they never make a reading look newer than it is.
         if let Some(echo) = digest.echo {
--- a/crates/anvil_gateway/src/targets.rs
+++ b/crates/anvil_gateway/src/targets.rs
@@ -130,11 +130,17 @@
         self.relisting.record_isolation();
     }
 
-    /// Prepares for changes up to `next`, after which removed entries may only have lapsed.
-    fn begin_relisting_if_needed(&self, next: Position) {
-        if let Some(as_of) = self.current_as_of.get() {
-            let is_restored = next.era() != self.next.get().era();
-            self.relisting.begin_if_needed(as_of, is_restored);
+    /// Records that the store answered a question that this host or a peer sent at `as_of`.
+    pub fn record_store_answer(&self, as_of: BootTime) {
+        self.relisting.record_answer(as_of);
+    }
+
+    /// Records a read of the list at `as_of` up to `next`.
+    fn record_read(&self, next: Position, as_of: BootTime) {
+        self.relisting.record_answer(as_of);
+        let is_restored = next.era() != self.next.get().era();
+        if self.current_as_of.get().is_some() && is_restored {
+            self.relisting.record_restore();
         }
     }
 
@@ -149,7 +155,7 @@
 
     /// Replaces the whole list. Targets that are not in it are removed.
     pub fn replace(&self, changes: Vec<TargetChange>, next: Position, as_of: BootTime) {
-        self.begin_relisting_if_needed(next);
+        self.record_read(next, as_of);
         let listed: HashSet<_> = changes
             .iter()
             .filter_map(|change| match change {
@@ -262,7 +268,7 @@
 
     /// Applies all changes of the list before `next`.
     pub fn apply(&self, changes: Vec<TargetChange>, next: Position, as_of: BootTime) {
-        self.begin_relisting_if_needed(next);
+        self.record_read(next, as_of);
         for change in changes {
             match change {
                 TargetChange::Put(id, entry) => self.put(id, entry),
--- a/crates/anvil_gateway/src/targets/relisting.rs
+++ b/crates/anvil_gateway/src/targets/relisting.rs
@@ -14,17 +14,20 @@
 
 use crate::clock::BootTime;
 
-/// Age of the list, in heartbeats, from which on entries may have lapsed because the store was away.
-/// The store drops an entry after three heartbeats without a renewal.
-const LAPSE_AGE_HEARTBEATS: u32 = 2;
+/// Time without an answer of the store to any host, in heartbeats, from which on entries may have
+/// lapsed. The store drops an entry after three heartbeats without a renewal.
+const OUTAGE_MIN_HEARTBEATS: u32 = 2;
 /// Time after the store's return within which live targets whose entries lapsed register again.
 const RELIST_TIME: Duration = Duration::from_secs(2);
 
 /// Removed entries that may only have lapsed.
 #[derive(Debug)]
 pub(super) struct Relisting {
-    /// Age of the list from which on entries may have lapsed.
-    lapse_age: Duration,
+    /// Time without an answer of the store from which on entries may have lapsed.
+    outage_min: Duration,
+    /// Latest time at which a question is known to have been sent that the store answered, to this
+    /// host or to a peer. `None` before the first.
+    answered_as_of: Cell<Option<BootTime>>,
     /// Latest time at which this host heard from none of its peers.
     isolated_at: Cell<Option<BootTime>>,
     /// End of the time in which a removed entry may only have lapsed. `None` unless the store was
@@ -38,7 +41,8 @@
     /// Creates the state for targets that renew their entries every `heartbeat`.
     pub(super) fn new(heartbeat: Duration) -> Self {
         Self {
-            lapse_age: heartbeat * LAPSE_AGE_HEARTBEATS,
+            outage_min: heartbeat * OUTAGE_MIN_HEARTBEATS,
+            answered_as_of: Cell::new(None),
             isolated_at: Cell::new(None),
             until: Cell::new(None),
             lapsed: RefCell::new(HashSet::new()),
@@ -51,20 +55,35 @@
         self.isolated_at.set(Some(BootTime::now()));
     }
 
-    /// Begins the time in which a removed entry may only have lapsed, if the list was last current
-    /// long ago, at `current_as_of`, and this host was not isolated since, or if the store was
-    /// restored.
-    pub(super) fn begin_if_needed(&self, current_as_of: BootTime, is_restored: bool) {
-        let was_isolated = self.isolated_at.get().is_some_and(|at| at > current_as_of);
-        let was_away = current_as_of.elapsed() > self.lapse_age && !was_isolated;
-        if was_away || is_restored {
-            self.until.set(Some(BootTime::now().later(RELIST_TIME)));
+    /// Records that the store answered a question that this host or a peer sent at `as_of`. If it
+    /// had answered nobody for long, removed entries may only have lapsed for some time from then
+    /// on. A list that is merely old shows no outage: the store may have turned this host away
+    /// alone.
+    pub(super) fn record_answer(&self, as_of: BootTime) {
+        let Some(previous) = self.answered_as_of.get() else {
+            self.answered_as_of.set(Some(as_of));
+            return;
+        };
+        if as_of <= previous {
+            return;
         }
+        let was_isolated = self.isolated_at.get().is_some_and(|at| at > previous);
+        if as_of > previous.later(self.outage_min) && !was_isolated {
+            self.until.set(Some(as_of.later(RELIST_TIME)));
+        }
+        self.answered_as_of.set(Some(as_of));
+    }
+
+    /// Records that the store was restored, so that entries may have been lost.
+    pub(super) fn record_restore(&self) {
+        self.until.set(Some(BootTime::now().later(RELIST_TIME)));
     }
 
     /// Returns whether a removed entry may only have lapsed now.
     pub(super) fn is_active(&self) -> bool {
-        self.until.get().is_some()
+        self.until
+            .get()
+            .is_some_and(|until| until > BootTime::now())
     }
 
     /// Adds a target whose entry was removed. Returns whether this is new.
--- a/crates/anvil_gateway/src/targets/tests.rs
+++ b/crates/anvil_gateway/src/targets/tests.rs
@@ -148,6 +148,36 @@
     });
 }
 
+/// Guards against a host that keeps a target that left, because the store turned this host away while
+/// it served its peers.
+#[gtest]
+fn apply_removes_target_at_once_when_peers_were_answered() {
+    run_with_paused_clock(async {
+        let (targets, target) = list_with("target");
+        for _ in 0..8 {
+            advance(OUTAGE / 8).await;
+            targets.record_store_answer(BootTime::now());
+        }
+        let removal = vec![TargetChange::Removed("target".into())];
+        targets.apply(removal, Position::new(0, 2), BootTime::now());
+        expect_that!(target.is_listed_ready(), eq(false));
+    });
+}
+
+/// Guards against a host that reads the list late after an outage and then keeps a target that left.
+#[gtest]
+fn apply_keeps_target_no_longer_than_relist_time_after_first_answer() {
+    run_with_paused_clock(async {
+        let (targets, target) = list_with("target");
+        advance(OUTAGE).await;
+        targets.record_store_answer(BootTime::now());
+        advance(RELIST_TIME.mul_f64(1.1)).await;
+        let removal = vec![TargetChange::Removed("target".into())];
+        targets.apply(removal, Position::new(0, 2), BootTime::now());
+        expect_that!(target.is_listed_ready(), eq(false));
+    });
+}
+
 #[gtest]
 fn apply_removes_target_at_once_while_list_is_current() {
     run_with_paused_clock(async {
