Ignore a peer's echo of the clock from before a restart of this host's machine

Cause: a digest echoes the receiver's clock, and what it confirms counts back from there. That clock starts anew with the machine. Peers that had not read the new host list yet echoed the clock from before; the restarted host took their word for a time in its own future, so that its table stayed zero seconds old, and passed that age on. The hosts that the store then turned away confirmed one another by it: logs show version 6 with ages of 10 to 290 ms at ten hosts of a data centre for 8 s after version 10 had been acknowledged, and ages of exactly 0 at hosts that had lost power before.

An echo that lies after the present confirms nothing. echo_before_ignores_clock_of_earlier_start has the case; the function did not exist before.

--- a/crates/anvil_gateway/src/peers.rs
+++ b/crates/anvil_gateway/src/peers.rs
@@ -295,15 +295,16 @@
     fn apply_digest(&self, sender: &HostId, digest: Digest) {
         let gateway = &self.gateway;
         let now = Instant::now();
+        let echo = digest.echo_before(BootTime::now());
         gateway.platform.store.observe_era(digest.store_era);
-        if let Some(echo) = digest.echo {
+        if let Some(echo) = echo {
             for age in [digest.table_age, digest.targets_age].into_iter().flatten() {
                 gateway.targets.record_store_answer(echo.earlier(age));
             }
         }
         // The peer measured the ages in its digest after this host had sent the digest that it
         // echoes. Counted back from the echo, they never make a reading look newer than it is.
-        if let Some(echo) = digest.echo {
+        if let Some(echo) = echo {
             // What a peer knows of an older era is no confirmation: the store may have other tables.
             if let Some(age) = digest.table_age
                 && digest.store_era == gateway.platform.store.era()
--- a/crates/anvil_gateway/src/peers/message.rs
+++ b/crates/anvil_gateway/src/peers/message.rs
@@ -69,6 +69,15 @@
     pub target_changes: Option<TargetChangeBatch>,
 }
 
+impl Digest {
+    /// Returns the receiver's clock when it sent the digest that this one answers. Returns `None` if
+    /// there is none, or if the time lies after `now`: the receiver's machine has restarted since,
+    /// and its clock with it.
+    pub fn echo_before(&self, now: BootTime) -> Option<BootTime> {
+        self.echo.filter(|echo| *echo <= now)
+    }
+}
+
 /// Load of one host's requests at one target.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct TargetLoad {
--- a/crates/anvil_gateway/src/peers/tests.rs
+++ b/crates/anvil_gateway/src/peers/tests.rs
@@ -209,3 +209,14 @@
     registry.record_digest(&"one".into(), digest("one"), Instant::now());
     expect_that!(registry.never_heard_count(), some(eq(0)));
 }
+
+/// Guards against a host that takes its table for fresh, and says so to its peers, because a peer
+/// echoes the clock from before the host's machine restarted.
+#[gtest]
+fn echo_before_ignores_clock_of_earlier_start() {
+    let digest = digest("peer");
+    let echo = digest.echo.unwrap();
+    let second = Duration::from_secs(1);
+    expect_that!(digest.echo_before(echo.later(second)), some(eq(echo)));
+    expect_that!(digest.echo_before(echo.earlier(second)), none());
+}
