Log how far an engine had come with a stream that it lost, and whether it still runs

A stream that was lost at the start of its answer or before it is followed by one connection to the engine, which shows whether its process runs; a connection that opens is kept for the next request. anvil_streams_lost_total counts them by progress and state. No decision reads any of it.

--- a/crates/anvil_core/src/id.rs
+++ b/crates/anvil_core/src/id.rs
@@ -26,6 +26,8 @@
 pub type AcceleratorKind = SmolStr;
 /// Identifier of a caller's request, unique over all hosts.
 pub type RequestId = SmolStr;
+/// Name of a part of a prompt that several requests may share.
+pub type PartId = SmolStr;
 /// Name of a stream on the platform's log.
 pub type LogStreamId = SmolStr;
 /// Position of a record in a stream of the platform's log.
--- a/crates/anvil_gateway/src/faults.rs
+++ b/crates/anvil_gateway/src/faults.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     gateway::Gateway,
+    http1::ConnectError,
     paths::{
         ChosenPath,
         LIVENESS_WINDOW, //
@@ -28,6 +29,8 @@
 /// Shortest interval between two slowdown queries of this host. Peers query other engines and
 /// report the result.
 const SLOWDOWN_QUERY_INTERVAL: Duration = Duration::from_millis(400);
+/// Longest time that the check of an engine after a lost stream may take: a few round trips.
+const STATE_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 /// Largest number of engines of a stalled path that are all recorded as unresponsive.
 const SUSPECTS_MAX: usize = 2;
 
@@ -130,3 +133,46 @@
         }
     }
 }
+
+/// What a new connection shows about an engine that lost a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EngineState {
+    /// The engine accepts connections: only the one of the stream was lost.
+    Alive,
+    /// Nothing listens at its address: its process has ended.
+    Ended,
+    /// The connection could not be opened for another reason.
+    Unreachable,
+}
+
+impl EngineState {
+    /// Returns the name used in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Alive => "alive",
+            Self::Ended => "ended",
+            Self::Unreachable => "unreachable",
+        }
+    }
+}
+
+/// Finds out by a new connection whether an engine that lost a stream is still running. The
+/// connection is kept for the next request.
+pub async fn check_state(engine: &Target) -> EngineState {
+    let opened = engine
+        .pool
+        .open(engine.address(), STATE_CHECK_TIMEOUT)
+        .await;
+    match opened {
+        Ok(acquired) => {
+            engine.pool.release(acquired.connection, None);
+            EngineState::Alive
+        }
+        Err(ConnectError::Failed { source, .. })
+            if source.kind() == std::io::ErrorKind::ConnectionRefused =>
+        {
+            EngineState::Ended
+        }
+        Err(_) => EngineState::Unreachable,
+    }
+}
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -50,6 +50,7 @@
     retries_denied: IntCounter,
     store_failures: IntCounterVec,
     repairs: IntCounterVec,
+    lost_streams: IntCounterVec,
     events: IntCounter,
     duration: Histogram,
     first_event: Histogram,
@@ -118,6 +119,11 @@
                 "Looks for the cause of a silent stream",
                 &["outcome"],
             ),
+            lost_streams: counters(
+                "anvil_streams_lost_total",
+                "Streams that ended with their connection to the engine",
+                &["progress", "target_state"],
+            ),
             events: counter("anvil_events_total", "Events passed on to callers"),
             duration: histogram(
                 "anvil_request_duration_seconds",
@@ -165,6 +171,14 @@
         self.repairs.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a stream whose connection to the engine ended, by how far the engine had come and by
+    /// the state that the engine was found in.
+    pub fn record_lost_stream(&self, progress: &str, target_state: &str) {
+        self.lost_streams
+            .with_label_values(&[progress, target_state])
+            .inc();
+    }
+
     /// Counts a request that ended, and records its times.
     pub fn record_outcome(
         &self,
--- a/crates/anvil_gateway/src/port.rs
+++ b/crates/anvil_gateway/src/port.rs
@@ -14,6 +14,7 @@
         HostId,
         LayerRange,
         Offset,
+        PartId,
         RequestId,
         ServiceId,
         TargetId,
@@ -53,8 +54,14 @@
     /// Number of tokens of the answer that the caller expects, or `None`. Right at the median, but
     /// often far off for a single request.
     pub answer_expected_tokens: Option<u32>,
+    /// Parts of the prompt that other requests may share, in order. At most
+    /// [`SHARED_PARTS_MAX`]; later ones are left out.
+    pub shared_parts: Vec<PartId>,
 }
 
+/// Most parts of a prompt that are read from a request.
+pub const SHARED_PARTS_MAX: usize = 64;
+
 /// One engine of a path.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Stage {
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -16,6 +16,7 @@
     timeout_at, //
 };
 
+use progress::SendProgress;
 use repair::{
     StallAction,
     StallTimer, //
@@ -63,6 +64,7 @@
     },
 };
 
+mod progress;
 mod repair;
 
 /// Longest time that opening a connection to an engine may take: a few round trips.
@@ -111,6 +113,8 @@
     first_engines: Vec<Rc<Target>>,
     /// Engines blamed for a failure of this request.
     failed: Vec<Rc<Target>>,
+    /// How far the engine of the current send has come.
+    progress: SendProgress,
 }
 
 /// Serves a request for a stream until the stream ends or is given up.
@@ -130,6 +134,7 @@
         last_sent_at: Instant::now(),
         first_engines: Vec::new(),
         failed: Vec::new(),
+        progress: SendProgress::default(),
     };
     relay.run(caller, trace).await
 }
@@ -202,6 +207,7 @@
                 }
                 AttemptResult::Lost(failure) => {
                     may_have_run = true;
+                    self.record_lost_stream(chosen.first(), failure).await;
                     // Some engine of the path failed, and it is unknown which. The first one is
                     // blamed; further attempts show whether another one is at fault.
                     self.failed.push(Rc::clone(chosen.first()));
@@ -224,6 +230,26 @@
         }
     }
 
+    /// Logs a lost stream, with the state of its engine if the stream was lost early.
+    async fn record_lost_stream(&self, engine: &Target, failure: &'static str) {
+        let progress = self.progress.name();
+        let state = match self.progress.is_early() {
+            true => faults::check_state(engine).await.as_str(),
+            false => "not checked",
+        };
+        self.gateway.metrics.record_lost_stream(progress, state);
+        spdlog::info!("stream.lost", kv: {
+            request = self.request.metadata.id.as_str(),
+            target = engine.id.as_str(),
+            failure,
+            progress,
+            events = self.progress.events,
+            writing_ms = self.progress.writing_time().as_millis() as u64,
+            parts = self.request.metadata.shared_parts.join(",").as_str(),
+            target_state = state,
+        });
+    }
+
     fn give_up(
         &self,
         reason: ErrorReason,
@@ -325,6 +351,7 @@
             self.first_engines.push(Rc::clone(first));
         }
         let sent_at = Instant::now();
+        self.progress = SendProgress::default();
         if acquired.connection.write_all(&out).await.is_err() {
             first.record_failure(Instant::now());
             return AttemptResult::Lost("connection failed while sending");
@@ -386,6 +413,7 @@
         if !metadata.is_sealed {
             return AttemptResult::Lost("unsealed answer");
         }
+        self.progress.record_head();
         if !self.is_head_sent {
             let out = render_head(&head, RelayedBody::Chunked, self.request.keep_alive);
             if caller.write_all(&out).await.is_err() {
@@ -490,6 +518,7 @@
             out.clear();
             let mut events = 0;
             while let Some(event) = event_decoder.take_event() {
+                self.progress.record_event(now);
                 // A resumed stream may repeat events that were already sent; they are skipped.
                 if let (Some(id), Some(last_id)) = (event.id, self.last_event_id)
                     && id <= last_id
--- a/crates/anvil_observe/src/events.rs
+++ b/crates/anvil_observe/src/events.rs
@@ -118,6 +118,7 @@
     "store.lost": "A read from the store failed. Further failures are not logged until a read succeeds.",
     "store.regained": "A read from the store succeeded after one or more failures.",
     "store.wait_abandoned": "A call that waited at the store for changes was abandoned, and the table is read instead. The line gives the reason.",
+    "stream.lost": "The connection of a stream to its engine ended. The line gives how far the engine had come, the shared parts of the prompt, and whether the engine still accepts connections.",
     "stream.repair_unknown": "An order to continue a request on another path was not answered.",
     "stream.silent": "The cause of a silent stream was investigated. The line tells whether the stream continues on another path.",
     "stream.state_unknown": "The first engine of a silent stream could not be asked what it is waiting for.",
