Add failing tests for prompt parts that end engines

The other tests say who must know: a peer, a host that was restarted beside a peer, and a host after a restart of all. Requests that share the other parts are served in the first test, and must stay so.

--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -67,6 +67,9 @@
 mod progress;
 mod repair;
 
+#[cfg(test)]
+mod tests;
+
 /// Longest time that opening a connection to an engine may take: a few round trips.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Pause between two attempts to choose a path while a stream waits to be resumed.
--- /dev/null
+++ b/crates/anvil_gateway/src/stream/tests.rs
@@ -0,0 +1,100 @@
+use std::time::Duration;
+
+use googletest::prelude::*;
+use tokio::{
+    task::LocalSet,
+    time::sleep, //
+};
+
+use fakes::{
+    CallerResult,
+    Fleet,
+    Host,
+    LETHAL_PART,
+    wait_for_peers, //
+};
+
+mod fakes;
+
+/// Most engines that may end under requests with one part.
+const ENDED_MAX: usize = 5;
+/// Several times the interval at which hosts inform one another.
+const EXCHANGE_TIME: Duration = Duration::from_secs(2);
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    LocalSet::new().block_on(&runtime, test);
+}
+
+/// Sends requests with the lethal part, each with another first part, to a host.
+async fn send_lethal(host: &Host, count: usize) {
+    for index in 0..count {
+        host.call(&[&format!("sound-{index}"), LETHAL_PART]).await;
+    }
+}
+
+#[gtest]
+fn serve_stops_sending_part_that_ends_engines() {
+    run(async {
+        let fleet = Fleet::start(11, 12).await;
+        let host = fleet.start_host(0).await;
+        send_lethal(&host, 10).await;
+        expect_that!(fleet.ended_count(), le(ENDED_MAX));
+        for index in 0..10 {
+            let sound = format!("sound-{index}");
+            expect_that!(host.call(&[&sound]).await, eq(CallerResult::Complete));
+        }
+    });
+}
+
+#[gtest]
+fn serve_stops_sending_part_that_ended_engines_of_peers() {
+    run(async {
+        let fleet = Fleet::start(12, 16).await;
+        let hosts = [fleet.start_host(0).await, fleet.start_host(1).await];
+        wait_for_peers(&[&hosts[0], &hosts[1]]).await;
+        send_lethal(&hosts[0], 4).await;
+        sleep(EXCHANGE_TIME).await;
+        let ended_count = fleet.ended_count();
+        send_lethal(&hosts[1], 4).await;
+        expect_that!(fleet.ended_count(), eq(ended_count));
+        expect_that!(ended_count, le(ENDED_MAX));
+    });
+}
+
+#[gtest]
+fn serve_stops_sending_part_that_ended_engines_before_restart() {
+    run(async {
+        let fleet = Fleet::start(13, 16).await;
+        let peer = fleet.start_host(0).await;
+        let restarted = fleet.start_host(1).await;
+        wait_for_peers(&[&peer, &restarted]).await;
+        send_lethal(&restarted, 4).await;
+        sleep(EXCHANGE_TIME).await;
+        restarted.kill().await;
+        let ended_count = fleet.ended_count();
+        let restarted = fleet.start_host(1).await;
+        sleep(EXCHANGE_TIME).await;
+        send_lethal(&restarted, 4).await;
+        expect_that!(fleet.ended_count(), eq(ended_count));
+    });
+}
+
+#[gtest]
+fn serve_stops_sending_part_that_ended_engines_before_restart_of_all_hosts() {
+    run(async {
+        let fleet = Fleet::start(14, 16).await;
+        let host = fleet.start_host(0).await;
+        send_lethal(&host, 4).await;
+        sleep(EXCHANGE_TIME).await;
+        host.kill().await;
+        let ended_count = fleet.ended_count();
+        let host = fleet.start_host(0).await;
+        sleep(EXCHANGE_TIME).await;
+        send_lethal(&host, 4).await;
+        expect_that!(fleet.ended_count(), eq(ended_count));
+    });
+}
--- /dev/null
+++ b/crates/anvil_gateway/src/stream/tests/fakes.rs
@@ -0,0 +1,509 @@
+//! Engines on loopback addresses that end when they begin to write on a certain prompt part, hosts
+//! before them, and a store that the hosts share.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::BTreeMap,
+    net::{
+        IpAddr,
+        SocketAddr, //
+    },
+    rc::Rc,
+    time::Duration, //
+};
+
+use anvil_core::{
+    engine_model::{
+        AcceleratorSpec,
+        EngineProfile, //
+    },
+    entry::{
+        Backend,
+        CallerLimits,
+        RequestSemantics,
+        Route,
+        Service,
+        Table, //
+    },
+    id::{
+        HostId,
+        LayerRange,
+        PartId,
+        RequestId,
+        TargetId, //
+    },
+};
+use smol_str::{
+    SmolStr,
+    format_smolstr, //
+};
+use tokio::{
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    sync::Notify,
+    task::{
+        JoinSet,
+        spawn_local, //
+    },
+    time::sleep,
+};
+
+use crate::{
+    clock::BootTime,
+    exchange,
+    gateway::Gateway,
+    http1::{
+        BodyDecoder,
+        Connection,
+        RequestHead,
+        ResponseHead, //
+    },
+    knowledge::Source,
+    peers::Peers,
+    port::{
+        Changes,
+        EngineReport,
+        Era,
+        Forwarding,
+        GroupMembership,
+        HeaderCodec,
+        HostEntry,
+        OrderResponse,
+        Orders,
+        PlaceOrder,
+        Platform,
+        PlatformError,
+        PlatformErrorKind,
+        PlatformResult,
+        Position,
+        RepathOrder,
+        RepathResponse,
+        RequestMetadata,
+        ResponseMetadata,
+        Snapshot,
+        Store,
+        TargetChange,
+        TargetEntry,
+        TargetState, //
+    },
+    settings,
+};
+
+/// Prompt part on which each engine ends that begins to write.
+pub(super) const LETHAL_PART: &str = "lethal";
+const PEERS_PORT: u16 = 17_340;
+const HEAD_LIMIT_BYTES: usize = 16 << 10;
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+const LAYER_COUNT: u16 = 4;
+
+/// An engine that holds the whole model.
+pub(super) struct Engine {
+    id: TargetId,
+    address: SocketAddr,
+    /// Whether its process has ended.
+    pub(super) has_ended: Cell<bool>,
+    /// Notified when the process ends.
+    ended: Notify,
+}
+
+impl Engine {
+    /// Starts an engine on a loopback address.
+    async fn start(id: TargetId, address: IpAddr) -> Rc<Self> {
+        let listener = TcpListener::bind((address, 0)).await.unwrap();
+        let engine = Rc::new(Self {
+            id,
+            address: listener.local_addr().unwrap(),
+            has_ended: Cell::new(false),
+            ended: Notify::new(),
+        });
+        spawn_local(Rc::clone(&engine).run(listener));
+        engine
+    }
+
+    async fn run(self: Rc<Self>, listener: TcpListener) {
+        let mut connections = JoinSet::new();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    let (stream, _) = accepted.unwrap();
+                    connections.spawn_local(Rc::clone(&self).serve(stream));
+                }
+                // Drops the listener and all connections.
+                () = self.ended.notified() => return,
+            }
+        }
+    }
+
+    async fn serve(self: Rc<Self>, stream: TcpStream) {
+        let mut connection = Connection::new(stream);
+        while let Ok(Some(head)) = connection
+            .read_request(HEAD_LIMIT_BYTES, IDLE_TIMEOUT, IDLE_TIMEOUT)
+            .await
+        {
+            let id = head.headers.text("id").unwrap_or_default();
+            let begun = format!(
+                "HTTP/1.1 200 OK\r\nid: {id}\r\nsealed: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            );
+            if connection.write_all(begun.as_bytes()).await.is_err() {
+                return;
+            }
+            if parts_of(&head).iter().any(|part| part == LETHAL_PART) {
+                self.has_ended.set(true);
+                self.ended.notify_one();
+                return;
+            }
+            let written = connection.write_all(b"f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n");
+            if written.await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+fn parts_of(head: &RequestHead) -> Vec<PartId> {
+    let text = head.headers.text("parts").unwrap_or_default();
+    text.split(',')
+        .filter(|part| !part.is_empty())
+        .map(PartId::new)
+        .collect()
+}
+
+/// Headers `id` and `parts` of requests, and `id` and `sealed` of answers.
+struct TestHeaders;
+
+impl HeaderCodec for TestHeaders {
+    fn parse_request(&self, head: &RequestHead) -> Result<RequestMetadata, SmolStr> {
+        Ok(RequestMetadata {
+            id: head.headers.text("id").unwrap_or_default().into(),
+            prompt_tokens: 10,
+            answer_limit_tokens: 10,
+            shared_parts: parts_of(head),
+            ..RequestMetadata::default()
+        })
+    }
+
+    fn write_forwarded(
+        &self,
+        head: &RequestHead,
+        body_bytes: usize,
+        _forwarding: &Forwarding<'_>,
+        out: &mut Vec<u8>,
+    ) {
+        let text = |name| head.headers.text(name).unwrap_or_default();
+        let forwarded = format!(
+            "POST /m/ HTTP/1.1\r\nid: {}\r\nparts: {}\r\nContent-Length: {body_bytes}\r\n\r\n",
+            text("id"),
+            text("parts"),
+        );
+        out.extend_from_slice(forwarded.as_bytes());
+    }
+
+    fn parse_response(&self, head: &ResponseHead) -> ResponseMetadata {
+        ResponseMetadata {
+            id: head.headers.text("id").map(RequestId::new),
+            is_sealed: head.headers.get("sealed").is_some(),
+            ..ResponseMetadata::default()
+        }
+    }
+
+    fn request_id_header(&self) -> &'static str {
+        "id"
+    }
+}
+
+fn not_executed<T>() -> Result<T, PlatformError> {
+    Err(PlatformError {
+        call: "test",
+        kind: PlatformErrorKind::NotExecuted,
+        message: SmolStr::new_static("refused"),
+    })
+}
+
+/// A store that keeps the hosts' entries and refuses all other calls.
+#[derive(Default)]
+pub(super) struct SharedStore {
+    hosts: RefCell<BTreeMap<HostId, HostEntry>>,
+}
+
+impl Store for SharedStore {
+    fn era(&self) -> Era {
+        0
+    }
+
+    fn observe_era(&self, _era: Era) {}
+
+    fn newest_table(&self) -> PlatformResult<'_, Snapshot<Option<Table>>> {
+        Box::pin(async { not_executed() })
+    }
+
+    fn tables_after(
+        &self,
+        _from: Position,
+        _wait: Duration,
+    ) -> PlatformResult<'_, Changes<Option<Table>>> {
+        Box::pin(async { not_executed() })
+    }
+
+    fn newest_targets(&self) -> PlatformResult<'_, Snapshot<Vec<TargetChange>>> {
+        Box::pin(async { not_executed() })
+    }
+
+    fn targets_after(&self, _from: Position) -> PlatformResult<'_, Changes<Vec<TargetChange>>> {
+        Box::pin(async { not_executed() })
+    }
+
+    fn register_host<'a>(&'a self, host: &'a HostEntry) -> PlatformResult<'a, ()> {
+        let mut hosts = self.hosts.borrow_mut();
+        hosts.insert(host.id.clone(), host.clone());
+        Box::pin(async { Ok(()) })
+    }
+
+    fn deregister_host<'a>(&'a self, host: &'a HostId) -> PlatformResult<'a, ()> {
+        self.hosts.borrow_mut().remove(host);
+        Box::pin(async { Ok(()) })
+    }
+
+    fn hosts(&self) -> PlatformResult<'_, Vec<HostEntry>> {
+        Box::pin(async { Ok(self.hosts.borrow().values().cloned().collect()) })
+    }
+
+    fn join_group<'a>(
+        &'a self,
+        _host: &'a HostId,
+        _lease: Duration,
+        _generation: u64,
+    ) -> PlatformResult<'a, GroupMembership> {
+        Box::pin(async { not_executed() })
+    }
+
+    fn leave_group<'a>(&'a self, _host: &'a HostId) -> PlatformResult<'a, ()> {
+        Box::pin(async { not_executed() })
+    }
+}
+
+struct NoOrders;
+
+impl Orders for NoOrders {
+    fn report<'a>(
+        &'a self,
+        _target: &'a TargetId,
+        _address: SocketAddr,
+    ) -> PlatformResult<'a, EngineReport> {
+        Box::pin(async { not_executed() })
+    }
+
+    fn place<'a>(&'a self, _order: &'a PlaceOrder) -> PlatformResult<'a, OrderResponse> {
+        Box::pin(async { not_executed() })
+    }
+
+    fn repath<'a>(&'a self, _order: &'a RepathOrder<'a>) -> PlatformResult<'a, RepathResponse> {
+        Box::pin(async { not_executed() })
+    }
+}
+
+fn table() -> Table {
+    let kind = AcceleratorSpec {
+        memory_megabytes: 1000.0,
+        step_factor: 1.0,
+        prefill_factor: 1.0,
+    };
+    let engine = EngineProfile {
+        model: "model".into(),
+        layer_count: LAYER_COUNT,
+        layer_megabytes: 1.0,
+        kv_token_bytes: 1000.0,
+        slot_limit_requests: 64,
+        step_ms: 1.0,
+        step_ms_per_sequence: 0.01,
+        step_ms_per_context_unit: 0.01,
+        prefill_tokens_per_s: 1e5,
+        steps_per_event: 1,
+        load_time: Duration::from_secs(10),
+        loads_at_once: 4,
+        mean_prompt_tokens: 10.0,
+        mean_answer_tokens: 10.0,
+        activation_bytes: 1000.0,
+        pipe_megabits_per_s: 0.0,
+        kinds: [("kind".into(), kind)].into(),
+    };
+    let service = Service {
+        health_path: "/health".into(),
+        connection_limit: 100,
+        engine: Some(engine),
+    };
+    let route = Route {
+        name: "model".into(),
+        host: "test".into(),
+        path_prefix: "/m/".into(),
+        semantics: RequestSemantics::ResumableStream,
+        timeout: Duration::from_secs(20),
+        latency_objective: Duration::from_millis(500),
+        pause_objective: None,
+        priority: 0,
+        backends: vec![Backend {
+            service: "model".into(),
+            weight: 1.0,
+        }],
+        attempts_max: 2,
+        public: true,
+    };
+    Table::new(
+        1,
+        [route],
+        [("model".into(), service)],
+        None,
+        CallerLimits::default(),
+    )
+}
+
+/// How an answer ended for its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CallerResult {
+    /// The complete answer of an engine.
+    Complete,
+    /// An answer of the host, with its status.
+    Status(u16),
+    /// The connection ended within the answer.
+    Broken,
+}
+
+/// One run of a host.
+pub(super) struct Host {
+    pub(super) gateway: Rc<Gateway>,
+    address: SocketAddr,
+    tasks: JoinSet<()>,
+    next_id: Cell<u32>,
+}
+
+impl Host {
+    /// Sends a request with the given shared parts and reads its answer.
+    pub(super) async fn call(&self, parts: &[&str]) -> CallerResult {
+        let id = self.next_id.get();
+        self.next_id.set(id + 1);
+        let request = format!(
+            "POST /m/ HTTP/1.1\r\nHost: test\r\nid: {}-{id}\r\nparts: {}\r\nContent-Length: 0\r\n\r\n",
+            self.gateway.settings.host_id,
+            parts.join(","),
+        );
+        let limit = Duration::from_secs(5);
+        let mut connection = Connection::open(self.address, limit).await.unwrap();
+        connection.write_all(request.as_bytes()).await.unwrap();
+        let Ok(head) = connection.read_response().await else {
+            return CallerResult::Broken;
+        };
+        let mut decoder = BodyDecoder::new(head.framing);
+        match connection.read_whole_body(&mut decoder, 1 << 20).await {
+            Ok(Some(_)) if head.status == 200 => CallerResult::Complete,
+            Ok(Some(_)) => CallerResult::Status(head.status),
+            Ok(None) | Err(_) => CallerResult::Broken,
+        }
+    }
+
+    /// Ends the host's process: all its tasks, with what it has in memory.
+    pub(super) async fn kill(mut self) {
+        self.tasks.shutdown().await;
+    }
+}
+
+/// Engines, and the store and addresses of the hosts before them.
+pub(super) struct Fleet {
+    /// Second byte of all loopback addresses, different in each test.
+    network: u8,
+    store: Rc<SharedStore>,
+    engines: Vec<Rc<Engine>>,
+}
+
+impl Fleet {
+    /// Starts `engine_count` engines.
+    pub(super) async fn start(network: u8, engine_count: u8) -> Self {
+        let mut engines = Vec::new();
+        for index in 0..engine_count {
+            let address = IpAddr::from([127, network, 1, 1 + index]);
+            engines.push(Engine::start(format_smolstr!("engine-{index}"), address).await);
+        }
+        Self {
+            network,
+            store: Rc::default(),
+            engines,
+        }
+    }
+
+    /// Returns the number of engines whose process has ended.
+    pub(super) fn ended_count(&self) -> usize {
+        let ended = self.engines.iter().filter(|engine| engine.has_ended.get());
+        ended.count()
+    }
+
+    /// Starts a host, which knows all engines at once and finds its peers through the store.
+    pub(super) async fn start_host(&self, index: u8) -> Host {
+        let address = IpAddr::from([127, self.network, 2, 1 + index]);
+        let text = format!(
+            "host_id = \"host-{index}\"\ndata_centre = \"a\"\nprocessor_share = 0.1\n\
+             [listen]\ncallers = \"{address}:81\"\nreadiness = \"{address}:82\"\n\
+             peers = \"{address}:{PEERS_PORT}\"\n[platform]\nstore = \"{address}:83\"\n"
+        );
+        let platform = Platform {
+            header_codec: Rc::new(TestHeaders),
+            store: Rc::clone(&self.store) as Rc<dyn Store>,
+            orders: Rc::new(NoOrders),
+        };
+        let settings = settings::read("test", &text).unwrap();
+        let gateway = Rc::new(Gateway::new(settings, platform));
+        let now = BootTime::now();
+        gateway.table_cache.update(Some(table()), now, Source::Read);
+        let put = |engine: &Rc<Engine>| TargetChange::Put(engine.id.clone(), entry(engine.address));
+        let listed = self.engines.iter().map(put).collect();
+        gateway.targets.replace(listed, Position::new(0, 1), now);
+        let listener = TcpListener::bind((address, 0)).await.unwrap();
+        let callers = listener.local_addr().unwrap();
+        let peers = Rc::new(Peers::open(Rc::clone(&gateway)).await.unwrap());
+        let mut tasks = JoinSet::new();
+        tasks.spawn_local(Rc::clone(&peers).maintain_host_list());
+        tasks.spawn_local(Rc::clone(&peers).send_digests());
+        tasks.spawn_local(Rc::clone(&peers).receive());
+        tasks.spawn_local(accept(Rc::clone(&gateway), listener));
+        Host {
+            gateway,
+            address: callers,
+            tasks,
+            next_id: Cell::new(0),
+        }
+    }
+}
+
+async fn accept(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        let (stream, _) = listener.accept().await.unwrap();
+        spawn_local(exchange::serve(Rc::clone(&gateway), stream));
+    }
+}
+
+fn entry(address: SocketAddr) -> TargetEntry {
+    TargetEntry {
+        service: "model".into(),
+        address,
+        data_centre: "a".into(),
+        slot_limit_requests: 64,
+        state: TargetState::Ready,
+        kind: Some("kind".into()),
+        layers: LayerRange::new(0, LAYER_COUNT).map(|range| (range, 1)),
+        started_unix_ms: 1,
+    }
+}
+
+/// Waits until each host hears from all others.
+pub(super) async fn wait_for_peers(hosts: &[&Host]) {
+    const POLL_INTERVAL: Duration = Duration::from_millis(50);
+    let is_met = |host: &&Host| {
+        let peers = host.gateway.peers.borrow();
+        peers.live_count(tokio::time::Instant::now()) + 1 == hosts.len()
+    };
+    while !hosts.iter().all(is_met) {
+        sleep(POLL_INTERVAL).await;
+    }
+}
