Quarantine prompt parts under which engines end one after the other

Callers saw nearly all requests to a model refused for half a minute: requests with one part in their prompts ended every engine that began to answer them, each with the 20 to 60 streams on it. A host held the end against the engine, avoided it and sent the request to the next one; other hosts did the same with the next request. Nothing was remembered about requests.

Evidence against a part is now an engine that ended (a new connection is refused) at the start of its answer to a request with the part. It counts by sequence, not by number: points are added to those known when the request was sent, so that engines that end together count once, and an answer refutes them. After three ends in sequence every host refuses the part at once, with the time until one host tries one request. Hosts share the evidence in their digests, and at once when it rises; a quarantined part is kept in the store beside the hosts' entries, for a restart of all.

A stream without a length or chunks that ends before its first event counts as lost, because an engine that ends closes its connections as well.

--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod placement;
 pub mod polling;
 pub mod prefix;
+pub mod quarantine;
 pub mod recovery;
 pub mod rendezvous;
 pub mod retry;
--- /dev/null
+++ b/crates/anvil_core/src/quarantine/tests.rs
@@ -0,0 +1,238 @@
+use googletest::prelude::*;
+
+use super::*;
+
+const STEP: Duration = Duration::from_millis(100);
+
+fn parts(names: &[&str]) -> Vec<PartId> {
+    names.iter().map(PartId::new).collect()
+}
+
+/// Sends a request and records that its engine ended.
+fn end(quarantine: &mut Quarantine, names: &[&str], progress: Progress, now: Instant) {
+    let parts = parts(names);
+    if let Ok(admission) = quarantine.admit(&parts, now, |_| true) {
+        quarantine.record_end(&parts, &admission, progress, now);
+    }
+}
+
+fn is_refused(quarantine: &mut Quarantine, name: &str, now: Instant) -> bool {
+    quarantine.admit(&parts(&[name]), now, |_| false).is_err()
+}
+
+/// Returns a state in which `name` has just been quarantined.
+fn quarantined(name: &str, now: Instant) -> Quarantine {
+    let mut quarantine = Quarantine::default();
+    for _ in 0..3 {
+        end(&mut quarantine, &[name], Progress::Begun, now);
+    }
+    assert!(is_refused(&mut quarantine, name, now));
+    quarantine
+}
+
+#[gtest]
+fn record_end_quarantines_after_ends_in_sequence() {
+    for (progress, ends_needed) in [(Progress::Begun, 3), (Progress::Unanswered, 6)] {
+        let mut quarantine = Quarantine::default();
+        let now = Instant::now();
+        for _ in 1..ends_needed {
+            end(&mut quarantine, &["lethal"], progress, now);
+            expect_that!(is_refused(&mut quarantine, "lethal", now), eq(false));
+        }
+        end(&mut quarantine, &["lethal"], progress, now);
+        expect_that!(is_refused(&mut quarantine, "lethal", now), eq(true));
+    }
+}
+
+/// Guards against blaming the requests of engines that fail together for another reason.
+#[gtest]
+fn record_end_counts_engines_that_end_together_once() {
+    let mut quarantine = Quarantine::default();
+    let now = Instant::now();
+    let parts = parts(&["popular"]);
+    let admissions: Vec<_> = (0..20)
+        .map(|_| quarantine.admit(&parts, now, |_| false).unwrap())
+        .collect();
+    for admission in &admissions {
+        quarantine.record_end(&parts, admission, Progress::Begun, now);
+    }
+    expect_that!(is_refused(&mut quarantine, "popular", now), eq(false));
+}
+
+#[gtest]
+fn record_end_blames_no_other_part_of_quarantined_request() {
+    let now = Instant::now();
+    let mut quarantine = quarantined("lethal", now);
+    // Requests that were sent before the quarantine end their engines too.
+    let early = Admission::default();
+    for _ in 0..10 {
+        let parts = parts(&["sound", "lethal"]);
+        quarantine.record_end(&parts, &early, Progress::Begun, now);
+    }
+    expect_that!(is_refused(&mut quarantine, "sound", now), eq(false));
+    expect_that!(quarantine.entries.contains_key("sound"), eq(false));
+}
+
+#[gtest]
+fn record_answer_refutes_evidence() {
+    let mut quarantine = Quarantine::default();
+    let now = Instant::now();
+    for _ in 0..50 {
+        end(&mut quarantine, &["sound"], Progress::Begun, now);
+        end(&mut quarantine, &["sound"], Progress::Begun, now);
+        quarantine.record_answer(&parts(&["sound"]), now);
+    }
+    expect_that!(is_refused(&mut quarantine, "sound", now), eq(false));
+}
+
+#[gtest]
+fn record_end_of_request_from_before_refutation_counts_as_first() {
+    let mut quarantine = Quarantine::default();
+    let now = Instant::now();
+    end(&mut quarantine, &["sound"], Progress::Begun, now);
+    end(&mut quarantine, &["sound"], Progress::Begun, now);
+    let parts = parts(&["sound"]);
+    let admission = quarantine.admit(&parts, now, |_| false).unwrap();
+    quarantine.record_answer(&parts, now);
+    quarantine.record_end(&parts, &admission, Progress::Begun, now);
+    expect_that!(quarantine.entries["sound"].points, eq(2));
+}
+
+#[gtest]
+fn merge_is_independent_of_order_and_repetition() {
+    let now = Instant::now();
+    let state = |round, points, failed_trials| PartState {
+        part: "part".into(),
+        round,
+        points,
+        failed_trials,
+        age: STEP,
+    };
+    let states = [
+        state(0, 2, 0),
+        state(0, 6, 0),
+        state(1, 0, 0),
+        state(1, 4, 0),
+        state(1, 6, 1),
+    ];
+    let mut orders: Vec<Vec<usize>> = vec![Vec::new()];
+    for index in 0..states.len() {
+        orders = orders
+            .into_iter()
+            .flat_map(|order| {
+                (0..=order.len()).map(move |position| {
+                    let mut order = order.clone();
+                    order.insert(position, index);
+                    order
+                })
+            })
+            .collect();
+    }
+    for order in orders {
+        let mut quarantine = Quarantine::default();
+        for index in order.iter().chain(&order) {
+            quarantine.merge(&states[*index], now);
+        }
+        expect_that!(quarantine.shared(9, now), eq(&vec![state(1, 6, 1)]));
+    }
+}
+
+#[gtest]
+fn merge_of_two_hosts_counts_ends_in_sequence() {
+    let now = Instant::now();
+    let mut hosts = [Quarantine::default(), Quarantine::default()];
+    for index in [0, 1, 0] {
+        end(&mut hosts[index], &["lethal"], Progress::Begun, now);
+        let states = hosts[index].shared(9, now);
+        for state in &states {
+            hosts[1 - index].merge(state, now);
+        }
+    }
+    for host in &mut hosts {
+        expect_that!(is_refused(host, "lethal", now), eq(true));
+    }
+}
+
+#[gtest]
+fn admit_after_quarantine_tries_one_request_on_one_host() {
+    let start = Instant::now();
+    let mut quarantine = quarantined("lethal", start);
+    let lethal = parts(&["lethal"]);
+    let retry_after = |quarantine: &mut Quarantine, now| {
+        let refusal = quarantine.admit(&lethal, now, |_| true).unwrap_err();
+        refusal.retry_after
+    };
+    expect_that!(
+        retry_after(&mut quarantine, start + STEP),
+        eq(QUARANTINE_TIME_MIN - STEP)
+    );
+    let over = start + QUARANTINE_TIME_MIN;
+    expect_that!(quarantine.admit(&lethal, over, |_| false), err(anything()));
+    let trial = quarantine.admit(&lethal, over, |_| true).unwrap();
+    expect_that!(quarantine.quarantined_since(&trial, &lethal), none());
+    expect_that!(retry_after(&mut quarantine, over), eq(TRIAL_TIMEOUT));
+    quarantine.record_end(&lethal, &trial, Progress::Begun, over);
+    expect_that!(
+        retry_after(&mut quarantine, over),
+        eq(2 * QUARANTINE_TIME_MIN)
+    );
+}
+
+#[gtest]
+fn admit_after_trial_was_answered_refuses_nothing() {
+    let start = Instant::now();
+    let mut quarantine = quarantined("part", start);
+    let over = start + QUARANTINE_TIME_MIN;
+    quarantine.admit(&parts(&["part"]), over, |_| true).unwrap();
+    quarantine.record_answer(&parts(&["part"]), over);
+    expect_that!(is_refused(&mut quarantine, "part", over), eq(false));
+}
+
+#[gtest]
+fn quarantined_since_names_part_that_was_quarantined_after_admission() {
+    let now = Instant::now();
+    let mut quarantine = quarantined("lethal", now);
+    let early = Admission::default();
+    let lethal = parts(&["lethal"]);
+    expect_that!(
+        quarantine.quarantined_since(&early, &lethal),
+        some(eq(&lethal[0]))
+    );
+    quarantine.record_answer(&lethal, now);
+    expect_that!(quarantine.quarantined_since(&early, &lethal), none());
+}
+
+#[gtest]
+fn expire_lowers_evidence_of_part_that_was_not_tried() {
+    let start = Instant::now();
+    let mut quarantine = quarantined("part", start);
+    let later = start + 2 * QUARANTINE_TIME_MIN + STEP;
+    expect_that!(quarantine.expire(later).len(), eq(1));
+    expect_that!(is_refused(&mut quarantine, "part", later), eq(false));
+    end(&mut quarantine, &["part"], Progress::Begun, later);
+    expect_that!(is_refused(&mut quarantine, "part", later), eq(true));
+}
+
+#[gtest]
+fn expire_forgets_evidence_and_merge_does_not_revive_it() {
+    let start = Instant::now();
+    let mut quarantine = Quarantine::default();
+    end(&mut quarantine, &["part"], Progress::Begun, start);
+    let later = start + RETENTION_TIME + STEP;
+    let old = quarantine.shared(1, later);
+    quarantine.expire(later);
+    expect_that!(quarantine.is_empty(), eq(true));
+    expect_that!(quarantine.merge(&old[0], later), eq(false));
+}
+
+#[gtest]
+fn record_end_keeps_quarantined_parts_within_bounded_memory() {
+    let now = Instant::now();
+    let mut quarantine = quarantined("lethal", now);
+    for index in 0..3 * PARTS_MAX {
+        let name = format!("part-{index}");
+        end(&mut quarantine, &[&name], Progress::Begun, now);
+    }
+    expect_that!(quarantine.entries.len(), eq(PARTS_MAX));
+    expect_that!(is_refused(&mut quarantine, "lethal", now), eq(true));
+}
--- a/crates/anvil_gateway/src/answer.rs
+++ b/crates/anvil_gateway/src/answer.rs
@@ -46,6 +46,8 @@
     Stopping,
     /// No target could take the request.
     NoTarget,
+    /// A part of its prompt ends engines.
+    QuarantinedPart,
     /// There is no capacity for the request now, or the retry budget of its service is used up.
     Overloaded,
     /// Its deadline passed.
@@ -67,6 +69,7 @@
             Self::Stale => "stale_configuration",
             Self::Stopping => "stopping",
             Self::NoTarget => "no_target",
+            Self::QuarantinedPart => "quarantined_part",
             Self::Overloaded => "overloaded",
             Self::Timeout => "timeout",
             Self::AnswerLost => "answer_lost",
--- a/crates/anvil_gateway/src/follow/tests.rs
+++ b/crates/anvil_gateway/src/follow/tests.rs
@@ -96,6 +96,7 @@
         refusing: Vec::new(),
         leaving: Vec::new(),
         slow: Vec::new(),
+        part_states: Vec::new(),
         target_changes: None,
     }
 }
--- a/crates/anvil_gateway/src/follow/tests/fakes.rs
+++ b/crates/anvil_gateway/src/follow/tests/fakes.rs
@@ -17,6 +17,7 @@
     id::{
         HostId,
         Offset,
+        PartId,
         TargetId,
         Version, //
     },
@@ -44,6 +45,7 @@
         GroupMembership,
         HeaderCodec,
         HostEntry,
+        HostRegistry,
         OrderResponse,
         Orders,
         PlaceOrder,
@@ -52,6 +54,7 @@
         PlatformErrorKind,
         PlatformResult,
         Position,
+        QuarantineEntry,
         RepathOrder,
         RepathResponse,
         RequestMetadata,
@@ -261,7 +264,15 @@
         Box::pin(async { not_executed() })
     }
 
-    fn hosts(&self) -> PlatformResult<'_, Vec<HostEntry>> {
+    fn registry(&self) -> PlatformResult<'_, HostRegistry> {
+        Box::pin(async { not_executed() })
+    }
+
+    fn register_quarantine<'a>(&'a self, _entry: &'a QuarantineEntry) -> PlatformResult<'a, ()> {
+        Box::pin(async { not_executed() })
+    }
+
+    fn deregister_quarantine<'a>(&'a self, _part: &'a PartId) -> PlatformResult<'a, ()> {
         Box::pin(async { not_executed() })
     }
 
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -15,6 +15,7 @@
         ServiceId,
         Version, //
     },
+    quarantine::Quarantine,
     retry::window,
     route::crossing, //
 };
@@ -74,6 +75,10 @@
     pub peers: RefCell<PeerRegistry>,
     /// Notified when a peer has a newer table.
     pub newer_table_notify: Notify,
+    /// States of the prompt parts under which engines ended.
+    pub quarantine: RefCell<Quarantine>,
+    /// Notified when evidence of this host changed the state of a part, which peers must know soon.
+    pub quarantine_changed: Notify,
     /// When an engine was last asked for its slowdown. `None` before the first query.
     pub last_slowdown_query: Cell<Option<Instant>>,
     /// Whether this host is to place a model and waits for the target list to be complete.
@@ -107,6 +112,8 @@
             metrics: Metrics::new(),
             peers: RefCell::new(PeerRegistry::default()),
             newer_table_notify: Notify::new(),
+            quarantine: RefCell::new(Quarantine::default()),
+            quarantine_changed: Notify::new(),
             last_slowdown_query: Cell::new(None),
             awaits_targets: Cell::new(false),
             open_requests: Cell::new(0),
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod plain;
 pub mod pool;
 pub mod port;
+pub mod quarantine;
 pub mod run;
 pub mod settings;
 pub mod stream;
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -61,6 +61,7 @@
     targets_age_ms: IntGauge,
     peers_heard: IntGauge,
     store_era: IntGauge,
+    quarantined_parts: IntGauge,
 }
 
 impl Metrics {
@@ -152,6 +153,10 @@
                 "anvil_store_era",
                 "Newest known era of the store; 0 while it names none",
             ),
+            quarantined_parts: gauge(
+                "anvil_quarantined_parts",
+                "Parts of prompts that are quarantined because engines ended under them",
+            ),
             registry,
         }
     }
@@ -211,6 +216,9 @@
             .set(i64::try_from(version).unwrap_or(i64::MAX));
         self.table_age_ms.set(age_ms(gateway.table_cache.age()));
         self.targets_age_ms.set(age_ms(gateway.targets.age()));
+        let quarantined_count = gateway.quarantine.borrow().quarantined_count();
+        self.quarantined_parts
+            .set(i64::try_from(quarantined_count).unwrap_or(i64::MAX));
         let era = gateway.platform.store.era();
         self.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
         let live_peer_count = gateway
--- a/crates/anvil_gateway/src/peers.rs
+++ b/crates/anvil_gateway/src/peers.rs
@@ -24,7 +24,8 @@
     net::UdpSocket,
     time::{
         Instant,
-        sleep, //
+        sleep,
+        sleep_until, //
     },
 };
 
@@ -114,10 +115,14 @@
             if registered_era != self.gateway.platform.store.era() {
                 // The store may have lost the entry.
                 registered_era = self.register(&entry).await;
+                self.gateway.keep_quarantine_in_store();
             }
             if self.is_list_outdated.replace(false) {
-                match self.gateway.platform.store.hosts().await {
-                    Ok(hosts) => self.apply_host_list(hosts),
+                match self.gateway.platform.store.registry().await {
+                    Ok(registry) => {
+                        self.apply_host_list(registry.hosts);
+                        self.gateway.merge_quarantine_entries(registry.quarantined);
+                    }
                     Err(error) => {
                         spdlog::warn!("peers.list_failed", kv: { error: });
                         self.is_list_outdated.set(true);
@@ -171,11 +176,17 @@
     /// Sends digests to the peers in rounds. Never returns.
     pub async fn send_digests(self: Rc<Self>) {
         loop {
-            sleep(
-                self.gateway
-                    .random_duration(DIGEST_INTERVAL.mul_f64(0.9), DIGEST_INTERVAL),
-            )
-            .await;
+            let interval = self
+                .gateway
+                .random_duration(DIGEST_INTERVAL.mul_f64(0.9), DIGEST_INTERVAL);
+            let next_round = Instant::now() + interval;
+            tokio::select! {
+                () = sleep_until(next_round) => {}
+                () = self.gateway.quarantine_changed.notified() => {
+                    self.send_to_live_peers().await;
+                    sleep_until(next_round).await;
+                }
+            }
             self.send_round().await;
         }
     }
@@ -200,6 +211,16 @@
         }
     }
 
+    /// Sends a digest to all live peers without waiting for their rounds.
+    async fn send_to_live_peers(&self) {
+        let mut digest = self.digest();
+        let recipients = self.gateway.peers.borrow().recipients(Instant::now());
+        for recipient in recipients.into_iter().filter(|recipient| recipient.is_live) {
+            digest.echo = recipient.echo;
+            self.send(&digest, recipient.address).await;
+        }
+    }
+
     /// Sends target changes to the peers of this data centre without waiting for the next round.
     pub async fn send_changes(&self, from: Offset, changes: &[TargetChange]) {
         let mut digest = self.digest();
@@ -237,6 +258,7 @@
             refusing: gateway.targets.own_avoided(AvoidReason::Refusing, now),
             leaving: gateway.targets.own_leaving(),
             slow: gateway.targets.own_slow(now),
+            part_states: gateway.shared_part_states(),
             target_changes: None,
         }
     }
@@ -297,6 +319,7 @@
         let now = Instant::now();
         let echo = digest.echo_before(BootTime::now());
         gateway.platform.store.observe_era(digest.store_era);
+        gateway.merge_part_states(&digest.part_states, sender);
         if let Some(echo) = echo {
             for age in [digest.table_age, digest.targets_age].into_iter().flatten() {
                 gateway.targets.record_store_answer(echo.earlier(age));
--- a/crates/anvil_gateway/src/peers/message.rs
+++ b/crates/anvil_gateway/src/peers/message.rs
@@ -2,12 +2,15 @@
 
 use std::time::Duration;
 
-use anvil_core::id::{
-    DataCentreId,
-    HostId,
-    LayerRange,
-    Offset,
-    Version, //
+use anvil_core::{
+    id::{
+        DataCentreId,
+        HostId,
+        LayerRange,
+        Offset,
+        Version, //
+    },
+    quarantine::PartState,
 };
 use anvil_wire::generated::peer_digest as wire;
 use smol_str::ToSmolStr;
@@ -65,6 +68,8 @@
     pub leaving: Vec<u32>,
     /// Targets that reported a slowdown to the sender.
     pub slow: Vec<SlowTarget>,
+    /// States of prompt parts that the sender knows.
+    pub part_states: Vec<PartState>,
     /// Changes of the target list that the sender has just read from the store.
     pub target_changes: Option<TargetChangeBatch>,
 }
@@ -117,6 +122,7 @@
             u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
         })
     };
+    let states = &digest.part_states;
     let round_u32 = |number: f64| number.max(0.0).round() as u32;
     let loads = &digest.loads;
     wire::Digest {
@@ -153,6 +159,11 @@
             .iter()
             .map(|slow| round_u32(slow.slowdown * PERCENT_FACTOR))
             .collect(),
+        part_names: states.iter().map(|state| state.part.clone()).collect(),
+        part_rounds: states.iter().map(|state| state.round).collect(),
+        part_points: states.iter().map(|state| state.points).collect(),
+        part_failed_trials: states.iter().map(|state| state.failed_trials).collect(),
+        part_ages_ms: states.iter().map(|state| millis(Some(state.age))).collect(),
         news: digest
             .target_changes
             .iter()
@@ -171,7 +182,15 @@
     let is_consistent = digest.load_sequences.len() == count
         && digest.load_token_layers.len() == count
         && digest.load_sent.len() == count
-        && digest.slow_targets.len() == digest.slow_percents.len();
+        && digest.slow_targets.len() == digest.slow_percents.len()
+        && [
+            digest.part_rounds.len(),
+            digest.part_points.len(),
+            digest.part_failed_trials.len(),
+            digest.part_ages_ms.len(),
+        ]
+        .iter()
+        .all(|length| *length == digest.part_names.len());
     if !is_consistent {
         return None;
     }
@@ -183,6 +202,18 @@
             sent_requests: f64::from(digest.load_sent[index]),
         })
         .collect();
+    let part_states = digest
+        .part_names
+        .into_iter()
+        .enumerate()
+        .map(|(index, part)| PartState {
+            part,
+            round: digest.part_rounds[index],
+            points: digest.part_points[index],
+            failed_trials: digest.part_failed_trials[index],
+            age: Duration::from_millis(u64::from(digest.part_ages_ms[index])),
+        })
+        .collect();
     let changes: Option<Vec<_>> = digest.news.into_iter().map(change_from_wire).collect();
     let changes = changes?;
     Some(Digest {
@@ -209,6 +240,7 @@
                 slowdown: f64::from(percent) / PERCENT_FACTOR,
             })
             .collect(),
+        part_states,
         target_changes: digest
             .news_from
             .map(|from| TargetChangeBatch { from, changes }),
--- a/crates/anvil_gateway/src/peers/tests.rs
+++ b/crates/anvil_gateway/src/peers/tests.rs
@@ -1,6 +1,9 @@
 use std::time::Duration;
 
-use anvil_core::id::LayerRange;
+use anvil_core::{
+    id::LayerRange,
+    quarantine::PartState, //
+};
 use googletest::prelude::*;
 use tokio::time::Instant;
 
@@ -40,6 +43,13 @@
             target_hash: 8,
             slowdown: 12.5,
         }],
+        part_states: vec![PartState {
+            part: "5c1e07a2".into(),
+            round: 1,
+            points: 4,
+            failed_trials: 2,
+            age: Duration::from_millis(1500),
+        }],
         target_changes: Some(TargetChangeBatch {
             from: 9,
             changes: vec![
--- a/crates/anvil_gateway/src/peers/view.rs
+++ b/crates/anvil_gateway/src/peers/view.rs
@@ -276,6 +276,12 @@
             .contains(&own)
     }
 
+    /// Returns whether a host is the one among the live hosts that does the work for a key.
+    pub fn is_chosen(&self, key: &str, own: &HostId, now: Instant) -> bool {
+        let live = self.peers.iter().filter(|(_, peer)| peer.is_live(now));
+        rendezvous::choose(key, live.map(|(id, _)| id).chain([own])) == Some(own)
+    }
+
     /// Returns the number of live peers in a data centre.
     pub fn same_data_centre_count(&self, data_centre: &DataCentreId, now: Instant) -> usize {
         self.peers
--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -78,6 +78,12 @@
     request: &RequestContext<'_>,
     trace: &mut RequestTrace,
 ) -> RequestOutcome {
+    if let Err(refusal) = gateway.admit_parts(&request.metadata.shared_parts) {
+        trace.record_failure(format!("part {} is quarantined", refusal.part));
+        let reason = ErrorReason::QuarantinedPart;
+        let error_response = ErrorResponse::not_run(reason, Some(refusal.retry_after));
+        return RequestOutcome::Error(error_response);
+    }
     let result = tokio::select! {
         biased;
         result = try_targets(gateway, request, trace) => result,
--- a/crates/anvil_gateway/src/port.rs
+++ b/crates/anvil_gateway/src/port.rs
@@ -228,6 +228,26 @@
     pub key: SmolStr,
 }
 
+/// A quarantined part of prompts, as it is kept in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QuarantineEntry {
+    /// The part.
+    pub part: PartId,
+    /// Number of times that the evidence against it was refuted or lowered.
+    pub round: u32,
+    /// Number of trials that ended an engine.
+    pub failed_trials: u32,
+}
+
+/// What the hosts have registered in the store.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HostRegistry {
+    /// The hosts.
+    pub hosts: Vec<HostEntry>,
+    /// The parts that hosts have quarantined.
+    pub quarantined: Vec<QuarantineEntry>,
+}
+
 /// A complete read of a list, with the offset at which its changes continue.
 #[derive(Clone, Debug)]
 pub struct Snapshot<T> {
@@ -318,8 +338,14 @@
     /// Removes this host's entry.
     fn deregister_host<'a>(&'a self, host: &'a HostId) -> PlatformResult<'a, ()>;
 
-    /// Reads the list of hosts.
-    fn hosts(&self) -> PlatformResult<'_, Vec<HostEntry>>;
+    /// Reads what the hosts have registered.
+    fn registry(&self) -> PlatformResult<'_, HostRegistry>;
+
+    /// Registers a quarantined part, so that it stays known when all hosts restart.
+    fn register_quarantine<'a>(&'a self, entry: &'a QuarantineEntry) -> PlatformResult<'a, ()>;
+
+    /// Removes the entry of a part that is no longer quarantined.
+    fn deregister_quarantine<'a>(&'a self, part: &'a PartId) -> PlatformResult<'a, ()>;
 
     /// Joins the group that elects the placer, or renews the membership for `lease`. `generation` is
     /// the last one of this era, or 0.
--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -50,8 +50,8 @@
 const STOP_GRACE_MARGIN: Duration = Duration::from_millis(400);
 /// Time between two checks of the open requests during shutdown.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Time between two removals of expired idle connections from the pools.
-const POOL_CLEANUP_INTERVAL: Duration = Duration::from_secs(2);
+/// Time between two removals of what has expired: idle connections, evidence against prompt parts.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
 /// Longest time that a readiness request may take to arrive, and that its connection may stay idle.
 pub(crate) const READINESS_TIMEOUT: Duration = Duration::from_secs(10);
 /// Share of the revocation bound (`bounds.revoke_ms`) that the table may age without confirmation
@@ -106,7 +106,7 @@
     spawn_local(Rc::clone(&peers).receive());
     spawn_local(Rc::clone(&placer).maintain_lease());
     spawn_local(Rc::clone(&placer).place());
-    spawn_local(drop_expired_connections(Rc::clone(&gateway)));
+    spawn_local(expire(Rc::clone(&gateway)));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -230,10 +230,11 @@
         && gateway.targets.age().is_some()
 }
 
-/// Removes expired idle connections from the pools of all targets, periodically.
-async fn drop_expired_connections(gateway: Rc<Gateway>) {
+/// Removes expired idle connections and expired evidence, periodically. Never returns.
+async fn expire(gateway: Rc<Gateway>) {
     loop {
-        sleep(POOL_CLEANUP_INTERVAL).await;
+        sleep(EXPIRY_INTERVAL).await;
+        gateway.expire_quarantine();
         for target in gateway.targets.all() {
             target.pool.drop_expired();
         }
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -9,7 +9,8 @@
 
 use anvil_core::{
     engine_model::EngineProfile,
-    entry::RequestSemantics, //
+    entry::RequestSemantics,
+    quarantine::Admission, //
 };
 use tokio::time::{
     Instant,
@@ -36,11 +37,15 @@
         RequestTrace,
         are_keys_stale, //
     },
-    faults,
+    faults::{
+        self,
+        EngineState, //
+    },
     gateway::Gateway,
     http1::{
         BodyDecoder,
         Connection,
+        Framing,
         ResponseHead, //
     },
     paths::{
@@ -86,6 +91,8 @@
     /// The request did not run on this path. Holds the reason, and the address of the engine at
     /// fault where it is known.
     NotRun(&'static str, Option<SocketAddr>),
+    /// The request was not sent, since a part of its prompt has been quarantined meanwhile.
+    PartQuarantined,
     /// The request was not sent, since the caller's key may have been revoked meanwhile.
     KeysStale,
     /// The attempt failed after the request may have run.
@@ -116,6 +123,8 @@
     first_engines: Vec<Rc<Target>>,
     /// Engines blamed for a failure of this request.
     failed: Vec<Rc<Target>>,
+    /// What was known about the parts of the prompt before the current send.
+    admission: Admission,
     /// How far the engine of the current send has come.
     progress: SendProgress,
 }
@@ -137,6 +146,7 @@
         last_sent_at: Instant::now(),
         first_engines: Vec::new(),
         failed: Vec::new(),
+        admission: Admission::default(),
         progress: SendProgress::default(),
     };
     relay.run(caller, trace).await
@@ -152,6 +162,14 @@
             if Instant::now() >= self.request.deadline {
                 return self.give_up(ErrorReason::Timeout, may_have_run, "timeout");
             }
+            let shared_parts = &self.request.metadata.shared_parts;
+            self.admission = match self.gateway.admit_parts(shared_parts) {
+                Ok(admission) => admission,
+                Err(refusal) => {
+                    trace.record_failure(format!("part {} is quarantined", refusal.part));
+                    return self.refuse_part(may_have_run, refusal.retry_after);
+                }
+            };
             let chosen = paths::choose(
                 self.gateway,
                 self.request,
@@ -190,6 +208,7 @@
                 AttemptResult::DeadlineExceeded => {
                     return self.give_up(ErrorReason::Timeout, true, "timeout");
                 }
+                AttemptResult::PartQuarantined => continue,
                 AttemptResult::KeysStale => {
                     return self.give_up(ErrorReason::Stale, may_have_run, "keys may be outdated");
                 }
@@ -210,7 +229,7 @@
                 }
                 AttemptResult::Lost(failure) => {
                     may_have_run = true;
-                    self.record_lost_stream(chosen.first(), failure).await;
+                    self.handle_lost_stream(chosen.first(), failure).await;
                     // Some engine of the path failed, and it is unknown which. The first one is
                     // blamed; further attempts show whether another one is at fault.
                     self.failed.push(Rc::clone(chosen.first()));
@@ -233,13 +252,24 @@
         }
     }
 
-    /// Logs a lost stream, with the state of its engine if the stream was lost early.
-    async fn record_lost_stream(&self, engine: &Target, failure: &'static str) {
+    /// Logs a lost stream. If it was lost at the start of its answer or before, finds out whether the
+    /// engine ended, and records that as evidence against the parts of the prompt.
+    async fn handle_lost_stream(&self, engine: &Target, failure: &'static str) {
         let progress = self.progress.name();
-        let state = match self.progress.is_early() {
-            true => faults::check_state(engine).await.as_str(),
-            false => "not checked",
-        };
+        let mut state = "not checked";
+        if let Some(early) = self.progress.early() {
+            let engine_state = faults::check_state(engine).await;
+            state = engine_state.as_str();
+            if engine_state == EngineState::Ended {
+                self.gateway.record_engine_end(
+                    &self.request.metadata.id,
+                    &self.request.metadata.shared_parts,
+                    &self.admission,
+                    engine,
+                    early,
+                );
+            }
+        }
         self.gateway.metrics.record_lost_stream(progress, state);
         spdlog::info!("stream.lost", kv: {
             request = self.request.metadata.id.as_str(),
@@ -269,6 +299,20 @@
         RequestOutcome::Error(ErrorResponse::not_run(reason, Some(retry_after)))
     }
 
+    /// Refuses a request, or gives it up after it was sent, because a part of its prompt is
+    /// quarantined.
+    fn refuse_part(&self, may_have_run: bool, retry_after: Duration) -> RequestOutcome {
+        if may_have_run || self.is_head_sent {
+            return self.give_up(
+                ErrorReason::QuarantinedPart,
+                may_have_run,
+                "prompt part ends engines",
+            );
+        }
+        let reason = ErrorReason::QuarantinedPart;
+        RequestOutcome::Error(ErrorResponse::not_run(reason, Some(retry_after)))
+    }
+
     async fn finish(&mut self, caller: &mut Connection) -> RequestOutcome {
         match caller.write_all(b"0\r\n\r\n").await {
             Ok(()) => RequestOutcome::Answered { status: 200 },
@@ -323,6 +367,10 @@
         if !first.accepts(Instant::now()) {
             return AttemptResult::NotRun("engine takes no requests", None);
         }
+        let shared_parts = &self.request.metadata.shared_parts;
+        if gateway.is_admission_void(&self.admission, shared_parts) {
+            return AttemptResult::PartQuarantined;
+        }
         // Keys are checked only before the first send: a request that was accepted continues under
         // the key that it came with.
         if trace.sends == 0 && self.request.team.is_some() && are_keys_stale(gateway) {
@@ -486,6 +534,8 @@
         trace: &mut RequestTrace,
     ) -> AttemptResult {
         let mut event_decoder = EventDecoder::default();
+        let is_framed = *decoder != BodyDecoder::new(Framing::UntilClose);
+        let mut is_answer_recorded = false;
         let mut is_first = true;
         let mut out = Vec::new();
         loop {
@@ -511,7 +561,16 @@
                 Ok(Ok(None)) if event_decoder.has_partial_event() => {
                     return AttemptResult::Lost("torn event");
                 }
-                Ok(Ok(None)) => return AttemptResult::Complete,
+                // An engine that ends closes its connections too.
+                Ok(Ok(None)) if !is_framed && self.progress.events == 0 => {
+                    return AttemptResult::Lost("stream ended without events");
+                }
+                Ok(Ok(None)) => {
+                    if is_framed && !is_answer_recorded {
+                        self.record_engine_answer();
+                    }
+                    return AttemptResult::Complete;
+                }
                 Ok(Ok(Some(piece))) => piece,
             };
             if event_decoder.push(&piece).is_err() {
@@ -534,6 +593,10 @@
                 events += 1;
                 push_chunk(&mut out, &event.bytes);
             }
+            if !is_answer_recorded && self.progress.early().is_none() {
+                is_answer_recorded = true;
+                self.record_engine_answer();
+            }
             if events == 0 {
                 continue;
             }
@@ -558,6 +621,11 @@
         }
     }
 
+    fn record_engine_answer(&self) {
+        let shared_parts = &self.request.metadata.shared_parts;
+        self.gateway.record_engine_answer(shared_parts);
+    }
+
     fn time_left(&self) -> Duration {
         self.request
             .deadline
--- a/crates/anvil_gateway/src/stream/progress.rs
+++ b/crates/anvil_gateway/src/stream/progress.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use anvil_core::quarantine::Progress;
 use tokio::time::Instant;
 
 /// Time for which an engine must have written events before a later loss of the stream counts as
@@ -38,18 +39,22 @@
             .map_or(Duration::ZERO, |(first, last)| last.duration_since(first))
     }
 
-    /// Returns whether the engine had not written for long: the stream was lost at the start of the
-    /// answer, or before.
-    pub(super) fn is_early(&self) -> bool {
-        self.writing_time() < EARLY_WRITING_TIME
+    /// Returns how far the engine had come if it had not written for long: the stream was lost at the
+    /// start of the answer, or before. Returns `None` after that.
+    pub(super) fn early(&self) -> Option<Progress> {
+        match (self.has_head, self.writing_time() < EARLY_WRITING_TIME) {
+            (_, false) => None,
+            (false, true) => Some(Progress::Unanswered),
+            (true, true) => Some(Progress::Begun),
+        }
     }
 
     /// Returns the name used in logs and metrics.
     pub(super) fn name(&self) -> &'static str {
-        match (self.has_head, self.is_early()) {
-            (false, _) => "no answer",
-            (true, true) => "begun",
-            (true, false) => "writing",
+        match self.early() {
+            Some(Progress::Unanswered) => "no answer",
+            Some(Progress::Begun) => "begun",
+            None => "writing",
         }
     }
 }
--- a/crates/anvil_gateway/src/stream/tests/fakes.rs
+++ b/crates/anvil_gateway/src/stream/tests/fakes.rs
@@ -73,6 +73,7 @@
         GroupMembership,
         HeaderCodec,
         HostEntry,
+        HostRegistry,
         OrderResponse,
         Orders,
         PlaceOrder,
@@ -81,6 +82,7 @@
         PlatformErrorKind,
         PlatformResult,
         Position,
+        QuarantineEntry,
         RepathOrder,
         RepathResponse,
         RequestMetadata,
@@ -224,10 +226,11 @@
     })
 }
 
-/// A store that keeps the hosts' entries and refuses all other calls.
+/// A store that keeps what hosts register and refuses all other calls.
 #[derive(Default)]
 pub(super) struct SharedStore {
     hosts: RefCell<BTreeMap<HostId, HostEntry>>,
+    quarantined: RefCell<BTreeMap<PartId, QuarantineEntry>>,
 }
 
 impl Store for SharedStore {
@@ -268,8 +271,24 @@
         Box::pin(async { Ok(()) })
     }
 
-    fn hosts(&self) -> PlatformResult<'_, Vec<HostEntry>> {
-        Box::pin(async { Ok(self.hosts.borrow().values().cloned().collect()) })
+    fn registry(&self) -> PlatformResult<'_, HostRegistry> {
+        Box::pin(async {
+            Ok(HostRegistry {
+                hosts: self.hosts.borrow().values().cloned().collect(),
+                quarantined: self.quarantined.borrow().values().cloned().collect(),
+            })
+        })
+    }
+
+    fn register_quarantine<'a>(&'a self, entry: &'a QuarantineEntry) -> PlatformResult<'a, ()> {
+        let mut quarantined = self.quarantined.borrow_mut();
+        quarantined.insert(entry.part.clone(), entry.clone());
+        Box::pin(async { Ok(()) })
+    }
+
+    fn deregister_quarantine<'a>(&'a self, part: &'a PartId) -> PlatformResult<'a, ()> {
+        self.quarantined.borrow_mut().remove(part);
+        Box::pin(async { Ok(()) })
     }
 
     fn join_group<'a>(
