Shorten digests that exceed a datagram instead of dropping them

The digest now goes without its target changes, which receivers read from the store, and then without its smallest loads.

encode_within_shortens_large_digest_by_changes_and_smallest_loads guards it; the digest of that test was dropped before.

--- a/crates/anvil_gateway/src/peers.rs
+++ b/crates/anvil_gateway/src/peers.rs
@@ -206,7 +206,7 @@
             // The index spreads the peers over the rounds.
             if (round + recipient.index as u64).is_multiple_of(rounds) {
                 digest.echo = recipient.echo;
-                self.send(&digest, recipient.address).await;
+                self.send(&mut digest, recipient.address).await;
             }
         }
     }
@@ -217,7 +217,7 @@
         let recipients = self.gateway.peers.borrow().recipients(Instant::now());
         for recipient in recipients.into_iter().filter(|recipient| recipient.is_live) {
             digest.echo = recipient.echo;
-            self.send(&digest, recipient.address).await;
+            self.send(&mut digest, recipient.address).await;
         }
     }
 
@@ -234,7 +234,7 @@
                 recipient.data_centre.as_ref() == Some(&self.gateway.settings.data_centre);
             if recipient.is_live && is_same_data_centre {
                 digest.echo = recipient.echo;
-                self.send(&digest, recipient.address).await;
+                self.send(&mut digest, recipient.address).await;
             }
         }
     }
@@ -263,19 +263,19 @@
         }
     }
 
-    async fn send(&self, digest: &Digest, address: SocketAddr) {
-        let datagram = match datagram::encode_authenticated(digest, &self.key) {
-            Ok(datagram) => datagram,
+    /// Sends a digest, shortened if it is too large for a datagram.
+    async fn send(&self, digest: &mut Digest, address: SocketAddr) {
+        let datagram = match datagram::encode_within(DATAGRAM_LIMIT_BYTES, digest, &self.key) {
+            Ok(Some(datagram)) => datagram,
+            Ok(None) => {
+                spdlog::warn!("peers.too_large", kv: { peer: = address });
+                return;
+            }
             Err(error) => {
                 spdlog::warn!("peers.send_failed", kv: { peer: = address, error: });
                 return;
             }
         };
-        if datagram.len() > DATAGRAM_LIMIT_BYTES {
-            // The receivers read the target list from the store instead.
-            spdlog::debug!("peers.too_large", kv: { bytes = datagram.len() });
-            return;
-        }
         if let Err(error) = self.socket.send_to(&datagram, address).await {
             spdlog::debug!("peers.send_failed", kv: { peer: = address, error: });
         }
--- a/crates/anvil_gateway/src/peers/datagram.rs
+++ b/crates/anvil_gateway/src/peers/datagram.rs
@@ -87,6 +87,32 @@
     Ok(datagram)
 }
 
+/// Encodes a digest into a datagram of at most `limit_bytes`. A larger digest is shortened: first by
+/// the target changes, which the receivers then read from the store, then by the smallest loads.
+/// Returns `None` if it is too large without both.
+pub(super) fn encode_within(
+    limit_bytes: usize,
+    digest: &mut Digest,
+    key: &DatagramKey,
+) -> Result<Option<Vec<u8>>, CodecError> {
+    loop {
+        let datagram = encode_authenticated(digest, key)?;
+        if datagram.len() <= limit_bytes {
+            return Ok(Some(datagram));
+        }
+        let has_changes = digest.target_changes.take().is_some();
+        if has_changes {
+            continue;
+        }
+        if digest.loads.is_empty() {
+            return Ok(None);
+        }
+        let loads = &mut digest.loads;
+        loads.sort_by(|left, right| right.token_layers.total_cmp(&left.token_layers));
+        loads.truncate(loads.len() * 3 / 4);
+    }
+}
+
 /// Returns the sender that a datagram names, without checking the tag. Returns `None` if the name
 /// is cut short or not UTF-8.
 pub(super) fn claimed_sender(datagram: &[u8]) -> Option<HostId> {
--- a/crates/anvil_gateway/src/peers/tests.rs
+++ b/crates/anvil_gateway/src/peers/tests.rs
@@ -86,6 +86,32 @@
     );
 }
 
+/// Guards against hosts that hear nothing of one that has requests at many targets.
+#[gtest]
+fn encode_within_shortens_large_digest_by_changes_and_smallest_loads() {
+    let mut large = digest("peer");
+    large.loads = (1..400)
+        .map(|index| TargetLoad {
+            target_hash: u32::MAX - index,
+            sequences: 1.0,
+            token_layers: f64::from(index) * 1000.0,
+            sent_requests: 1.0,
+        })
+        .collect();
+    let encoded = datagram::encode_within(DATAGRAM_LIMIT_BYTES, &mut large, &key("a1")).unwrap();
+    let encoded = encoded.unwrap();
+    expect_that!(encoded.len(), le(DATAGRAM_LIMIT_BYTES));
+    let decoded = datagram::decode_authenticated(&encoded, &key("a1")).unwrap();
+    expect_that!(decoded.target_changes, none());
+    expect_that!(decoded.part_states, eq(&digest("peer").part_states));
+    expect_that!(decoded.loads.len(), ge(50));
+    expect_that!(decoded.loads[0].token_layers, eq(399_000.0));
+    expect_that!(
+        datagram::encode_within(10, &mut large, &key("a1")).unwrap(),
+        none()
+    );
+}
+
 #[gtest]
 fn decode_authenticated_rejects_other_key_and_changed_bytes() {
     let encoded = datagram::encode_authenticated(&digest("peer"), &key("a1")).unwrap();
--- a/crates/anvil_observe/src/events.rs
+++ b/crates/anvil_observe/src/events.rs
@@ -84,7 +84,7 @@
     "peers.receive_failed": "Reading from the socket for peers failed.",
     "peers.register_failed": "This host could not register itself in the store, so its peers do not know it yet.",
     "peers.send_failed": "A digest could not be sent to a peer.",
-    "peers.too_large": "A digest for peers was too large for a datagram and was not sent. The peers read the store themselves.",
+    "peers.too_large": "A digest for peers was too large for a datagram even without target changes and loads, and was not sent.",
     "peers.unreadable": "A host's entry can't be read.",
     "placement.lease_failed": "A request to the log about the lease failed.",
     "placement.lease_not_yielded": "The lease could not be given up at a graceful shutdown. The next placer waits until it expires.",
