Count an unreachable engine as ended in the trial of a quarantined part

An engine that ends together with its machine refuses no connection. Its loss is no evidence against a part in general, but where the request was the trial of one, no result would mean another trial after 4 s, and another engine with its streams.

--- a/crates/anvil_core/src/quarantine.rs
+++ b/crates/anvil_core/src/quarantine.rs
@@ -162,6 +162,11 @@
 }
 
 impl Admission {
+    /// Returns whether the request is the trial of a quarantined part.
+    pub fn is_trial(&self) -> bool {
+        self.known.iter().any(|known| known.is_trial)
+    }
+
     /// Returns what was known about a part in `round`.
     fn known(&self, part: &PartId, round: u32) -> Option<&KnownPart> {
         self.known
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -260,7 +260,13 @@
         if let Some(early) = self.progress.early() {
             let engine_state = faults::check_state(engine).await;
             state = engine_state.as_str();
-            if engine_state == EngineState::Ended {
+            let has_ended = match engine_state {
+                EngineState::Ended => true,
+                // Without a result the trial would be repeated.
+                EngineState::Unreachable => self.admission.is_trial(),
+                EngineState::Alive => false,
+            };
+            if has_ended {
                 self.gateway.record_engine_end(
                     &self.request.metadata.id,
                     &self.request.metadata.shared_parts,
