--- a/crates/anvil_gateway/src/port.rs
+++ b/crates/anvil_gateway/src/port.rs
@@ -97,7 +97,7 @@
 }
 
 /// The values that the gateway reads from the head of a target's answer.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseMetadata {
     /// Id of the request that it answers; `None` where it names none.
     pub id: Option<RequestId>,
@@ -116,6 +116,9 @@
     /// Time for which a target that refused the request wants no other from this host; `None` where
     /// it states none.
     pub retry_after: Option<Duration>,
+    /// Requests a second that the target takes from all hosts together; `None` where it states no
+    /// limit.
+    pub limit_per_s: Option<f64>,
 }
 
 /// Reads and writes the headers that the platform defines for callers and targets.
--- a/crates/anvil_gateway/src/target.rs
+++ b/crates/anvil_gateway/src/target.rs
@@ -88,6 +88,9 @@
     says_leaving: Cell<bool>,
     /// Time until which the target wants no requests from this host.
     closed_until: Cell<Option<Instant>>,
+    /// Requests a second that the target takes from all hosts, as its last answer to this host
+    /// stated; `None` if it stated no limit.
+    stated_limit_per_s: Cell<Option<f64>>,
     /// Whether the target is no longer listed, or another run has taken its name.
     pub(crate) is_removed: Cell<bool>,
 }
@@ -111,6 +114,7 @@
             reported: Cell::new(None),
             says_leaving: Cell::new(false),
             closed_until: Cell::new(None),
+            stated_limit_per_s: Cell::new(None),
             is_removed: Cell::new(false),
         }
     }
@@ -150,6 +154,12 @@
             .set(self.closed_until.get().max(Some(until)));
     }
 
+    /// Records the limit that an answer of the target stated. Returns whether it differs from that
+    /// of the last answer.
+    pub(crate) fn record_stated_limit(&self, limit_per_s: Option<f64>) -> bool {
+        self.stated_limit_per_s.replace(limit_per_s) != limit_per_s
+    }
+
     /// Returns whether this host may send the target a new request at `now`.
     pub fn accepts(&self, now: Instant) -> bool {
         self.is_listed_ready() && self.closed_for(now).is_zero()
--- a/crates/anvil_gateway/src/targets.rs
+++ b/crates/anvil_gateway/src/targets.rs
@@ -103,6 +103,12 @@
             }
             leaving_runs.insert(target.id.clone(), target.entry.borrow().started_unix_ms);
         }
+        if target.record_stated_limit(metadata.limit_per_s) {
+            spdlog::info!("target.limit_stated", kv: {
+                target = target.id.as_str(),
+                limit_per_s:? = metadata.limit_per_s,
+            });
+        }
         if let Some(retry_after) = metadata.retry_after {
             let bounded = retry_after.min(CLOSED_TIME_MAX);
             let time = bounded.mul_f64(1.0 + CLOSED_SPREAD * random_unit);
