--- a/crates/anvil_gateway/src/stream/tests.rs
+++ b/crates/anvil_gateway/src/stream/tests.rs
@@ -3,7 +3,10 @@
 use googletest::prelude::*;
 use tokio::{
     task::LocalSet,
-    time::sleep, //
+    time::{
+        Instant,
+        sleep, //
+    },
 };
 
 use fakes::{
@@ -100,3 +103,61 @@
         expect_that!(fleet.ended_count(), le(ended_count + TRIALS_MAX));
     });
 }
+
+/// Sends requests to the hosts in turn, and expects that all are answered.
+async fn send_sound(hosts: &[Host], count: usize) {
+    for index in 0..count {
+        let result = hosts[index % hosts.len()].call(&["sound"]).await;
+        expect_that!(result, eq(CallerResult::Complete));
+    }
+}
+
+#[gtest]
+fn serve_keeps_to_limit_of_engine_over_all_hosts() {
+    const LIMIT_PER_S: f64 = 1.0;
+    run(async {
+        let fleet = Fleet::start(15, 2).await;
+        let limited = &fleet.engines[0];
+        limited.limit_per_s.set(Some(LIMIT_PER_S));
+        let mut hosts = Vec::new();
+        for index in 0..3 {
+            hosts.push(fleet.start_host(index).await);
+        }
+        wait_for_peers(&hosts.iter().collect::<Vec<_>>()).await;
+        send_sound(&hosts, 30).await;
+        sleep(EXCHANGE_TIME).await;
+        limited.request_count.set(0);
+        let start = Instant::now();
+        send_sound(&hosts, 90).await;
+        let window_s = start.elapsed().as_secs_f64().max(4.0);
+        let allowed = 1.5 * LIMIT_PER_S * window_s + 5.0;
+        expect_that!(f64::from(limited.request_count.get()), le(allowed));
+    });
+}
+
+/// Guards against hosts that keep to a limit which is no longer stated.
+#[gtest]
+fn serve_uses_engine_again_after_its_limit_ended() {
+    const REQUESTS_PER_STEP: usize = 6;
+    const STEPS_MAX: usize = 100;
+    run(async {
+        let fleet = Fleet::start(16, 2).await;
+        let limited = &fleet.engines[0];
+        limited.limit_per_s.set(Some(1.0));
+        let hosts = [fleet.start_host(0).await, fleet.start_host(1).await];
+        wait_for_peers(&[&hosts[0], &hosts[1]]).await;
+        send_sound(&hosts, 30).await;
+        limited.limit_per_s.set(None);
+        let mut requests_in_step = 0;
+        for _ in 0..STEPS_MAX {
+            limited.request_count.set(0);
+            send_sound(&hosts, REQUESTS_PER_STEP).await;
+            requests_in_step = limited.request_count.get();
+            if requests_in_step > 1 {
+                break;
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+        expect_that!(requests_in_step, gt(1));
+    });
+}
--- a/crates/anvil_gateway/src/stream/tests/fakes.rs
+++ b/crates/anvil_gateway/src/stream/tests/fakes.rs
@@ -111,6 +111,10 @@
     pub(super) has_ended: Cell<bool>,
     /// Notified when the process ends.
     ended: Notify,
+    /// Limit that its answers state.
+    pub(super) limit_per_s: Cell<Option<f64>>,
+    /// Number of requests that reached it.
+    pub(super) request_count: Cell<u32>,
 }
 
 impl Engine {
@@ -122,6 +126,8 @@
             address: listener.local_addr().unwrap(),
             has_ended: Cell::new(false),
             ended: Notify::new(),
+            limit_per_s: Cell::new(None),
+            request_count: Cell::new(0),
         });
         spawn_local(Rc::clone(&engine).run(listener));
         engine
@@ -148,8 +154,11 @@
             .await
         {
             let id = head.headers.text("id").unwrap_or_default();
+            self.request_count.set(self.request_count.get() + 1);
+            let limit = self.limit_per_s.get();
+            let limit = limit.map_or_else(String::new, |limit| format!("limit: {limit}\r\n"));
             let begun = format!(
-                "HTTP/1.1 200 OK\r\nid: {id}\r\nsealed: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "HTTP/1.1 200 OK\r\nid: {id}\r\nsealed: 1\r\n{limit}Transfer-Encoding: chunked\r\n\r\n"
             );
             if connection.write_all(begun.as_bytes()).await.is_err() {
                 return;
@@ -175,7 +184,7 @@
         .collect()
 }
 
-/// Headers `id` and `parts` of requests, and `id` and `sealed` of answers.
+/// Headers `id` and `parts` of requests, and `id`, `sealed` and `limit` of answers.
 struct TestHeaders;
 
 impl HeaderCodec for TestHeaders {
@@ -209,6 +218,10 @@
         ResponseMetadata {
             id: head.headers.text("id").map(RequestId::new),
             is_sealed: head.headers.get("sealed").is_some(),
+            limit_per_s: head
+                .headers
+                .text("limit")
+                .and_then(|text| text.parse().ok()),
             ..ResponseMetadata::default()
         }
     }
@@ -434,7 +447,7 @@
     /// Second byte of all loopback addresses, different in each test.
     network: u8,
     store: Rc<SharedStore>,
-    engines: Vec<Rc<Engine>>,
+    pub(super) engines: Vec<Rc<Engine>>,
 }
 
 impl Fleet {
