Keep to the limits that targets state, over all hosts together

Engines in need that state how many requests a second they take from all hosts got twice as many: the header was not read, so that what holds for the fleet was no belief of any host. Hosts now read it, tell one another of it and of their callers' requests in their digests, and each uses its share: in proportion to its requests, in advance by chance where the share is less than one request, with the debt carried on. An engine beyond the share can't be first on a path; a plain target is left out; what nobody else can take is refused at once. The belief ends with a later answer that names no limit, heard by whichever host.

--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -30,3 +30,4 @@
 pub mod route;
 pub mod step;
 pub mod subset;
+pub mod target_limit;
--- a/crates/anvil_gateway/src/follow/tests.rs
+++ b/crates/anvil_gateway/src/follow/tests.rs
@@ -96,6 +96,8 @@
         refusing: Vec::new(),
         leaving: Vec::new(),
         slow: Vec::new(),
+        requests_per_s: 0.0,
+        limits: Vec::new(),
         part_states: Vec::new(),
         target_changes: None,
     }
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -17,7 +17,8 @@
     },
     quarantine::Quarantine,
     retry::window,
-    route::crossing, //
+    route::crossing,
+    target_limit::RequestRate, //
 };
 use rand::{
     Rng,
@@ -91,6 +92,8 @@
     rng: RefCell<SmallRng>,
     /// Budget of extra sends (retries), by service.
     retry_budgets: RefCell<HashMap<ServiceId, window::Budget>>,
+    /// Moving average of the callers' requests.
+    request_rate: Cell<RequestRate>,
     /// Budget of tokens on paths that cross between data centres.
     crossing_budget: RefCell<crossing::Budget>,
     started: Instant,
@@ -121,6 +124,7 @@
             phase: watch::Sender::new(Phase::Serving),
             rng: RefCell::new(rng),
             retry_budgets: RefCell::new(HashMap::new()),
+            request_rate: Cell::new(RequestRate::default()),
             crossing_budget: RefCell::new(crossing::Budget::new(Duration::ZERO)),
             started: Instant::now(),
         }
@@ -185,12 +189,21 @@
         low + high.saturating_sub(low).mul_f64(self.random_unit())
     }
 
-    /// Counts a request to a service, from which its budget of extra sends follows.
+    /// Counts a request to a service, from which its budget of extra sends and this host's shares of
+    /// targets' limits follow.
     pub fn record_request(&self, service: &ServiceId) {
         let now = self.started.elapsed();
         let mut retry_budgets = self.retry_budgets.borrow_mut();
         let budget = retry_budgets.entry(service.clone()).or_default();
         budget.record_request(&self.settings.bounds.retries, now);
+        let mut request_rate = self.request_rate.get();
+        request_rate.record(Instant::now().into_std());
+        self.request_rate.set(request_rate);
+    }
+
+    /// Returns the callers' requests a second, as a moving average.
+    pub fn own_requests_per_s(&self) -> f64 {
+        self.request_rate.get().per_s(Instant::now().into_std())
     }
 
     /// Takes an extra send to a service from the budget. Returns `false` if none is left.
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod gateway;
 pub mod http1;
 pub mod knowledge;
+pub mod limits;
 pub mod metrics;
 pub mod paths;
 pub mod peers;
--- a/crates/anvil_gateway/src/paths.rs
+++ b/crates/anvil_gateway/src/paths.rs
@@ -155,7 +155,7 @@
 /// Explains in the log why there is no path.
 #[derive(Clone, Copy, Debug, Display)]
 #[display(
-    "no path beyond layer {reached}: {workers} engines hold layers, {unavailable} unavailable, {full} of the others full"
+    "no path beyond layer {reached}: {workers} engines hold layers, {unavailable} unavailable, {full} of the others full, {limited} take no more as first engine"
 )]
 pub struct Blocked {
     /// Layer boundary up to which some path reaches.
@@ -166,6 +166,9 @@
     unavailable: usize,
     /// Number of the others whose memory is nearly full.
     full: usize,
+    /// Number of the others that may not be first: their limit is reached, or the request was sent
+    /// to as many first engines as it may be.
+    limited: usize,
 }
 
 impl Blocked {
@@ -179,6 +182,10 @@
             workers: workers.len(),
             unavailable: workers.iter().filter(|worker| !worker.open).count(),
             full: workers.iter().filter(is_full).count(),
+            limited: workers
+                .iter()
+                .filter(|worker| worker.open && !worker.may_be_first)
+                .count(),
         }
     }
 }
@@ -387,6 +394,7 @@
             .filter(|target| target.is_listed_ready());
         let is_first_limit_reached =
             listed_first_engines.count() >= request.route.attempts_max as usize;
+        let mut demand = None;
         let (targets, workers): (Vec<Rc<Target>>, Vec<Worker>) = ready_targets
             .iter()
             .filter_map(|target| {
@@ -400,6 +408,10 @@
                     && peer_avoided.contains(&target.id_hash)
                     && !target.progressed_since(now - LIVENESS_WINDOW);
                 let is_refusing_peers = trusts_refusals && peer_refusing.contains(&target.id_hash);
+                let is_earlier_first = attempts
+                    .first_engines
+                    .iter()
+                    .any(|other| Rc::ptr_eq(other, target));
                 let load = peer_loads.get(&target.id_hash).copied().unwrap_or_default();
                 let worker = Worker {
                     target: target.id.clone(),
@@ -419,11 +431,8 @@
                         }
                     }),
                     open: !(is_avoided || is_avoided_by_peers || is_refusing_peers || is_excluded),
-                    may_be_first: !is_first_limit_reached
-                        || attempts
-                            .first_engines
-                            .iter()
-                            .any(|other| Rc::ptr_eq(other, target)),
+                    may_be_first: (!is_first_limit_reached || is_earlier_first)
+                        && gateway.is_within_limit(target, &mut demand, now),
                 };
                 Some((Rc::clone(target), worker))
             })
--- a/crates/anvil_gateway/src/peers.rs
+++ b/crates/anvil_gateway/src/peers.rs
@@ -258,6 +258,8 @@
             refusing: gateway.targets.own_avoided(AvoidReason::Refusing, now),
             leaving: gateway.targets.own_leaving(),
             slow: gateway.targets.own_slow(now),
+            requests_per_s: gateway.own_requests_per_s(),
+            limits: gateway.shared_limits(now),
             part_states: gateway.shared_part_states(),
             target_changes: None,
         }
@@ -320,6 +322,7 @@
         let echo = digest.echo_before(BootTime::now());
         gateway.platform.store.observe_era(digest.store_era);
         gateway.merge_part_states(&digest.part_states, sender);
+        gateway.merge_limits(&digest.limits, sender, now);
         if let Some(echo) = echo {
             for age in [digest.table_age, digest.targets_age].into_iter().flatten() {
                 gateway.targets.record_store_answer(echo.earlier(age));
--- a/crates/anvil_gateway/src/peers/message.rs
+++ b/crates/anvil_gateway/src/peers/message.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     clock::BootTime,
+    limits::SharedLimit,
     port::{
         Era,
         Position,
@@ -31,6 +32,9 @@
 /// Factor from a slowdown to the percentage on the wire.
 const PERCENT_FACTOR: f64 = 100.0;
 
+/// Factor from requests a second to the number on the wire, which is per 1,000 seconds.
+const RATE_FACTOR: f64 = 1000.0;
+
 /// State that a gateway reports to its peers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Digest {
@@ -68,6 +72,10 @@
     pub leaving: Vec<u32>,
     /// Targets that reported a slowdown to the sender.
     pub slow: Vec<SlowTarget>,
+    /// Callers' requests a second at the sender.
+    pub requests_per_s: f64,
+    /// Limits that targets stated to the sender or its peers.
+    pub limits: Vec<SharedLimit>,
     /// States of prompt parts that the sender knows.
     pub part_states: Vec<PartState>,
     /// Changes of the target list that the sender has just read from the store.
@@ -159,6 +167,26 @@
             .iter()
             .map(|slow| round_u32(slow.slowdown * PERCENT_FACTOR))
             .collect(),
+        requests_per_1000s: round_u32(digest.requests_per_s * RATE_FACTOR),
+        limit_targets: digest
+            .limits
+            .iter()
+            .map(|limit| limit.target_hash)
+            .collect(),
+        limit_per_1000s: digest
+            .limits
+            .iter()
+            .map(|limit| {
+                limit
+                    .limit_per_s
+                    .map_or(u32::MAX, |per_s| round_u32(per_s * RATE_FACTOR))
+            })
+            .collect(),
+        limit_ages_ms: digest
+            .limits
+            .iter()
+            .map(|limit| millis(Some(limit.age)))
+            .collect(),
         part_names: states.iter().map(|state| state.part.clone()).collect(),
         part_rounds: states.iter().map(|state| state.round).collect(),
         part_points: states.iter().map(|state| state.points).collect(),
@@ -184,6 +212,8 @@
         && digest.load_token_layers.len() == count
         && digest.load_sent.len() == count
         && digest.slow_targets.len() == digest.slow_percents.len()
+        && digest.limit_per_1000s.len() == digest.limit_targets.len()
+        && digest.limit_ages_ms.len() == digest.limit_targets.len()
         && [
             digest.part_rounds.len(),
             digest.part_points.len(),
@@ -204,6 +234,19 @@
             sent_requests: f64::from(digest.load_sent[index]),
         })
         .collect();
+    let limits = digest
+        .limit_targets
+        .into_iter()
+        .enumerate()
+        .map(|(index, target_hash)| {
+            let limit = digest.limit_per_1000s[index];
+            SharedLimit {
+                target_hash,
+                limit_per_s: (limit != u32::MAX).then(|| f64::from(limit) / RATE_FACTOR),
+                age: Duration::from_millis(u64::from(digest.limit_ages_ms[index])),
+            }
+        })
+        .collect();
     let part_states = digest
         .part_names
         .into_iter()
@@ -243,6 +286,8 @@
                 slowdown: f64::from(percent) / PERCENT_FACTOR,
             })
             .collect(),
+        requests_per_s: f64::from(digest.requests_per_1000s) / RATE_FACTOR,
+        limits,
         part_states,
         target_changes: digest
             .news_from
--- a/crates/anvil_gateway/src/peers/tests.rs
+++ b/crates/anvil_gateway/src/peers/tests.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 
 use super::*;
+use crate::limits::SharedLimit;
 use crate::port::{
     Position,
     TargetEntry,
@@ -43,6 +44,19 @@
             target_hash: 8,
             slowdown: 12.5,
         }],
+        requests_per_s: 3.75,
+        limits: vec![
+            SharedLimit {
+                target_hash: 7,
+                limit_per_s: Some(14.6),
+                age: Duration::from_millis(120),
+            },
+            SharedLimit {
+                target_hash: 8,
+                limit_per_s: None,
+                age: Duration::from_millis(2),
+            },
+        ],
         part_states: vec![PartState {
             part: "5c1e07a2".into(),
             round: 1,
--- a/crates/anvil_gateway/src/peers/view.rs
+++ b/crates/anvil_gateway/src/peers/view.rs
@@ -276,6 +276,19 @@
             .contains(&own)
     }
 
+    /// Returns the requests a second of the live peers, by data centre.
+    pub fn requests_per_s(&self, now: Instant) -> HashMap<DataCentreId, f64> {
+        let mut requests_per_s: HashMap<DataCentreId, f64> = HashMap::new();
+        for peer in self.peers.values().filter(|peer| peer.is_live(now)) {
+            if let Some(digest) = &peer.digest {
+                *requests_per_s
+                    .entry(digest.data_centre.clone())
+                    .or_default() += digest.requests_per_s;
+            }
+        }
+        requests_per_s
+    }
+
     /// Returns whether a host is the one among the live hosts that does the work for a key.
     pub fn is_chosen(&self, key: &str, own: &HostId, now: Instant) -> bool {
         let live = self.peers.iter().filter(|(_, peer)| peer.is_live(now));
--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -194,15 +194,22 @@
     Instant::now() + attempt_timeout.min(time_left / 2)
 }
 
-/// Returns the time until the first target of the service wants requests again, or zero if one does
-/// now or none is listed.
+/// Returns the time until the first target of the service wants requests again and takes one of this
+/// host within its limit. Returns zero if one does now or none is listed.
 fn shortest_closed_time(gateway: &Gateway, request: &RequestContext<'_>) -> Duration {
     let now = Instant::now();
     let targets = gateway.targets.of_service(request.service_id);
+    let demand = gateway.fleet_demand(now);
     targets
         .iter()
         .filter(|target| target.is_listed_ready())
-        .map(|target| target.closed_for(now))
+        .map(|target| {
+            let limit_time = target.limit_per_s(now).map(|limit_per_s| {
+                let data_centre = &target.entry.borrow().data_centre;
+                target.limit_time_left(demand.share_per_s(limit_per_s, data_centre))
+            });
+            target.closed_for(now).max(limit_time.unwrap_or_default())
+        })
         .min()
         .unwrap_or_default()
 }
@@ -226,10 +233,12 @@
             + if is_remote { REMOTE_COST_REQUESTS } else { 0.0 }
             + gateway.random_unit() * REMOTE_COST_REQUESTS
     };
+    let mut demand = None;
     candidates
         .into_iter()
         .filter(|target| target.accepts(now) && !peer_leaving.contains(&target.id_hash))
         .filter(|target| !tried.iter().any(|other| Rc::ptr_eq(other, target)))
+        .filter(|target| gateway.is_within_limit(target, &mut demand, now))
         .map(|target| (cost(&target), target))
         .min_by(|left, right| left.0.total_cmp(&right.0))
         .map(|(_, target)| target)
@@ -275,6 +284,7 @@
         &mut out,
     );
     out.extend_from_slice(&request.body);
+    target.charge_limit(Instant::now());
     trace.sends += 1;
     trace.via.push(target.id.to_string());
     match timeout_at(
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -398,6 +398,7 @@
             &mut out,
         );
         out.extend_from_slice(&self.request.body);
+        first.charge_limit(Instant::now());
         trace.sends += 1;
         trace.via.push(chosen.to_log_string());
         if !self
--- a/crates/anvil_gateway/src/target.rs
+++ b/crates/anvil_gateway/src/target.rs
@@ -10,7 +10,13 @@
     time::Duration, //
 };
 
-use anvil_core::id::TargetId;
+use anvil_core::{
+    id::TargetId,
+    target_limit::{
+        Allowance,
+        Statement, //
+    },
+};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -88,9 +94,11 @@
     says_leaving: Cell<bool>,
     /// Time until which the target wants no requests from this host.
     closed_until: Cell<Option<Instant>>,
-    /// Requests a second that the target takes from all hosts, as its last answer to this host
-    /// stated; `None` if it stated no limit.
-    stated_limit_per_s: Cell<Option<f64>>,
+    /// What the target last stated about its limit, to this host or a peer; `None` before the first
+    /// answer.
+    limit: Cell<Option<Statement>>,
+    /// Requests that this host may send within that limit.
+    allowance: Cell<Allowance>,
     /// Whether the target is no longer listed, or another run has taken its name.
     pub(crate) is_removed: Cell<bool>,
 }
@@ -114,7 +122,8 @@
             reported: Cell::new(None),
             says_leaving: Cell::new(false),
             closed_until: Cell::new(None),
-            stated_limit_per_s: Cell::new(None),
+            limit: Cell::new(None),
+            allowance: Cell::new(Allowance::default()),
             is_removed: Cell::new(false),
         }
     }
@@ -154,10 +163,51 @@
             .set(self.closed_until.get().max(Some(until)));
     }
 
-    /// Records the limit that an answer of the target stated. Returns whether it differs from that
-    /// of the last answer.
-    pub(crate) fn record_stated_limit(&self, limit_per_s: Option<f64>) -> bool {
-        self.stated_limit_per_s.replace(limit_per_s) != limit_per_s
+    /// Records what an answer of the target stated about its limit, unless a later answer is known.
+    /// Returns whether the limit changed.
+    pub(crate) fn record_limit(&self, statement: Statement) -> bool {
+        let known = self.limit.get();
+        if known.is_some_and(|known| known.stated_at >= statement.stated_at) {
+            return false;
+        }
+        self.limit.set(Some(statement));
+        statement.limit_per_s != known.and_then(|known| known.limit_per_s)
+    }
+
+    /// Returns what the target last stated about its limit. Returns `None` before the first answer,
+    /// or if that is too long ago.
+    pub fn limit_statement(&self, now: Instant) -> Option<Statement> {
+        let statement = self.limit.get()?;
+        statement.is_current(now.into_std()).then_some(statement)
+    }
+
+    /// Returns the requests a second that the target takes from all hosts together. Returns `None`
+    /// if it states no limit.
+    pub fn limit_per_s(&self, now: Instant) -> Option<f64> {
+        self.limit_statement(now)?.limit_per_s
+    }
+
+    /// Returns whether this host may send the target a request within its share of the limit. `draw`
+    /// is a random number in `0.0..1.0`.
+    pub fn admits_within(&self, share_per_s: f64, now: Instant, draw: f64) -> bool {
+        let mut allowance = self.allowance.get();
+        let admits = allowance.admits(share_per_s, now.into_std(), draw);
+        self.allowance.set(allowance);
+        admits
+    }
+
+    /// Charges a request that was sent to the target to its limit, if it states one.
+    pub fn charge_limit(&self, now: Instant) {
+        if self.limit_per_s(now).is_some() {
+            let mut allowance = self.allowance.get();
+            allowance.charge();
+            self.allowance.set(allowance);
+        }
+    }
+
+    /// Returns the time until this host may send the target a request within its share of the limit.
+    pub fn limit_time_left(&self, share_per_s: f64) -> Duration {
+        self.allowance.get().time_left(share_per_s)
     }
 
     /// Returns whether this host may send the target a new request at `now`.
--- a/crates/anvil_gateway/src/targets.rs
+++ b/crates/anvil_gateway/src/targets.rs
@@ -14,15 +14,19 @@
     time::Duration, //
 };
 
-use anvil_core::id::{
-    Offset,
-    ServiceId,
-    TargetId, //
+use anvil_core::{
+    id::{
+        Offset,
+        ServiceId,
+        TargetId, //
+    },
+    target_limit::Statement,
 };
 use tokio::time::Instant;
 
 use crate::{
     clock::BootTime,
+    limits,
     peers::{
         SlowTarget,
         TargetLoad, //
@@ -103,11 +107,12 @@
             }
             leaving_runs.insert(target.id.clone(), target.entry.borrow().started_unix_ms);
         }
-        if target.record_stated_limit(metadata.limit_per_s) {
-            spdlog::info!("target.limit_stated", kv: {
-                target = target.id.as_str(),
-                limit_per_s:? = metadata.limit_per_s,
-            });
+        let statement = Statement {
+            limit_per_s: metadata.limit_per_s,
+            stated_at: now.into_std(),
+        };
+        if target.record_limit(statement) {
+            limits::log_limit(target, statement, "own");
         }
         if let Some(retry_after) = metadata.retry_after {
             let bounded = retry_after.min(CLOSED_TIME_MAX);
--- a/crates/anvil_gateway/src/targets/tests.rs
+++ b/crates/anvil_gateway/src/targets/tests.rs
@@ -281,3 +281,20 @@
     targets.apply_answer(&target, &answer(Duration::from_secs(1 << 40)), now, 0.999);
     expect_that!(target.closed_for(now), le(CLOSED_TIME_MAX * 2));
 }
+
+/// Guards against an answer that overtakes a later one, at a peer or on another connection.
+#[gtest]
+fn record_limit_keeps_latest_statement() {
+    let now = Instant::now();
+    let (_targets, target) = list_with("target");
+    let statement = |limit_per_s, age_ms| Statement {
+        limit_per_s,
+        stated_at: (now - Duration::from_millis(age_ms)).into_std(),
+    };
+    expect_that!(target.record_limit(statement(Some(14.6), 50)), eq(true));
+    expect_that!(target.record_limit(statement(None, 60)), eq(false));
+    expect_that!(target.limit_per_s(now), some(eq(14.6)));
+    expect_that!(target.record_limit(statement(Some(14.6), 40)), eq(false));
+    expect_that!(target.record_limit(statement(None, 10)), eq(true));
+    expect_that!(target.limit_per_s(now), none());
+}
--- a/crates/anvil_observe/src/events.rs
+++ b/crates/anvil_observe/src/events.rs
@@ -132,7 +132,7 @@
     "target.gone": "A target is no longer used. The line gives the reason.",
     "target.health": "A target was ejected, or was readmitted because it answered again.",
     "target.lapsed": "The entry of a target was removed right after the store had been away. The target stays in use for the time in which live targets register again.",
-    "target.limit_stated": "A target stated another limit of the requests a second that it takes from all hosts together than in its last answer to this host, or none any more.",
+    "target.limit_stated": "A target stated another limit of the requests a second that it takes from all hosts together than before, or none any more, to this host (own) or to the peer that is named.",
     "target.listed": "The entry of a target appeared, or its state or layers changed.",
     "target.reached": "A target that had been unreachable answered a load report. A request may be tried on it now.",
     "target.says_leaving": "A target stated in an answer that it is shutting down. It gets nothing new until another run of it registers.",
