Give up all kept connections to the store when one is silent

Hosts handled requests by a table that had been replaced 3.5 s before: connections to the store had gone silent for good, and a host that isn't a reader lost its read on each of its three kept connections in turn, 1.2 s each, before it opened a new one that answered at once.

A kept connection proves nothing until its next answer. A read on one is given up after a small share of the bound on the data's age, all kept ones are dropped with it, and the read goes over a new connection. A write uses a connection that has just answered, or a new one, and isn't repeated. The decision moved from the platform's client to anvil_gateway::calls; connection.given_up and anvil_store_connections_given_up show it.

--- a/crates/anvil_core/src/freshness.rs
+++ b/crates/anvil_core/src/freshness.rs
@@ -18,6 +18,12 @@
 /// Longest random delay of such a call, as a share of the bound.
 const OVERDUE_DELAY_SHARE: f64 = 0.15;
 
+/// Time, as a share of the bound, after which a call on a connection that was silent before is given
+/// up.
+const ANSWER_DOUBT_SHARE: f64 = 0.075;
+/// The same where the store is known to answer slowly.
+const ANSWER_DOUBT_SHARE_MAX: f64 = 0.25;
+
 /// Times that follow from a bound on the age of a copy.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -30,6 +36,12 @@
     /// the delay lets one of them ask first. Invariant: `overdue_age` and this delay together leave
     /// time for an answer within the bound.
     pub overdue_delay_max: Duration,
+    /// Time after which a call on a kept connection is given up and sent over a new one. Invariant:
+    /// `overdue_age`, `overdue_delay_max` and this time together leave time for an answer within the
+    /// bound.
+    pub answer_doubt: Duration,
+    /// Largest such time, where the store is known to answer slowly.
+    pub answer_doubt_max: Duration,
 }
 
 impl Limits {
@@ -39,6 +51,8 @@
             wait: bound.mul_f64(WAIT_SHARE),
             overdue_age: bound.mul_f64(OVERDUE_SHARE),
             overdue_delay_max: bound.mul_f64(OVERDUE_DELAY_SHARE),
+            answer_doubt: bound.mul_f64(ANSWER_DOUBT_SHARE),
+            answer_doubt_max: bound.mul_f64(ANSWER_DOUBT_SHARE_MAX),
         }
     }
 
--- a/crates/anvil_core/src/freshness/tests.rs
+++ b/crates/anvil_core/src/freshness/tests.rs
@@ -14,7 +14,7 @@
         let limits = Limits::for_bound(bound);
         expect_that!(limits.wait + RELAY_TIME, le(limits.overdue_age));
         expect_that!(
-            limits.overdue_age + limits.overdue_delay_max + ANSWER_TIME,
+            limits.overdue_age + limits.overdue_delay_max + limits.answer_doubt + ANSWER_TIME,
             le(bound)
         );
     }
--- a/crates/anvil_gateway/src/follow/tests/fakes.rs
+++ b/crates/anvil_gateway/src/follow/tests/fakes.rs
@@ -180,6 +180,10 @@
         self.known_era.get()
     }
 
+    fn given_up_connections(&self) -> u64 {
+        0
+    }
+
     fn observe_era(&self, era: Era) {
         self.known_era.set(self.known_era.get().max(era));
     }
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! interfaces to the platform that the gateway runs on.
 
 pub mod answer;
+pub mod calls;
 pub mod clock;
 pub mod events;
 pub mod exchange;
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -62,6 +62,7 @@
     peers_heard: IntGauge,
     store_era: IntGauge,
     quarantined_parts: IntGauge,
+    store_connections_given_up: IntGauge,
 }
 
 impl Metrics {
@@ -157,6 +158,10 @@
                 "anvil_quarantined_parts",
                 "Parts of prompts that are quarantined because engines ended under them",
             ),
+            store_connections_given_up: gauge(
+                "anvil_store_connections_given_up",
+                "Connections to the store that were given up because they were silent, since the start",
+            ),
             registry,
         }
     }
@@ -219,6 +224,9 @@
         let quarantined_count = gateway.quarantine.borrow().quarantined_count();
         self.quarantined_parts
             .set(i64::try_from(quarantined_count).unwrap_or(i64::MAX));
+        let given_up = gateway.platform.store.given_up_connections();
+        self.store_connections_given_up
+            .set(i64::try_from(given_up).unwrap_or(i64::MAX));
         let era = gateway.platform.store.era();
         self.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
         let live_peer_count = gateway
--- a/crates/anvil_gateway/src/port.rs
+++ b/crates/anvil_gateway/src/port.rs
@@ -316,6 +316,9 @@
     /// Returns the newest era that is known.
     fn era(&self) -> Era;
 
+    /// Returns the number of connections that were given up because they were silent.
+    fn given_up_connections(&self) -> u64;
+
     /// Records that a peer knows an era. Answers of older ones no longer count.
     fn observe_era(&self, era: Era);
 
--- a/crates/anvil_gateway/src/settings.rs
+++ b/crates/anvil_gateway/src/settings.rs
@@ -130,6 +130,13 @@
     pub stall: Duration,
 }
 
+impl Bounds {
+    /// Returns the smallest bound on the age of data from the store.
+    pub fn newest_data(&self) -> Duration {
+        self.config_apply.min(self.revoke).min(self.leaving_target)
+    }
+}
+
 impl Default for Bounds {
     /// Returns the bounds that the operators publish, which hold where a settings file sets none.
     fn default() -> Self {
--- a/crates/anvil_gateway/src/stream/tests/fakes.rs
+++ b/crates/anvil_gateway/src/stream/tests/fakes.rs
@@ -251,6 +251,10 @@
         0
     }
 
+    fn given_up_connections(&self) -> u64 {
+        0
+    }
+
     fn observe_era(&self, _era: Era) {}
 
     fn newest_table(&self) -> PlatformResult<'_, Snapshot<Option<Table>>> {
--- a/crates/anvil_observe/src/events.rs
+++ b/crates/anvil_observe/src/events.rs
@@ -52,6 +52,8 @@
     "config.push_failed": "Records of the configuration could not be pushed to another host, which will request them.",
     "config.snapshot_unavailable": "The snapshots could not be read from the log.",
     "config.snapshot_unreadable": "A snapshot can't be read and was skipped.",
+    "connection.closed": "A kept connection to the server that the line names by its role ended before an answer.",
+    "connection.given_up": "A call was not answered in time. Its connection was given up, and the kept ones to the same server with it. The line gives the server's role, the call, and the age of the last answer on the connection.",
     "connection.options_failed": "Socket options of a connection could not be set, so a dead peer is detected later on it.",
     "host.cut_off": "The drain timeout passed while requests were still open.",
     "host.listening": "The host's listeners are open.",
--- a/crates/anvilproxyd/src/gateway.rs
+++ b/crates/anvilproxyd/src/gateway.rs
@@ -85,7 +85,7 @@
         }
     };
     spdlog::info!("host.starting", kv: { host = settings.host_id.as_str() });
-    let platform = anvil_platform::connect(settings.store);
+    let platform = anvil_platform::connect(settings.store, settings.bounds.newest_data());
     let local = LocalSet::new();
     match local.block_on(&runtime, anvil_gateway::run::run(settings, platform)) {
         Ok(ShutdownOutcome::Drained) => ExitStatus::Done,
