Doubt the kept connections to a target when one is silent

The first one that isn't answered drops the others of its target; so does a request to a plain service.

serve_doubts_kept_connections_when_one_is_silent failed before and passes now. Peers exchange datagrams, and callers' connections end by the limits on idle time.

--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -293,7 +293,12 @@
     )
     .await
     {
-        Err(_) => AttemptResult::Lost("no answer within the time for this attempt"),
+        Err(_) => {
+            if acquired.is_reused {
+                target.pool.doubt(&target.id);
+            }
+            AttemptResult::Lost("no answer within the time for this attempt")
+        }
         Ok(Err(failure)) => {
             if !acquired.is_reused {
                 target.record_failure(Instant::now());
--- a/crates/anvil_gateway/src/pool.rs
+++ b/crates/anvil_gateway/src/pool.rs
@@ -7,6 +7,7 @@
     time::Duration, //
 };
 
+use anvil_core::id::TargetId;
 use tokio::time::Instant;
 
 use crate::http1::{
@@ -123,6 +124,15 @@
             .retain(|candidate| candidate.usable_until > now);
     }
 
+    /// Drops every idle connection after one to the same target was silent: whatever silenced it may
+    /// have silenced them.
+    pub fn doubt(&self, target: &TargetId) {
+        let doubted = std::mem::take(&mut *self.idle.borrow_mut()).len();
+        if doubted > 0 {
+            spdlog::info!("target.connections_doubted", kv: { target = target.as_str(), doubted });
+        }
+    }
+
     /// Drops every idle connection.
     pub fn clear(&self) {
         self.idle.borrow_mut().clear();
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -10,7 +10,10 @@
 use anvil_core::{
     engine_model::EngineProfile,
     entry::RequestSemantics,
-    quarantine::Admission, //
+    quarantine::{
+        Admission,
+        Progress, //
+    },
 };
 use tokio::time::{
     Instant,
@@ -237,6 +240,9 @@
                 }
                 AttemptResult::Stalled => {
                     may_have_run = true;
+                    if self.progress.early() == Some(Progress::Unanswered) {
+                        chosen.first().pool.doubt(&chosen.first().id);
+                    }
                     faults::record_stall(&chosen);
                     "stalled"
                 }
--- a/crates/anvil_gateway/src/stream/tests.rs
+++ b/crates/anvil_gateway/src/stream/tests.rs
@@ -161,3 +161,21 @@
         expect_that!(requests_in_step, gt(1));
     });
 }
+
+/// Guards against streams that are lost on one silent connection of an engine after the other.
+#[gtest]
+fn serve_doubts_kept_connections_when_one_is_silent() {
+    run(async {
+        let fleet = Fleet::start(17, 1).await;
+        let engine = &fleet.engines[0];
+        let host = fleet.start_host(0).await;
+        // Several connections are kept, as several requests are open together.
+        let calls = (0..6).map(|_| host.call(&["sound"]));
+        futures::future::join_all(calls).await;
+        engine.fall_silent();
+        for _ in 0..3 {
+            host.call(&["sound"]).await;
+        }
+        expect_that!(engine.silent_request_count.get(), le(1));
+    });
+}
--- a/crates/anvil_gateway/src/stream/tests/fakes.rs
+++ b/crates/anvil_gateway/src/stream/tests/fakes.rs
@@ -115,6 +115,12 @@
     pub(super) limit_per_s: Cell<Option<f64>>,
     /// Number of requests that reached it.
     pub(super) request_count: Cell<u32>,
+    /// Number of connections so far.
+    connection_count: Cell<u32>,
+    /// Connections below this number are silent.
+    silent_below: Cell<u32>,
+    /// Number of requests that came on silent connections.
+    pub(super) silent_request_count: Cell<u32>,
 }
 
 impl Engine {
@@ -128,11 +134,19 @@
             ended: Notify::new(),
             limit_per_s: Cell::new(None),
             request_count: Cell::new(0),
+            connection_count: Cell::new(0),
+            silent_below: Cell::new(0),
+            silent_request_count: Cell::new(0),
         });
         spawn_local(Rc::clone(&engine).run(listener));
         engine
     }
 
+    /// Falls silent on all connections that are open now.
+    pub(super) fn fall_silent(&self) {
+        self.silent_below.set(self.connection_count.get());
+    }
+
     async fn run(self: Rc<Self>, listener: TcpListener) {
         let mut connections = JoinSet::new();
         loop {
@@ -149,10 +163,17 @@
 
     async fn serve(self: Rc<Self>, stream: TcpStream) {
         let mut connection = Connection::new(stream);
+        let index = self.connection_count.get();
+        self.connection_count.set(index + 1);
         while let Ok(Some(head)) = connection
             .read_request(HEAD_LIMIT_BYTES, IDLE_TIMEOUT, IDLE_TIMEOUT)
             .await
         {
+            if index < self.silent_below.get() {
+                self.silent_request_count
+                    .set(self.silent_request_count.get() + 1);
+                continue;
+            }
             let id = head.headers.text("id").unwrap_or_default();
             self.request_count.set(self.request_count.get() + 1);
             let limit = self.limit_per_s.get();
--- a/crates/anvil_observe/src/events.rs
+++ b/crates/anvil_observe/src/events.rs
@@ -131,6 +131,7 @@
     "stream.state_unknown": "The first engine of a silent stream could not be asked what it is waiting for.",
     "target.cache_events_missed": "Cache events of a target were missed, so the host's view of its cache is out of date.",
     "target.connection_silent": "A connection to a target stopped answering. A new one is opened.",
+    "target.connections_doubted": "A request on a kept connection to a target was not answered in time. The other kept connections to it were dropped.",
     "target.gone": "A target is no longer used. The line gives the reason.",
     "target.health": "A target was ejected, or was readmitted because it answered again.",
     "target.lapsed": "The entry of a target was removed right after the store had been away. The target stays in use for the time in which live targets register again.",
