Tell peers of limits that ended, not of targets that never stated one

Digests named each target that had answered without a limit in the last 5 s, up to 24 of them and some 300 bytes. An answer without a limit is now recorded only if the target had stated one.

record_limit_ignores_target_that_never_stated_one failed before.

--- a/crates/anvil_gateway/src/target.rs
+++ b/crates/anvil_gateway/src/target.rs
@@ -170,8 +170,13 @@
         if known.is_some_and(|known| known.stated_at >= statement.stated_at) {
             return false;
         }
+        let known_limit = known.and_then(|known| known.limit_per_s);
+        if statement.limit_per_s.is_none() && known_limit.is_none() {
+            // Most targets never state a limit, and peers need not hear of that.
+            return false;
+        }
         self.limit.set(Some(statement));
-        statement.limit_per_s != known.and_then(|known| known.limit_per_s)
+        statement.limit_per_s != known_limit
     }
 
     /// Returns what the target last stated about its limit. Returns `None` before the first answer,
--- a/crates/anvil_gateway/src/targets/tests.rs
+++ b/crates/anvil_gateway/src/targets/tests.rs
@@ -298,3 +298,16 @@
     expect_that!(target.record_limit(statement(None, 10)), eq(true));
     expect_that!(target.limit_per_s(now), none());
 }
+
+/// Guards against digests that name every target without a limit.
+#[gtest]
+fn record_limit_ignores_target_that_never_stated_one() {
+    let now = Instant::now();
+    let (_targets, target) = list_with("target");
+    let without_limit = |age_ms| Statement {
+        limit_per_s: None,
+        stated_at: (now - Duration::from_millis(age_ms)).into_std(),
+    };
+    target.record_limit(without_limit(50));
+    expect_that!(target.limit_statement(now).is_none(), eq(true));
+}
