Add a test of a fleet that follows the store through an outage

Callers of one host got 404 for a route that the store had acknowledged more than 2 s before. The tests of that incident had one host each, whose peers were played by the test. This one has 15 hosts in three data centres that exchange their digests, 120 outages of 2 to 10.3 s and a change 0.05 to 1.5 s after each.

It passes on the present code.

--- a/crates/anvil_gateway/src/follow/tests.rs
+++ b/crates/anvil_gateway/src/follow/tests.rs
@@ -37,6 +37,7 @@
 };
 
 mod fakes;
+mod fleet;
 
 const OLD_VERSION: Version = 7;
 const NEW_VERSION: Version = 8;
--- a/crates/anvil_gateway/src/follow/tests/fakes.rs
+++ b/crates/anvil_gateway/src/follow/tests/fakes.rs
@@ -99,6 +99,7 @@
     pub(super) wait_limit: Cell<Option<Duration>>,
     /// When each call for tables arrived.
     pub(super) table_calls: RefCell<Vec<Instant>>,
+    hosts: RefCell<Vec<HostEntry>>,
 }
 
 pub(super) fn not_executed<T>() -> Result<T, PlatformError> {
@@ -260,8 +261,12 @@
         ))
     }
 
-    fn register_host<'a>(&'a self, _host: &'a HostEntry) -> PlatformResult<'a, ()> {
-        Box::pin(async { not_executed() })
+    fn register_host<'a>(&'a self, host: &'a HostEntry) -> PlatformResult<'a, ()> {
+        Box::pin(self.call(
+            Duration::ZERO,
+            || true,
+            || self.hosts.borrow_mut().push(host.clone()),
+        ))
     }
 
     fn deregister_host<'a>(&'a self, _host: &'a HostId) -> PlatformResult<'a, ()> {
@@ -269,7 +274,14 @@
     }
 
     fn registry(&self) -> PlatformResult<'_, HostRegistry> {
-        Box::pin(async { not_executed() })
+        Box::pin(self.call(
+            Duration::ZERO,
+            || true,
+            || HostRegistry {
+                hosts: self.hosts.borrow().clone(),
+                quarantined: Vec::new(),
+            },
+        ))
     }
 
     fn register_quarantine<'a>(&'a self, _entry: &'a QuarantineEntry) -> PlatformResult<'a, ()> {
--- /dev/null
+++ b/crates/anvil_gateway/src/follow/tests/fleet.rs
@@ -0,0 +1,153 @@
+//! Hosts that exchange digests over loopback and follow one store.
+
+use std::{
+    net::{
+        Ipv4Addr,
+        SocketAddr, //
+    },
+    rc::Rc,
+    sync::atomic::{
+        AtomicU16,
+        Ordering, //
+    },
+    time::Duration, //
+};
+
+use anvil_core::id::Version;
+use googletest::prelude::*;
+use rand::{
+    SeedableRng,
+    rngs::SmallRng, //
+};
+use tokio::{
+    task::spawn_local,
+    time::{
+        Instant,
+        sleep, //
+    },
+};
+
+use super::{
+    BOUND,
+    NEW_VERSION,
+    SETTLE_TIME,
+    TICK,
+    fakes::{
+        self,
+        Availability,
+        FakeStore, //
+    },
+    run_with_paused_clock,
+    store,
+    version, //
+};
+use crate::{
+    follow::{
+        follow_table,
+        follow_targets, //
+    },
+    gateway::Gateway,
+    peers::Peers,
+    settings, //
+};
+
+/// Data centres with the number of their hosts.
+const DATA_CENTRES: [(&str, usize); 3] = [("a", 7), ("b", 4), ("c", 4)];
+/// First port for the peers' datagrams. Each fleet has a port of its own.
+const PEER_PORT_MIN: u16 = 7340;
+/// Time until all hosts know one another and the readers have polled more than once.
+const START_TIME: Duration = Duration::from_secs(5);
+
+static FLEET_COUNT: AtomicU16 = AtomicU16::new(0);
+
+/// Returns the address of a host for the peers' datagrams, which no other test process uses.
+fn peer_address(host_index: usize, port: u16) -> SocketAddr {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let host = u8::try_from(host_index + 1).unwrap();
+    SocketAddr::from((Ipv4Addr::new(127, high, low, host), port))
+}
+
+async fn start_host(
+    store: &Rc<FakeStore>,
+    index: usize,
+    port: u16,
+    data_centre: &str,
+    seed: u64,
+) -> Rc<Gateway> {
+    let address = peer_address(index, port);
+    let text = format!(
+        r#"
+        host_id = "host-{index}"
+        data_centre = "{data_centre}"
+        processor_share = 0.17
+        listen = {{ callers = "10.0.0.1:80", readiness = "10.0.0.1:81", peers = "{address}" }}
+        platform = {{ store = "10.0.0.2:80" }}
+    "#
+    );
+    let settings = settings::read("test", &text).unwrap();
+    let rng = SmallRng::seed_from_u64(seed);
+    let gateway = Rc::new(Gateway::with_rng(settings, fakes::platform(store), rng));
+    let peers = Rc::new(Peers::open(Rc::clone(&gateway)).await.unwrap());
+    spawn_local(Rc::clone(&peers).maintain_host_list());
+    spawn_local(Rc::clone(&peers).send_digests());
+    spawn_local(Rc::clone(&peers).receive());
+    spawn_local(follow_table(Rc::clone(&gateway)));
+    spawn_local(follow_targets(Rc::clone(&gateway), peers));
+    gateway
+}
+
+async fn start_fleet(store: &Rc<FakeStore>, seed: u64) -> Vec<Rc<Gateway>> {
+    let port = PEER_PORT_MIN + FLEET_COUNT.fetch_add(1, Ordering::Relaxed);
+    let mut hosts = Vec::new();
+    for (data_centre, count) in DATA_CENTRES {
+        for _ in 0..count {
+            let index = hosts.len();
+            let host_seed = seed * 1000 + index as u64;
+            hosts.push(start_host(store, index, port, data_centre, host_seed).await);
+        }
+    }
+    sleep(START_TIME).await;
+    hosts
+}
+
+/// Returns the time until the last host has a version, or `None` after `limit`.
+async fn time_until_in_force(
+    hosts: &[Rc<Gateway>],
+    newest: Version,
+    limit: Duration,
+) -> Option<Duration> {
+    let start = Instant::now();
+    while hosts.iter().any(|host| version(host) < newest) {
+        if start.elapsed() > limit {
+            return None;
+        }
+        sleep(TICK).await;
+    }
+    Some(start.elapsed())
+}
+
+/// Guards against a change that the store took after an outage and that part of the hosts learn too
+/// late, because they rely on one another or on calls that the outage swallowed.
+#[gtest]
+fn follow_table_has_change_in_time_at_all_hosts_after_outage() {
+    for seed in 0..120 {
+        let outage_ms = 2000 + 70 * seed;
+        let ack_delay_ms = [50, 500, 1000, 1500][seed as usize % 4];
+        run_with_paused_clock(async {
+            let store = store();
+            let hosts = start_fleet(&store, seed).await;
+            store.set_availability(Availability::Silent);
+            sleep(Duration::from_millis(outage_ms)).await;
+            store.set_availability(Availability::Up);
+            let ack_delay = Duration::from_millis(ack_delay_ms);
+            sleep(ack_delay).await;
+            store.write_table(NEW_VERSION);
+            let bound = BOUND.max(SETTLE_TIME - ack_delay);
+            expect_that!(
+                time_until_in_force(&hosts, NEW_VERSION, BOUND * 3).await,
+                some(le(bound)),
+                "seed {seed}, outage of {outage_ms} ms, change {ack_delay_ms} ms after it"
+            );
+        });
+    }
+}
