Log which request a lost connection to a plain target carried, and whether the target ended

The digest is computed for these lines alone.

The check opens one connection after a loss. A loss by timeout is told apart from a lost connection and is not checked.

--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod quarantine;
 pub mod recovery;
 pub mod rendezvous;
+pub mod request_digest;
 pub mod retry;
 pub mod route;
 pub mod step;
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -1,6 +1,7 @@
 //! Serves a caller's connection: reads its requests one after another and answers each.
 
 use std::{
+    cell::OnceCell,
     rc::Rc,
     time::Duration, //
 };
@@ -13,7 +14,8 @@
         choose_backend, //
     },
     id::ServiceId,
-    id::TeamId, //
+    id::TeamId,
+    request_digest::RequestDigest, //
 };
 use bytes::Bytes;
 use tokio::{
@@ -81,6 +83,20 @@
     pub deadline: Instant,
     /// Whether the connection may stay open after the answer.
     pub keep_alive: bool,
+    /// Digest of the request; empty until it is needed.
+    pub digest: OnceCell<RequestDigest>,
+}
+
+impl RequestContext<'_> {
+    /// Returns the digest by which equal requests are recognised. It is computed once, and only for
+    /// requests that failed or meet a quarantine.
+    pub fn digest(&self) -> RequestDigest {
+        *self.digest.get_or_init(|| {
+            let host = self.head.headers.text("host").unwrap_or_default();
+            let team = self.team.as_ref();
+            RequestDigest::of(&self.head.method, host, &self.head.target, team, &self.body)
+        })
+    }
 }
 
 /// How a request ended.
@@ -339,6 +355,7 @@
         arrived,
         deadline: arrived + time_limit.saturating_sub(DEADLINE_MARGIN),
         keep_alive,
+        digest: OnceCell::new(),
     };
     let request_outcome = match &service.engine {
         Some(engine) if route.semantics.is_stream() => {
--- a/crates/anvil_gateway/src/faults.rs
+++ b/crates/anvil_gateway/src/faults.rs
@@ -29,7 +29,7 @@
 /// Shortest interval between two slowdown queries of this host. Peers query other engines and
 /// report the result.
 const SLOWDOWN_QUERY_INTERVAL: Duration = Duration::from_millis(400);
-/// Longest time that the check of an engine after a lost stream may take: a few round trips.
+/// Longest time that the check of a target after a lost connection may take: a few round trips.
 const STATE_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 /// Largest number of engines of a stalled path that are all recorded as unresponsive.
 const SUSPECTS_MAX: usize = 2;
@@ -134,10 +134,10 @@
     }
 }
 
-/// What a new connection shows about an engine that lost a stream.
+/// What a new connection shows about a target to which one was lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum EngineState {
-    /// The engine accepts connections: only the one of the stream was lost.
+pub enum ProcessState {
+    /// The target accepts connections: only the one of the request was lost.
     Alive,
     /// Nothing listens at its address: its process has ended.
     Ended,
@@ -145,7 +145,7 @@
     Unreachable,
 }
 
-impl EngineState {
+impl ProcessState {
     /// Returns the name used in logs and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -156,23 +156,23 @@
     }
 }
 
-/// Finds out by a new connection whether an engine that lost a stream is still running. The
-/// connection is kept for the next request.
-pub async fn check_state(engine: &Target) -> EngineState {
-    let opened = engine
+/// Finds out by a new connection whether a target to which one was lost is still running. The new one
+/// is kept for the next request.
+pub async fn check_state(target: &Target) -> ProcessState {
+    let opened = target
         .pool
-        .open(engine.address(), STATE_CHECK_TIMEOUT)
+        .open(target.address(), STATE_CHECK_TIMEOUT)
         .await;
     match opened {
         Ok(acquired) => {
-            engine.pool.release(acquired.connection, None);
-            EngineState::Alive
+            target.pool.release(acquired.connection, None);
+            ProcessState::Alive
         }
         Err(ConnectError::Failed { source, .. })
             if source.kind() == std::io::ErrorKind::ConnectionRefused =>
         {
-            EngineState::Ended
+            ProcessState::Ended
         }
-        Err(_) => EngineState::Unreachable,
+        Err(_) => ProcessState::Unreachable,
     }
 }
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -51,6 +51,7 @@
     store_failures: IntCounterVec,
     repairs: IntCounterVec,
     lost_streams: IntCounterVec,
+    lost_requests: IntCounterVec,
     events: IntCounter,
     duration: Histogram,
     first_event: Histogram,
@@ -126,6 +127,11 @@
                 "Streams that ended with their connection to the engine",
                 &["progress", "target_state"],
             ),
+            lost_requests: counters(
+                "anvil_requests_connection_lost_total",
+                "Requests to plain services whose connection to the target was lost",
+                &["target_state"],
+            ),
             events: counter("anvil_events_total", "Events passed on to callers"),
             duration: histogram(
                 "anvil_request_duration_seconds",
@@ -189,6 +195,12 @@
             .inc();
     }
 
+    /// Counts a request to a plain service whose connection to the target was lost, by the state that
+    /// the target was found in.
+    pub fn record_lost_request(&self, target_state: &str) {
+        self.lost_requests.with_label_values(&[target_state]).inc();
+    }
+
     /// Counts a request that ended, and records its times.
     pub fn record_outcome(
         &self,
--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -26,6 +26,7 @@
         RequestTrace,
         are_keys_stale, //
     },
+    faults,
     gateway::Gateway,
     http1::{
         BodyDecoder,
@@ -67,8 +68,10 @@
     Response(ResponseHead, ResponseMetadata, Bytes),
     /// The request is known not to have run.
     NotRun(&'static str),
-    /// The attempt failed after the request may have run.
+    /// The connection failed after the request may have run.
     Lost(&'static str),
+    /// No answer arrived in the time for the attempt.
+    TimedOut,
 }
 
 /// Serves a request, and writes the answer of a target to the caller.
@@ -153,6 +156,12 @@
                 trace.record_failure(format!("{}: {failure}, not run", target.id))
             }
             AttemptResult::Lost(failure) => {
+                handle_lost_connection(gateway, request, &target, failure).await;
+                trace.record_failure(format!("{}: {failure}", target.id));
+                may_have_run = true;
+            }
+            AttemptResult::TimedOut => {
+                let failure = "no answer within the time for this attempt";
                 trace.record_failure(format!("{}: {failure}", target.id));
                 may_have_run = true;
             }
@@ -186,6 +195,27 @@
     ))
 }
 
+/// Logs that the connection to a target was lost with a request on it, and whether the target still
+/// runs.
+async fn handle_lost_connection(
+    gateway: &Gateway,
+    request: &RequestContext<'_>,
+    target: &Target,
+    failure: &'static str,
+) {
+    let state = faults::check_state(target).await.as_str();
+    gateway.metrics.record_lost_request(state);
+    spdlog::info!("request.connection_lost", kv: {
+        request = request.metadata.id.as_str(),
+        target = target.id.as_str(),
+        failure,
+        digest: = request.digest(),
+        team = request.team.as_deref().unwrap_or_default(),
+        path = request.head.path(),
+        target_state = state,
+    });
+}
+
 /// Returns when to give up on a target and send a repeatable request to another one: early enough
 /// that the other target can answer before the deadline.
 fn attempt_deadline(request: &RequestContext<'_>) -> Instant {
@@ -297,7 +327,7 @@
             if acquired.is_reused {
                 target.pool.doubt(&target.id);
             }
-            AttemptResult::Lost("no answer within the time for this attempt")
+            AttemptResult::TimedOut
         }
         Ok(Err(failure)) => {
             if !acquired.is_reused {
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -42,7 +42,7 @@
     },
     faults::{
         self,
-        EngineState, //
+        ProcessState, //
     },
     gateway::Gateway,
     http1::{
@@ -267,10 +267,10 @@
             let engine_state = faults::check_state(engine).await;
             state = engine_state.as_str();
             let has_ended = match engine_state {
-                EngineState::Ended => true,
+                ProcessState::Ended => true,
                 // Without a result the trial would be repeated.
-                EngineState::Unreachable => self.admission.is_trial(),
-                EngineState::Alive => false,
+                ProcessState::Unreachable => self.admission.is_trial(),
+                ProcessState::Alive => false,
             };
             if has_ended {
                 self.gateway.record_engine_end(
@@ -291,6 +291,7 @@
             events = self.progress.events,
             writing_ms = self.progress.writing_time().as_millis() as u64,
             parts = self.request.metadata.shared_parts.join(",").as_str(),
+            digest: = self.request.digest(),
             target_state = state,
         });
     }
