Add failing tests for whole requests that end the targets which run them

Callers of a plain service were refused for seconds, again and again, while one request ended each of its targets and came again at other hosts. The tests have targets on loopback addresses that end under requests of one path, caller and body: one host, two hosts, targets that restart, a host that restarts beside a peer and alone, a request that may not be repeated, and a stream whose prompt parts are answered meanwhile.

The stand-ins move from the tests of streams to a module that the tests of plain services share.

--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -28,3 +28,6 @@
 pub mod stream;
 pub mod target;
 pub mod targets;
+
+#[cfg(test)]
+mod tests;
--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -43,6 +43,9 @@
     }, //
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Longest time that opening a connection to a target may take: a few round trips.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Largest body of an answer. A larger one fails the attempt.
--- /dev/null
+++ b/crates/anvil_gateway/src/plain/tests.rs
@@ -0,0 +1,155 @@
+use std::time::Duration;
+
+use googletest::prelude::*;
+use tokio::time::{
+    Instant,
+    sleep, //
+};
+
+use crate::tests::fleet::{
+    CallerResult,
+    Fleet,
+    Host,
+    LETHAL_BODY,
+    LETHAL_KEY,
+    SAFE_PATH,
+    SOUND_KEY,
+    UNSAFE_PATH,
+    run,
+    wait_for_peers, //
+};
+
+/// Most targets that may end under equal requests: three, and three in later sends.
+const ENDED_MAX: usize = 6;
+/// Most targets that may end later, in a trial of whether the request still ends targets.
+const TRIALS_MAX: usize = 1;
+/// Several times the interval at which hosts inform one another.
+const EXCHANGE_TIME: Duration = Duration::from_secs(2);
+
+async fn send_lethal(host: &Host, count: usize) {
+    for _ in 0..count {
+        host.call_plain(SAFE_PATH, LETHAL_KEY, LETHAL_BODY).await;
+    }
+}
+
+/// Sends requests that differ from the lethal one in body, path or caller alone.
+async fn expect_sound_answered(host: &Host) {
+    for (path, key, body) in [
+        (SAFE_PATH, LETHAL_KEY, "other"),
+        ("/safe/other", LETHAL_KEY, LETHAL_BODY),
+        (SAFE_PATH, SOUND_KEY, LETHAL_BODY),
+        (UNSAFE_PATH, SOUND_KEY, LETHAL_BODY),
+    ] {
+        expect_that!(
+            host.call_plain(path, key, body).await,
+            eq(CallerResult::Complete),
+            "{path}, {key}, {body}"
+        );
+    }
+}
+
+#[gtest]
+fn serve_stops_sending_request_that_ends_targets() {
+    run(async {
+        let fleet = Fleet::start_plain(21, 16, None).await;
+        let host = fleet.start_host(0).await;
+        send_lethal(&host, 12).await;
+        expect_that!(fleet.ended_count(), le(ENDED_MAX));
+        expect_sound_answered(&host).await;
+    });
+}
+
+/// Guards against hosts that end each target again as soon as it has restarted.
+#[gtest]
+fn serve_stops_sending_request_that_ends_targets_which_restart() {
+    const RESTART_DELAY: Duration = Duration::from_millis(300);
+    const TEST_TIME: Duration = Duration::from_secs(6);
+    run(async {
+        let fleet = Fleet::start_plain(22, 3, Some(RESTART_DELAY)).await;
+        let hosts = [fleet.start_host(0).await, fleet.start_host(1).await];
+        wait_for_peers(&[&hosts[0], &hosts[1]]).await;
+        let start = Instant::now();
+        while start.elapsed() < TEST_TIME {
+            for host in &hosts {
+                host.call_plain(SAFE_PATH, LETHAL_KEY, LETHAL_BODY).await;
+                sleep(Duration::from_millis(50)).await;
+            }
+        }
+        expect_that!(fleet.ended_count(), le(ENDED_MAX));
+        sleep(RESTART_DELAY * 2).await;
+        for host in &hosts {
+            expect_sound_answered(host).await;
+        }
+    });
+}
+
+#[gtest]
+fn serve_stops_sending_request_that_ended_targets_of_peers() {
+    run(async {
+        let fleet = Fleet::start_plain(23, 16, None).await;
+        let hosts = [fleet.start_host(0).await, fleet.start_host(1).await];
+        wait_for_peers(&[&hosts[0], &hosts[1]]).await;
+        send_lethal(&hosts[0], 4).await;
+        sleep(EXCHANGE_TIME).await;
+        let ended_count = fleet.ended_count();
+        send_lethal(&hosts[1], 8).await;
+        expect_that!(fleet.ended_count(), le(ended_count + TRIALS_MAX));
+        expect_that!(ended_count, le(ENDED_MAX));
+    });
+}
+
+#[gtest]
+fn serve_stops_sending_request_that_ended_targets_before_restart() {
+    run(async {
+        let fleet = Fleet::start_plain(24, 16, None).await;
+        let peer = fleet.start_host(0).await;
+        let restarted = fleet.start_host(1).await;
+        wait_for_peers(&[&peer, &restarted]).await;
+        send_lethal(&restarted, 4).await;
+        sleep(EXCHANGE_TIME).await;
+        restarted.kill().await;
+        let ended_count = fleet.ended_count();
+        let restarted = fleet.start_host(1).await;
+        sleep(EXCHANGE_TIME).await;
+        send_lethal(&restarted, 8).await;
+        expect_that!(fleet.ended_count(), le(ended_count + TRIALS_MAX));
+    });
+}
+
+#[gtest]
+fn serve_stops_sending_request_that_ended_targets_before_restart_of_all_hosts() {
+    run(async {
+        let fleet = Fleet::start_plain(25, 16, None).await;
+        let host = fleet.start_host(0).await;
+        send_lethal(&host, 4).await;
+        sleep(EXCHANGE_TIME).await;
+        host.kill().await;
+        let ended_count = fleet.ended_count();
+        let host = fleet.start_host(0).await;
+        sleep(EXCHANGE_TIME).await;
+        send_lethal(&host, 8).await;
+        expect_that!(fleet.ended_count(), le(ended_count + TRIALS_MAX));
+    });
+}
+
+/// Guards against a request that ends targets and may not be repeated: it runs at most once, and not
+/// at all where the caller is told so.
+#[gtest]
+fn serve_stops_sending_unsafe_request_that_ends_targets() {
+    run(async {
+        let fleet = Fleet::start_plain(26, 16, None).await;
+        let host = fleet.start_host(0).await;
+        for _ in 0..12 {
+            let result = host.call_plain(UNSAFE_PATH, LETHAL_KEY, LETHAL_BODY).await;
+            let run_count = fleet.run_count(&host.last_id());
+            let run_count_max = match result {
+                CallerResult::Status(503) => 0,
+                CallerResult::Status(502) => 1,
+                result => panic!("{result:?}"),
+            };
+            expect_that!(run_count, le(run_count_max));
+        }
+        expect_that!(fleet.ended_count(), le(ENDED_MAX));
+        expect_sound_answered(&host).await;
+    });
+}
--- a/crates/anvil_gateway/src/stream/tests.rs
+++ b/crates/anvil_gateway/src/stream/tests.rs
@@ -1,24 +1,21 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use tokio::{
-    task::LocalSet,
-    time::{
-        Instant,
-        sleep, //
-    },
+use tokio::time::{
+    Instant,
+    sleep, //
 };
 
-use fakes::{
+use crate::tests::fleet::{
     CallerResult,
     Fleet,
     Host,
+    LETHAL_BODY,
     LETHAL_PART,
+    run,
     wait_for_peers, //
 };
 
-mod fakes;
-
 /// Most engines that may end under requests with one part.
 const ENDED_MAX: usize = 5;
 /// Most engines that may end later, in a trial of whether the part still ends engines.
@@ -26,14 +23,6 @@
 /// Several times the interval at which hosts inform one another.
 const EXCHANGE_TIME: Duration = Duration::from_secs(2);
 
-fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .unwrap();
-    LocalSet::new().block_on(&runtime, test);
-}
-
 /// Sends requests with the lethal part, each with another first part, to a host.
 async fn send_lethal(host: &Host, count: usize) {
     for index in 0..count {
@@ -104,6 +93,26 @@
     });
 }
 
+/// Guards against a request that ends engine after engine while others with the same prompt parts are
+/// answered.
+#[gtest]
+fn serve_stops_sending_request_that_ends_engines_whose_parts_are_answered() {
+    run(async {
+        let fleet = Fleet::start(18, 16).await;
+        let hosts = [fleet.start_host(0).await, fleet.start_host(1).await];
+        wait_for_peers(&[&hosts[0], &hosts[1]]).await;
+        for index in 0..8 {
+            let host = &hosts[index % hosts.len()];
+            host.call_model(&["sound"], "/m/lethal", LETHAL_BODY).await;
+            for (path, body) in [("/m/lethal", "other"), ("/m/other", LETHAL_BODY)] {
+                let result = host.call_model(&["sound"], path, body).await;
+                expect_that!(result, eq(CallerResult::Complete));
+            }
+        }
+        expect_that!(fleet.ended_count(), le(ENDED_MAX));
+    });
+}
+
 /// Sends requests to the hosts in turn, and expects that all are answered.
 async fn send_sound(hosts: &[Host], count: usize) {
     for index in 0..count {
--- /dev/null
+++ b/crates/anvil_gateway/src/tests.rs
@@ -0,0 +1,3 @@
+//! What the tests of several modules share.
+
+pub(crate) mod fleet;
--- a/crates/anvil_gateway/src/stream/tests/fakes.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -1,5 +1,5 @@
-//! Engines on loopback addresses that end when they begin to write on a certain prompt part, hosts
-//! before them, and a store that the hosts share.
+//! Engines and plain targets on loopback addresses that end under certain requests, hosts before
+//! them, and a store that the hosts share.
 
 use std::{
     cell::{
@@ -26,7 +26,8 @@
         RequestSemantics,
         Route,
         Service,
-        Table, //
+        Table,
+        Team, //
     },
     id::{
         HostId,
@@ -35,6 +36,7 @@
         RequestId,
         TargetId, //
     },
+    key_digest::KeyDigest,
 };
 use smol_str::{
     SmolStr,
@@ -48,6 +50,7 @@
     sync::Notify,
     task::{
         JoinSet,
+        LocalSet,
         spawn_local, //
     },
     time::sleep,
@@ -97,41 +100,58 @@
 };
 
 /// Prompt part on which each engine ends that begins to write.
-pub(super) const LETHAL_PART: &str = "lethal";
+pub(crate) const LETHAL_PART: &str = "lethal";
+/// Key whose team's requests with [`LETHAL_BODY`] to a path that ends with it end each target.
+pub(crate) const LETHAL_KEY: &str = "key-a";
+/// Body of requests that end each target.
+pub(crate) const LETHAL_BODY: &str = "lethal";
+/// Key of a team whose requests are all sound.
+pub(crate) const SOUND_KEY: &str = "key-b";
+/// Path of a plain service whose requests may be repeated.
+pub(crate) const SAFE_PATH: &str = "/safe/lethal";
+/// The same for requests that run at most once.
+pub(crate) const UNSAFE_PATH: &str = "/unsafe/lethal";
 const PEERS_PORT: u16 = 17_340;
 const HEAD_LIMIT_BYTES: usize = 16 << 10;
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 const LAYER_COUNT: u16 = 4;
+const MODEL_PATH: &str = "/m/";
 
-/// An engine that holds the whole model.
-pub(super) struct Engine {
+/// An engine that holds the whole model, and answers requests to plain services as well.
+pub(crate) struct Engine {
     id: TargetId,
     address: SocketAddr,
-    /// Whether its process has ended.
-    pub(super) has_ended: Cell<bool>,
+    /// Time after which its process is started again; `None` if never.
+    restart_delay: Option<Duration>,
+    /// Number of times that its process has ended.
+    end_count: Cell<usize>,
     /// Notified when the process ends.
     ended: Notify,
+    /// Ids of the requests that began to run, in order.
+    pub(crate) run_ids: RefCell<Vec<RequestId>>,
     /// Limit that its answers state.
-    pub(super) limit_per_s: Cell<Option<f64>>,
+    pub(crate) limit_per_s: Cell<Option<f64>>,
     /// Number of requests that reached it.
-    pub(super) request_count: Cell<u32>,
+    pub(crate) request_count: Cell<u32>,
     /// Number of connections so far.
     connection_count: Cell<u32>,
     /// Connections below this number are silent.
     silent_below: Cell<u32>,
     /// Number of requests that came on silent connections.
-    pub(super) silent_request_count: Cell<u32>,
+    pub(crate) silent_request_count: Cell<u32>,
 }
 
 impl Engine {
     /// Starts an engine on a loopback address.
-    async fn start(id: TargetId, address: IpAddr) -> Rc<Self> {
+    async fn start(id: TargetId, address: IpAddr, restart_delay: Option<Duration>) -> Rc<Self> {
         let listener = TcpListener::bind((address, 0)).await.unwrap();
         let engine = Rc::new(Self {
             id,
             address: listener.local_addr().unwrap(),
-            has_ended: Cell::new(false),
+            restart_delay,
+            end_count: Cell::new(0),
             ended: Notify::new(),
+            run_ids: RefCell::default(),
             limit_per_s: Cell::new(None),
             request_count: Cell::new(0),
             connection_count: Cell::new(0),
@@ -143,11 +163,23 @@
     }
 
     /// Falls silent on all connections that are open now.
-    pub(super) fn fall_silent(&self) {
+    pub(crate) fn fall_silent(&self) {
         self.silent_below.set(self.connection_count.get());
     }
 
-    async fn run(self: Rc<Self>, listener: TcpListener) {
+    async fn run(self: Rc<Self>, mut listener: TcpListener) {
+        loop {
+            Rc::clone(&self).run_process(listener).await;
+            let Some(delay) = self.restart_delay else {
+                return;
+            };
+            sleep(delay).await;
+            listener = TcpListener::bind(self.address).await.unwrap();
+        }
+    }
+
+    /// Accepts connections until the process ends, and drops the listener and all connections then.
+    async fn run_process(self: Rc<Self>, listener: TcpListener) {
         let mut connections = JoinSet::new();
         loop {
             tokio::select! {
@@ -155,12 +187,16 @@
                     let (stream, _) = accepted.unwrap();
                     connections.spawn_local(Rc::clone(&self).serve(stream));
                 }
-                // Drops the listener and all connections.
                 () = self.ended.notified() => return,
             }
         }
     }
 
+    fn end_process(&self) {
+        self.end_count.set(self.end_count.get() + 1);
+        self.ended.notify_one();
+    }
+
     async fn serve(self: Rc<Self>, stream: TcpStream) {
         let mut connection = Connection::new(stream);
         let index = self.connection_count.get();
@@ -174,8 +210,26 @@
                     .set(self.silent_request_count.get() + 1);
                 continue;
             }
+            let mut decoder = BodyDecoder::new(head.framing);
+            let Ok(Some(body)) = connection.read_whole_body(&mut decoder, 1 << 20).await else {
+                return;
+            };
             let id = head.headers.text("id").unwrap_or_default();
             self.request_count.set(self.request_count.get() + 1);
+            self.run_ids.borrow_mut().push(id.into());
+            let is_lethal = is_lethal(&head, &body);
+            if !head.target.starts_with(MODEL_PATH) {
+                if is_lethal {
+                    return self.end_process();
+                }
+                let answer = format!(
+                    "HTTP/1.1 200 OK\r\nid: {id}\r\nsealed: 1\r\nContent-Length: 2\r\n\r\nok"
+                );
+                if connection.write_all(answer.as_bytes()).await.is_err() {
+                    return;
+                }
+                continue;
+            }
             let limit = self.limit_per_s.get();
             let limit = limit.map_or_else(String::new, |limit| format!("limit: {limit}\r\n"));
             let begun = format!(
@@ -184,10 +238,8 @@
             if connection.write_all(begun.as_bytes()).await.is_err() {
                 return;
             }
-            if parts_of(&head).iter().any(|part| part == LETHAL_PART) {
-                self.has_ended.set(true);
-                self.ended.notify_one();
-                return;
+            if is_lethal {
+                return self.end_process();
             }
             let written = connection.write_all(b"f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n");
             if written.await.is_err() {
@@ -197,6 +249,17 @@
     }
 }
 
+/// Returns whether a request ends the target that runs it.
+fn is_lethal(head: &RequestHead, body: &[u8]) -> bool {
+    let is_of_lethal_team = match head.target.starts_with(MODEL_PATH) {
+        true => true,
+        false => head.headers.text("team") == Some(LETHAL_KEY),
+    };
+    let has_lethal_part = parts_of(head).iter().any(|part| part == LETHAL_PART);
+    has_lethal_part
+        || is_of_lethal_team && head.target.ends_with("lethal") && body == LETHAL_BODY.as_bytes()
+}
+
 fn parts_of(head: &RequestHead) -> Vec<PartId> {
     let text = head.headers.text("parts").unwrap_or_default();
     text.split(',')
@@ -212,6 +275,7 @@
     fn parse_request(&self, head: &RequestHead) -> Result<RequestMetadata, SmolStr> {
         Ok(RequestMetadata {
             id: head.headers.text("id").unwrap_or_default().into(),
+            key: head.headers.text("key").map(SmolStr::new),
             prompt_tokens: 10,
             answer_limit_tokens: 10,
             shared_parts: parts_of(head),
@@ -223,13 +287,15 @@
         &self,
         head: &RequestHead,
         body_bytes: usize,
-        _forwarding: &Forwarding<'_>,
+        forwarding: &Forwarding<'_>,
         out: &mut Vec<u8>,
     ) {
         let text = |name| head.headers.text(name).unwrap_or_default();
         let forwarded = format!(
-            "POST /m/ HTTP/1.1\r\nid: {}\r\nparts: {}\r\nContent-Length: {body_bytes}\r\n\r\n",
+            "POST {} HTTP/1.1\r\nid: {}\r\nteam: {}\r\nparts: {}\r\nContent-Length: {body_bytes}\r\n\r\n",
+            head.target,
             text("id"),
+            forwarding.team.map_or("", |team| team.as_str()),
             text("parts"),
         );
         out.extend_from_slice(forwarded.as_bytes());
@@ -262,7 +328,7 @@
 
 /// A store that keeps what hosts register and refuses all other calls.
 #[derive(Default)]
-pub(super) struct SharedStore {
+pub(crate) struct SharedStore {
     hosts: RefCell<BTreeMap<HostId, HostEntry>>,
     quarantined: RefCell<BTreeMap<PartId, QuarantineEntry>>,
 }
@@ -388,39 +454,53 @@
         pipe_megabits_per_s: 0.0,
         kinds: [("kind".into(), kind)].into(),
     };
-    let service = Service {
+    let service = |engine| Service {
         health_path: "/health".into(),
         connection_limit: 100,
-        engine: Some(engine),
+        engine,
     };
-    let route = Route {
-        name: "model".into(),
+    let route = |path_prefix: &str, semantics, service: &str| Route {
+        name: path_prefix.into(),
         host: "test".into(),
-        path_prefix: "/m/".into(),
-        semantics: RequestSemantics::ResumableStream,
+        path_prefix: path_prefix.into(),
+        semantics,
         timeout: Duration::from_secs(20),
         latency_objective: Duration::from_millis(500),
         pause_objective: None,
         priority: 0,
         backends: vec![Backend {
-            service: "model".into(),
+            service: service.into(),
             weight: 1.0,
         }],
         attempts_max: 2,
-        public: true,
+        public: semantics.is_stream(),
+    };
+    let team = |key: &str| {
+        let team = Team {
+            name: key.into(),
+            priority: None,
+        };
+        (KeyDigest::of(key), team)
     };
     Table::new(
         1,
-        [route],
-        [("model".into(), service)],
-        None,
+        [
+            route(MODEL_PATH, RequestSemantics::ResumableStream, "model"),
+            route("/safe/", RequestSemantics::Safe, "plain"),
+            route("/unsafe/", RequestSemantics::AtMostOnce, "plain"),
+        ],
+        [
+            ("model".into(), service(Some(engine))),
+            ("plain".into(), service(None)),
+        ],
+        Some(vec![team(LETHAL_KEY), team(SOUND_KEY)]),
         CallerLimits::default(),
     )
 }
 
 /// How an answer ended for its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum CallerResult {
+pub(crate) enum CallerResult {
     /// The complete answer of an engine.
     Complete,
     /// An answer of the host, with its status.
@@ -430,22 +510,45 @@
 }
 
 /// One run of a host.
-pub(super) struct Host {
-    pub(super) gateway: Rc<Gateway>,
+pub(crate) struct Host {
+    pub(crate) gateway: Rc<Gateway>,
     address: SocketAddr,
     tasks: JoinSet<()>,
     next_id: Cell<u32>,
 }
 
 impl Host {
-    /// Sends a request with the given shared parts and reads its answer.
-    pub(super) async fn call(&self, parts: &[&str]) -> CallerResult {
-        let id = self.next_id.get();
-        self.next_id.set(id + 1);
-        let request = format!(
-            "POST /m/ HTTP/1.1\r\nHost: test\r\nid: {}-{id}\r\nparts: {}\r\nContent-Length: 0\r\n\r\n",
+    /// Sends a request to the model with the given shared parts and reads its answer.
+    pub(crate) async fn call(&self, parts: &[&str]) -> CallerResult {
+        self.call_model(parts, MODEL_PATH, "").await
+    }
+
+    /// Sends a request to the model on a certain path and with a certain body.
+    pub(crate) async fn call_model(&self, parts: &[&str], path: &str, body: &str) -> CallerResult {
+        let headers = format!("parts: {}\r\n", parts.join(","));
+        self.exchange(path, &headers, body).await
+    }
+
+    /// Sends a request to a plain service and reads its answer.
+    pub(crate) async fn call_plain(&self, path: &str, key: &str, body: &str) -> CallerResult {
+        self.exchange(path, &format!("key: {key}\r\n"), body).await
+    }
+
+    /// Returns the id of the last request.
+    pub(crate) fn last_id(&self) -> RequestId {
+        format_smolstr!(
+            "{}-{}",
             self.gateway.settings.host_id,
-            parts.join(","),
+            self.next_id.get() - 1
+        )
+    }
+
+    async fn exchange(&self, path: &str, headers: &str, body: &str) -> CallerResult {
+        self.next_id.set(self.next_id.get() + 1);
+        let request = format!(
+            "POST {path} HTTP/1.1\r\nHost: test\r\nid: {}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
+            self.last_id(),
+            body.len(),
         );
         let limit = Duration::from_secs(5);
         let mut connection = Connection::open(self.address, limit).await.unwrap();
@@ -462,42 +565,77 @@
     }
 
     /// Ends the host's process: all its tasks, with what it has in memory.
-    pub(super) async fn kill(mut self) {
+    pub(crate) async fn kill(mut self) {
         self.tasks.shutdown().await;
     }
 }
 
 /// Engines, and the store and addresses of the hosts before them.
-pub(super) struct Fleet {
+pub(crate) struct Fleet {
     /// Second byte of all loopback addresses, different in each test.
     network: u8,
     store: Rc<SharedStore>,
-    pub(super) engines: Vec<Rc<Engine>>,
+    /// The engines, or the targets of the plain service.
+    pub(crate) engines: Vec<Rc<Engine>>,
+    is_plain: bool,
 }
 
 impl Fleet {
-    /// Starts `engine_count` engines.
-    pub(super) async fn start(network: u8, engine_count: u8) -> Self {
+    /// Starts `engine_count` engines that stay away once they have ended.
+    pub(crate) async fn start(network: u8, engine_count: u8) -> Self {
+        Self::start_targets(network, engine_count, None, false).await
+    }
+
+    /// Starts `target_count` targets of the plain service.
+    pub(crate) async fn start_plain(
+        network: u8,
+        target_count: u8,
+        restart_delay: Option<Duration>,
+    ) -> Self {
+        Self::start_targets(network, target_count, restart_delay, true).await
+    }
+
+    async fn start_targets(
+        network: u8,
+        count: u8,
+        restart_delay: Option<Duration>,
+        is_plain: bool,
+    ) -> Self {
         let mut engines = Vec::new();
-        for index in 0..engine_count {
+        for index in 0..count {
             let address = IpAddr::from([127, network, 1, 1 + index]);
-            engines.push(Engine::start(format_smolstr!("engine-{index}"), address).await);
+            let id = format_smolstr!("engine-{index}");
+            engines.push(Engine::start(id, address, restart_delay).await);
         }
         Self {
             network,
             store: Rc::default(),
             engines,
+            is_plain,
         }
     }
 
-    /// Returns the number of engines whose process has ended.
-    pub(super) fn ended_count(&self) -> usize {
-        let ended = self.engines.iter().filter(|engine| engine.has_ended.get());
-        ended.count()
+    /// Returns the number of times that the process of an engine has ended.
+    pub(crate) fn ended_count(&self) -> usize {
+        let end_counts = self.engines.iter().map(|engine| engine.end_count.get());
+        end_counts.sum()
+    }
+
+    /// Returns the number of times that a request began to run.
+    pub(crate) fn run_count(&self, id: &RequestId) -> usize {
+        let runs = |engine: &Rc<Engine>| {
+            engine
+                .run_ids
+                .borrow()
+                .iter()
+                .filter(|run| *run == id)
+                .count()
+        };
+        self.engines.iter().map(runs).sum()
     }
 
     /// Starts a host, which knows all engines at once and finds its peers through the store.
-    pub(super) async fn start_host(&self, index: u8) -> Host {
+    pub(crate) async fn start_host(&self, index: u8) -> Host {
         let address = IpAddr::from([127, self.network, 2, 1 + index]);
         let text = format!(
             "host_id = \"host-{index}\"\ndata_centre = \"a\"\nprocessor_share = 0.1\n\
@@ -513,7 +651,13 @@
         let gateway = Rc::new(Gateway::new(settings, platform));
         let now = BootTime::now();
         gateway.table_cache.update(Some(table()), now, Source::Read);
-        let put = |engine: &Rc<Engine>| TargetChange::Put(engine.id.clone(), entry(engine.address));
+        let put = |engine: &Rc<Engine>| {
+            let entry = match self.is_plain {
+                true => plain_entry(engine.address),
+                false => entry(engine.address),
+            };
+            TargetChange::Put(engine.id.clone(), entry)
+        };
         let listed = self.engines.iter().map(put).collect();
         gateway.targets.replace(listed, Position::new(0, 1), now);
         let listener = TcpListener::bind((address, 0)).await.unwrap();
@@ -553,8 +697,26 @@
     }
 }
 
+fn plain_entry(address: SocketAddr) -> TargetEntry {
+    TargetEntry {
+        service: "plain".into(),
+        kind: None,
+        layers: None,
+        ..entry(address)
+    }
+}
+
+/// Runs a test on the real clock.
+pub(crate) fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    LocalSet::new().block_on(&runtime, test);
+}
+
 /// Waits until each host hears from all others.
-pub(super) async fn wait_for_peers(hosts: &[&Host]) {
+pub(crate) async fn wait_for_peers(hosts: &[&Host]) {
     const POLL_INTERVAL: Duration = Duration::from_millis(50);
     let is_met = |host: &&Host| {
         let peers = host.gateway.peers.borrow();
