Try parts that were quarantined together one after the other

Sound requests with a common prompt part were refused for half a minute and longer. Where a lethal part and a sound one are quarantined by the same ends, both trials came at the same time; with few engines left the trial of the lethal part ended the engine of the other, which counted as a failed trial and set its quarantine to 30 s. A host now tries one part at a time, and the host that tries is the same for parts that were quarantined together.

--- a/crates/anvil_gateway/src/quarantine.rs
+++ b/crates/anvil_gateway/src/quarantine.rs
@@ -55,9 +55,10 @@
     pub fn admit_parts(&self, parts: &[PartId]) -> Result<Admission, Refusal> {
         let now = Instant::now().into_std();
         let mut quarantine = self.quarantine.borrow_mut();
-        quarantine.admit(parts, now, |part, age| {
+        quarantine.admit(parts, now, |age| {
+            // The same host for parts that were quarantined together: it tries them one by one.
             let slot = age.as_millis() / TRIAL_SLOT.as_millis();
-            self.is_chosen(&format!("{part} {slot}"))
+            self.is_chosen(&format!("trial {slot}"))
         })
     }
 
