--- a/crates/anvil_core/src/quarantine.rs
+++ b/crates/anvil_core/src/quarantine.rs
@@ -122,14 +122,6 @@
         self.points >= required_points(self.was_answered)
     }
 
-    /// Returns the time for which this host waits for the result of its trial. Returns zero if it
-    /// makes none.
-    fn trial_time_left(&self, now: Instant) -> Duration {
-        self.tried_at.map_or(Duration::ZERO, |tried_at| {
-            TRIAL_TIMEOUT.saturating_sub(now.saturating_duration_since(tried_at))
-        })
-    }
-
     /// Returns how long requests are refused before a trial.
     fn quarantine_time(&self) -> Duration {
         let Some(doublings) = self.failed_trials.checked_sub(1) else {
@@ -247,7 +239,7 @@
 
     /// Admits a request with `parts`, or refuses it. `may_try` tells, by the time since the state of a
     /// part changed, whether this host is the one to try a part whose quarantine time is over; it
-    /// tries one part at a time.
+    /// admits one request at a time.
     ///
     /// # Errors
     ///
@@ -256,7 +248,7 @@
         &mut self,
         parts: &[PartId],
         now: Instant,
-        may_try: impl Fn(Duration) -> bool,
+        may_try: impl Fn(&PartId, Duration) -> bool,
     ) -> Result<Admission, Refusal> {
         let mut admission = Admission::default();
         if self.entries.is_empty() {
@@ -266,13 +258,8 @@
             let entry = self.entries.get(*part);
             entry.is_some_and(Entry::is_quarantined)
         };
-        // The end of an engine in a trial of two parts would confirm the evidence against both, and so
-        // might a trial on an engine that another one ends.
-        let may_be_trial = parts.iter().filter(is_quarantined).count() <= 1
-            && !self
-                .entries
-                .values()
-                .any(|entry| !entry.trial_time_left(now).is_zero());
+        // The end of an engine in a trial of two parts would confirm the evidence against both.
+        let may_be_trial = parts.iter().filter(is_quarantined).count() <= 1;
         for part in parts {
             let Some(entry) = self.entries.get(part) else {
                 continue;
@@ -280,6 +267,9 @@
             if entry.is_quarantined() {
                 let age = now.saturating_duration_since(entry.changed_at);
                 let time_left = entry.quarantine_time().saturating_sub(age);
+                let trial_time_left = entry.tried_at.map_or(Duration::ZERO, |tried_at| {
+                    TRIAL_TIMEOUT.saturating_sub(now.saturating_duration_since(tried_at))
+                });
                 let refusal = |retry_after| Refusal {
                     part: part.clone(),
                     retry_after,
@@ -287,8 +277,7 @@
                 if !time_left.is_zero() {
                     return Err(refusal(time_left));
                 }
-                if !may_be_trial || !may_try(age) {
-                    let trial_time_left = entry.trial_time_left(now);
+                if !may_be_trial || !trial_time_left.is_zero() || !may_try(part, age) {
                     return Err(refusal(trial_time_left.max(TRIAL_TIMEOUT / 2)));
                 }
             }
--- a/crates/anvil_core/src/quarantine/tests.rs
+++ b/crates/anvil_core/src/quarantine/tests.rs
@@ -11,13 +11,15 @@
 /// Sends a request and records that its engine ended.
 fn end(quarantine: &mut Quarantine, names: &[&str], progress: Progress, now: Instant) {
     let parts = parts(names);
-    if let Ok(admission) = quarantine.admit(&parts, now, |_| true) {
+    if let Ok(admission) = quarantine.admit(&parts, now, |_, _| true) {
         quarantine.record_end(&parts, &admission, progress, now);
     }
 }
 
 fn is_refused(quarantine: &mut Quarantine, name: &str, now: Instant) -> bool {
-    quarantine.admit(&parts(&[name]), now, |_| false).is_err()
+    quarantine
+        .admit(&parts(&[name]), now, |_, _| false)
+        .is_err()
 }
 
 /// Returns a state in which `name` has just been quarantined.
@@ -51,7 +53,7 @@
     let now = Instant::now();
     let parts = parts(&["popular"]);
     let admissions: Vec<_> = (0..20)
-        .map(|_| quarantine.admit(&parts, now, |_| false).unwrap())
+        .map(|_| quarantine.admit(&parts, now, |_, _| false).unwrap())
         .collect();
     for admission in &admissions {
         quarantine.record_end(&parts, admission, Progress::Begun, now);
@@ -92,7 +94,7 @@
     end(&mut quarantine, &["sound"], Progress::Begun, now);
     end(&mut quarantine, &["sound"], Progress::Begun, now);
     let parts = parts(&["sound"]);
-    let admission = quarantine.admit(&parts, now, |_| false).unwrap();
+    let admission = quarantine.admit(&parts, now, |_, _| false).unwrap();
     quarantine.record_answer(&parts, now);
     quarantine.record_end(&parts, &admission, Progress::Begun, now);
     expect_that!(quarantine.entries["sound"].points, eq(2));
@@ -160,7 +162,7 @@
     let mut quarantine = quarantined("lethal", start);
     let lethal = parts(&["lethal"]);
     let retry_after = |quarantine: &mut Quarantine, now| {
-        let refusal = quarantine.admit(&lethal, now, |_| true).unwrap_err();
+        let refusal = quarantine.admit(&lethal, now, |_, _| true).unwrap_err();
         refusal.retry_after
     };
     expect_that!(
@@ -168,14 +170,17 @@
         eq(QUARANTINE_TIME_FIRST - STEP)
     );
     let over = start + QUARANTINE_TIME_FIRST;
-    expect_that!(quarantine.admit(&lethal, over, |_| false), err(anything()));
-    let trial = quarantine.admit(&lethal, over, |_| true).unwrap();
+    expect_that!(
+        quarantine.admit(&lethal, over, |_, _| false),
+        err(anything())
+    );
+    let trial = quarantine.admit(&lethal, over, |_, _| true).unwrap();
     expect_that!(quarantine.quarantined_since(&trial, &lethal), none());
     expect_that!(retry_after(&mut quarantine, over), eq(TRIAL_TIMEOUT));
     quarantine.record_end(&lethal, &trial, Progress::Begun, over);
     expect_that!(retry_after(&mut quarantine, over), eq(QUARANTINE_TIME_MIN));
     let over = over + QUARANTINE_TIME_MIN;
-    let trial = quarantine.admit(&lethal, over, |_| true).unwrap();
+    let trial = quarantine.admit(&lethal, over, |_, _| true).unwrap();
     quarantine.record_end(&lethal, &trial, Progress::Unanswered, over);
     expect_that!(
         retry_after(&mut quarantine, over),
@@ -192,39 +197,19 @@
     }
     let over = start + QUARANTINE_TIME_FIRST;
     let both = parts(&["sound", "lethal"]);
-    expect_that!(quarantine.admit(&both, over, |_| true), err(anything()));
-    let trial = quarantine.admit(&both[..1], over, |_| true);
+    expect_that!(quarantine.admit(&both, over, |_, _| true), err(anything()));
+    let trial = quarantine.admit(&both[..1], over, |_, _| true);
     expect_that!(trial, ok(anything()));
 }
 
-/// Guards against a trial of a sound part on an engine that the trial of a lethal one ends.
-#[gtest]
-fn admit_tries_no_part_during_trial_of_another() {
-    let start = Instant::now();
-    let mut quarantine = Quarantine::default();
-    for _ in 0..3 {
-        end(
-            &mut quarantine,
-            &["sound", "lethal"],
-            Progress::Begun,
-            start,
-        );
-    }
-    let over = start + QUARANTINE_TIME_FIRST;
-    let lethal = parts(&["lethal"]);
-    let sound = parts(&["sound"]);
-    let trial = quarantine.admit(&lethal, over, |_| true).unwrap();
-    expect_that!(quarantine.admit(&sound, over, |_| true), err(anything()));
-    quarantine.record_end(&lethal, &trial, Progress::Begun, over);
-    expect_that!(quarantine.admit(&sound, over, |_| true), ok(anything()));
-}
-
 #[gtest]
 fn admit_after_trial_was_answered_refuses_nothing() {
     let start = Instant::now();
     let mut quarantine = quarantined("part", start);
     let over = start + QUARANTINE_TIME_FIRST;
-    quarantine.admit(&parts(&["part"]), over, |_| true).unwrap();
+    quarantine
+        .admit(&parts(&["part"]), over, |_, _| true)
+        .unwrap();
     quarantine.record_answer(&parts(&["part"]), over);
     expect_that!(is_refused(&mut quarantine, "part", over), eq(false));
 }
--- a/crates/anvil_core/tests/quarantine_fleet.rs
+++ b/crates/anvil_core/tests/quarantine_fleet.rs
@@ -193,7 +193,7 @@
             && self.is_after_fifth_end(2 * STABLE_MS)
             && (!self.scenario.has_common_first_part || parts[0] == "sound-0");
         self.outcome.sound_requests += usize::from(is_counted);
-        let Ok(admission) = self.hosts[host].admit(&parts, now, |age| {
+        let Ok(admission) = self.hosts[host].admit(&parts, now, |_, age| {
             host == (age.as_millis() as u64 / TRIAL_SLOT_MS) as usize % self.scenario.hosts
         }) else {
             self.outcome.refused_sound_requests += usize::from(is_counted);
--- a/crates/anvil_gateway/src/quarantine.rs
+++ b/crates/anvil_gateway/src/quarantine.rs
@@ -55,10 +55,9 @@
     pub fn admit_parts(&self, parts: &[PartId]) -> Result<Admission, Refusal> {
         let now = Instant::now().into_std();
         let mut quarantine = self.quarantine.borrow_mut();
-        quarantine.admit(parts, now, |age| {
-            // The same host for parts that were quarantined together: it tries them one by one.
+        quarantine.admit(parts, now, |part, age| {
             let slot = age.as_millis() / TRIAL_SLOT.as_millis();
-            self.is_chosen(&format!("trial {slot}"))
+            self.is_chosen(&format!("{part} {slot}"))
         })
     }
 
