Try no part with a request that has evidence against another part

Sound requests that share a part with lethal ones were refused for half a minute and longer. Where the shared part was quarantined first, its trial could be a request that has the lethal part too, which had too little evidence to be quarantined itself. Its engine ended, which confirmed the evidence against the wrong part, and the lethal one was blamed no further. A trial now needs a request without evidence against any other part.

admit_tries_no_part_with_request_that_has_evidence_against_another fails before.

--- a/crates/anvil_core/src/quarantine.rs
+++ b/crates/anvil_core/src/quarantine.rs
@@ -254,12 +254,13 @@
         if self.entries.is_empty() {
             return Ok(admission);
         }
-        let is_quarantined = |part: &&PartId| {
+        let is_suspect = |part: &&PartId| {
             let entry = self.entries.get(*part);
-            entry.is_some_and(Entry::is_quarantined)
+            entry.is_some_and(|entry| entry.points > 0)
         };
-        // The end of an engine in a trial of two parts would confirm the evidence against both.
-        let may_be_trial = parts.iter().filter(is_quarantined).count() <= 1;
+        // The end of an engine in a trial would confirm the evidence against one part for what another
+        // may have done.
+        let may_be_trial = parts.iter().filter(is_suspect).count() <= 1;
         for part in parts {
             let Some(entry) = self.entries.get(part) else {
                 continue;
--- a/crates/anvil_core/src/quarantine/tests.rs
+++ b/crates/anvil_core/src/quarantine/tests.rs
@@ -202,6 +202,27 @@
     expect_that!(trial, ok(anything()));
 }
 
+/// Guards against the trial of a sound part with a request that has the lethal one.
+#[gtest]
+fn admit_tries_no_part_with_request_that_has_evidence_against_another() {
+    let start = Instant::now();
+    let mut quarantine = Quarantine::default();
+    end(&mut quarantine, &["sound"], Progress::Begun, start);
+    for _ in 0..2 {
+        end(
+            &mut quarantine,
+            &["sound", "lethal"],
+            Progress::Begun,
+            start,
+        );
+    }
+    let over = start + QUARANTINE_TIME_FIRST;
+    let both = parts(&["sound", "lethal"]);
+    expect_that!(quarantine.admit(&both, over, |_, _| true), err(anything()));
+    let trial = quarantine.admit(&both[..1], over, |_, _| true);
+    expect_that!(trial, ok(anything()));
+}
+
 #[gtest]
 fn admit_after_trial_was_answered_refuses_nothing() {
     let start = Instant::now();
