--- a/crates/anvil_core/src/quarantine/tests.rs
+++ b/crates/anvil_core/src/quarantine/tests.rs
@@ -1,18 +1,25 @@
 use googletest::prelude::*;
 
 use super::*;
+use crate::request_digest::RequestDigest;
 
+/// Hash of a target's id.
+const TARGET: u32 = 7;
 const STEP: Duration = Duration::from_millis(100);
 
-fn parts(names: &[&str]) -> Vec<PartId> {
-    names.iter().map(PartId::new).collect()
+fn part(name: &str) -> Suspect {
+    Suspect::Part(name.into())
+}
+
+fn parts(names: &[&str]) -> Vec<Suspect> {
+    names.iter().map(|name| part(name)).collect()
 }
 
 /// Sends a request and records that its engine ended.
 fn end(quarantine: &mut Quarantine, names: &[&str], progress: Progress, now: Instant) {
     let parts = parts(names);
     if let Ok(admission) = quarantine.admit(&parts, now, |_, _| true) {
-        quarantine.record_end(&parts, &admission, progress, now);
+        quarantine.record_end(&parts, &admission, TARGET, progress, now);
     }
 }
 
@@ -56,7 +63,7 @@
         .map(|_| quarantine.admit(&parts, now, |_, _| false).unwrap())
         .collect();
     for admission in &admissions {
-        quarantine.record_end(&parts, admission, Progress::Begun, now);
+        quarantine.record_end(&parts, admission, TARGET, Progress::Begun, now);
     }
     expect_that!(is_refused(&mut quarantine, "popular", now), eq(false));
 }
@@ -69,10 +76,10 @@
     let early = Admission::default();
     for _ in 0..10 {
         let parts = parts(&["sound", "lethal"]);
-        quarantine.record_end(&parts, &early, Progress::Begun, now);
+        quarantine.record_end(&parts, &early, TARGET, Progress::Begun, now);
     }
     expect_that!(is_refused(&mut quarantine, "sound", now), eq(false));
-    expect_that!(quarantine.entries.contains_key("sound"), eq(false));
+    expect_that!(quarantine.entries.contains_key(&part("sound")), eq(false));
 }
 
 #[gtest]
@@ -96,19 +103,20 @@
     let parts = parts(&["sound"]);
     let admission = quarantine.admit(&parts, now, |_, _| false).unwrap();
     quarantine.record_answer(&parts, now);
-    quarantine.record_end(&parts, &admission, Progress::Begun, now);
-    expect_that!(quarantine.entries["sound"].points, eq(2));
+    quarantine.record_end(&parts, &admission, TARGET, Progress::Begun, now);
+    expect_that!(quarantine.entries[&part("sound")].points, eq(2));
 }
 
 #[gtest]
 fn merge_is_independent_of_order_and_repetition() {
     let now = Instant::now();
-    let state = |round, points, failed_trials| PartState {
-        part: "part".into(),
+    let state = |round, points, failed_trials| SuspectState {
+        suspect: part("part"),
         round,
         points,
         was_answered: false,
         failed_trials,
+        ended_targets: Vec::new(),
         age: STEP,
     };
     let states = [
@@ -177,11 +185,11 @@
     let trial = quarantine.admit(&lethal, over, |_, _| true).unwrap();
     expect_that!(quarantine.quarantined_since(&trial, &lethal), none());
     expect_that!(retry_after(&mut quarantine, over), eq(TRIAL_TIMEOUT));
-    quarantine.record_end(&lethal, &trial, Progress::Begun, over);
+    quarantine.record_end(&lethal, &trial, TARGET, Progress::Begun, over);
     expect_that!(retry_after(&mut quarantine, over), eq(QUARANTINE_TIME_MIN));
     let over = over + QUARANTINE_TIME_MIN;
     let trial = quarantine.admit(&lethal, over, |_, _| true).unwrap();
-    quarantine.record_end(&lethal, &trial, Progress::Unanswered, over);
+    quarantine.record_end(&lethal, &trial, TARGET, Progress::Unanswered, over);
     expect_that!(
         retry_after(&mut quarantine, over),
         eq(2 * QUARANTINE_TIME_MIN)
@@ -223,6 +231,99 @@
     expect_that!(trial, ok(anything()));
 }
 
+fn request(body: &str) -> Suspect {
+    Suspect::Request(RequestDigest::of(
+        "POST",
+        "host",
+        "/",
+        None,
+        body.as_bytes(),
+    ))
+}
+
+/// Guards against equal requests that end several targets before any host knows of the first end.
+#[gtest]
+fn record_end_counts_each_target_that_ends_under_equal_requests() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::default();
+    let suspects = [part("sound"), request("lethal")];
+    let early = Admission::default();
+    for target in [1, 1, 2, 3] {
+        expect_that!(quarantine.quarantined_count(), eq(0));
+        quarantine.record_end(&suspects, &early, target, Progress::Unanswered, now);
+    }
+    let refusal = quarantine.admit(&suspects, now, |_, _| true).unwrap_err();
+    expect_that!(refusal.suspect, eq(&suspects[1]));
+    let other = [part("sound"), request("other")];
+    expect_that!(quarantine.admit(&other, now, |_, _| true), ok(anything()));
+}
+
+#[gtest]
+fn merge_unites_targets_that_ended_under_equal_requests_in_any_order() {
+    let now = Instant::now();
+    let suspects = [request("lethal")];
+    let early = Admission::default();
+    let hosts: Vec<Quarantine> = [1, 2, 3]
+        .into_iter()
+        .map(|target| {
+            let mut host = Quarantine::default();
+            host.record_end(&suspects, &early, target, Progress::Begun, now);
+            host
+        })
+        .collect();
+    for order in [[0, 1, 2], [2, 1, 0], [1, 2, 0]] {
+        let mut quarantine = Quarantine::default();
+        for index in order {
+            let state = &hosts[index].shared(1, now)[0];
+            quarantine.merge(state, now);
+            quarantine.merge(state, now);
+        }
+        expect_that!(quarantine.quarantined_count(), eq(1));
+    }
+}
+
+/// Guards against a trial that no target takes and that keeps others from being tried.
+#[gtest]
+fn release_trial_admits_next_request_as_trial() {
+    let start = Instant::now();
+    let mut quarantine = quarantined("part", start);
+    let over = start + QUARANTINE_TIME_FIRST;
+    let suspects = parts(&["part"]);
+    let trial = quarantine.admit(&suspects, over, |_, _| true).unwrap();
+    expect_that!(
+        quarantine.admit(&suspects, over, |_, _| true),
+        err(anything())
+    );
+    quarantine.release_trial(&trial);
+    expect_that!(
+        quarantine.admit(&suspects, over, |_, _| true),
+        ok(anything())
+    );
+}
+
+/// Guards against a host that goes on refusing for evidence which others have seen refuted.
+#[gtest]
+fn merge_of_refuted_quarantine_is_answered_with_refutation() {
+    let now = Instant::now();
+    let mut outdated = quarantined("sound", now);
+    let mut quarantine = quarantined("sound", now);
+    quarantine.record_answer(&parts(&["sound"]), now);
+    let later = now + 2 * SHARING_TIME;
+    expect_that!(quarantine.shared(1, later), is_empty());
+    let merged = quarantine.merge(&outdated.shared(1, later)[0], later);
+    expect_that!(merged.is_outdated, eq(true));
+    outdated.merge(&quarantine.shared(1, later)[0], later);
+    expect_that!(outdated.quarantined_count(), eq(0));
+}
+
+#[gtest]
+fn from_str_reverses_display_of_suspect() {
+    for suspect in [part("5c1e07a2"), request("body")] {
+        expect_that!(suspect.to_string().parse::<Suspect>(), ok(eq(&suspect)));
+    }
+    expect_that!("request:5c1e".parse::<Suspect>(), err(anything()));
+}
+
 #[gtest]
 fn admit_after_trial_was_answered_refuses_nothing() {
     let start = Instant::now();
@@ -266,10 +367,11 @@
     let mut quarantine = Quarantine::default();
     end(&mut quarantine, &["part"], Progress::Begun, start);
     let later = start + RETENTION_TIME + STEP;
-    let old = quarantine.shared(1, later);
+    let suspect = part("part");
+    let old = quarantine.entries[&suspect].state(&suspect, later);
     quarantine.expire(later);
     expect_that!(quarantine.entries.len(), eq(0));
-    quarantine.merge(&old[0], later);
+    quarantine.merge(&old, later);
     expect_that!(quarantine.entries.len(), eq(0));
 }
 
@@ -277,11 +379,11 @@
 fn record_end_keeps_quarantined_parts_within_bounded_memory() {
     let now = Instant::now();
     let mut quarantine = quarantined("lethal", now);
-    for index in 0..3 * PARTS_MAX {
+    for index in 0..3 * SUSPECTS_MAX {
         let name = format!("part-{index}");
         end(&mut quarantine, &[&name], Progress::Begun, now);
     }
-    expect_that!(quarantine.entries.len(), eq(PARTS_MAX));
+    expect_that!(quarantine.entries.len(), eq(SUSPECTS_MAX));
     expect_that!(is_refused(&mut quarantine, "lethal", now), eq(true));
 }
 
@@ -325,5 +427,5 @@
     );
     let later = now + 2 * ANSWERED_GENERATION_TIME + STEP;
     quarantine.record_answer(&parts(&["later"]), later);
-    expect_that!(quarantine.answered.contains(&"later".into()), eq(true));
+    expect_that!(quarantine.answered.contains(&part("later")), eq(true));
 }
--- a/crates/anvil_core/tests/quarantine_fleet.rs
+++ b/crates/anvil_core/tests/quarantine_fleet.rs
@@ -1,6 +1,6 @@
-//! A fleet of hosts in virtual time before engines that end under one prompt part: messages between
-//! hosts are late or lost, engines also end for other reasons, and sound requests share the other
-//! parts.
+//! A fleet of hosts in virtual time before targets that end under one prompt part, or under one whole
+//! request: messages between hosts are late or lost, targets also end for other reasons, and sound
+//! requests share the other parts.
 
 use std::{
     collections::HashSet,
@@ -11,13 +11,14 @@
 };
 
 use anvil_core::{
-    id::PartId,
     quarantine::{
         Admission,
-        PartState,
         Progress,
-        Quarantine, //
+        Quarantine,
+        Suspect, //
+        SuspectState,
     },
+    request_digest::RequestDigest,
 };
 use googletest::prelude::*;
 use rand::{
@@ -32,27 +33,54 @@
 const SOUND_PARTS: usize = 60;
 /// Time after the fifth end from which on few requests with the part may reach engines.
 const STABLE_MS: u64 = 3_000;
-/// Ends from which on the bound counts.
-const ENDS_FREE: usize = 5;
-/// Most requests with the part that may reach engines after that.
+/// Ends under a part from which on the bound counts.
+const PART_ENDS_FREE: usize = 5;
+/// Ends under a whole request from which on the bound counts.
+const REQUEST_ENDS_FREE: usize = 3;
+/// Most lethal requests that may reach engines after that.
 const LATE_SENDS_MAX: usize = 3;
 /// Attempts of one request.
 const ATTEMPTS_MAX: u32 = 2;
 /// Runs of each scenario.
 const SEEDS: u64 = 4;
 /// Time for which an engine that ended is away.
-const RESTART_MS: u64 = 6_000;
+const ENGINE_RESTART_MS: u64 = 6_000;
+/// The same for a target of a plain service.
+const PLAIN_RESTART_MS: u64 = 3_200;
+/// Number of sound requests that differ.
+const SOUND_REQUESTS: usize = 2_000;
 
 /// Time for which one host is the one to try a part.
 const TRIAL_SLOT_MS: u64 = 4_000;
 
+/// What ends the targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Lethal {
+    /// A part of prompts, in requests that otherwise differ.
+    Part,
+    /// A whole request to a model, whose first part sound ones share.
+    ModelRequest,
+    /// A whole request to a plain service.
+    PlainRequest,
+}
+
+impl Lethal {
+    fn ends_free(self) -> usize {
+        match self {
+            Self::Part => PART_ENDS_FREE,
+            Self::ModelRequest | Self::PlainRequest => REQUEST_ENDS_FREE,
+        }
+    }
+}
+
 /// What happens in a run.
 #[derive(Clone, Copy, Debug)]
 struct Scenario {
+    lethal: Lethal,
     hosts: usize,
     engines: usize,
     requests_per_s: f64,
-    /// Requests with the lethal part, of those.
+    /// Lethal requests, of those.
     lethal_per_s: f64,
     /// When the first of these comes.
     lethal_from_ms: u64,
@@ -70,7 +98,7 @@
 
 struct Running {
     host: usize,
-    parts: Vec<PartId>,
+    suspects: Vec<Suspect>,
     is_lethal: bool,
     admission: Admission,
     engine: usize,
@@ -85,7 +113,7 @@
 struct Message {
     arrives_ms: u64,
     to: usize,
-    states: Vec<PartState>,
+    states: Vec<SuspectState>,
 }
 
 /// What was seen in a run.
@@ -93,7 +121,7 @@
 struct Outcome {
     lethal_ends: usize,
     late_lethal_sends: usize,
-    /// Sound requests from twice the time after the fifth end on; with a common first part, those
+    /// Sound requests from twice the time after the free ends on; with a common first part, those
     /// that have it.
     sound_requests: usize,
     refused_sound_requests: usize,
@@ -109,7 +137,7 @@
     engine_back_ms: Vec<u64>,
     running: Vec<Running>,
     messages: Vec<Message>,
-    fifth_end_ms: Option<u64>,
+    last_free_end_ms: Option<u64>,
     /// When each host was last started.
     started_ms: Vec<u64>,
     outcome: Outcome,
@@ -126,7 +154,7 @@
             engine_back_ms: vec![0; scenario.engines],
             running: Vec::new(),
             messages: Vec::new(),
-            fifth_end_ms: None,
+            last_free_end_ms: None,
             started_ms: vec![0; scenario.hosts],
             outcome: Outcome::default(),
         }
@@ -162,9 +190,9 @@
         interval_ms.is_some_and(|interval_ms| self.now_ms.is_multiple_of(interval_ms))
     }
 
-    fn is_after_fifth_end(&self, time_ms: u64) -> bool {
-        let fifth_ms = self.fifth_end_ms;
-        fifth_ms.is_some_and(|fifth_ms| self.now_ms > fifth_ms + time_ms)
+    fn is_after_free_ends(&self, time_ms: u64) -> bool {
+        let end_ms = self.last_free_end_ms;
+        end_ms.is_some_and(|end_ms| self.now_ms > end_ms + time_ms)
     }
 
     fn arrive(&mut self) {
@@ -178,22 +206,35 @@
             true => 0,
             false => (draw * draw * SOUND_PARTS as f64) as usize,
         };
-        let mut parts: Vec<PartId> = vec![format!("sound-{popular}").into()];
-        if is_lethal {
-            parts.push("lethal".into());
+        let part = |name: &str| Suspect::Part(name.into());
+        let mut suspects = match self.scenario.lethal {
+            Lethal::PlainRequest => Vec::new(),
+            Lethal::Part | Lethal::ModelRequest => vec![part(&format!("sound-{popular}"))],
+        };
+        if is_lethal && self.scenario.lethal == Lethal::Part {
+            suspects.push(part("lethal"));
         }
+        // Some sound requests come more than once, too.
+        let body = match (is_lethal, self.scenario.lethal) {
+            (false, _) => format!("sound {}", self.rng.random_range(0..SOUND_REQUESTS)),
+            (true, Lethal::Part) => format!("lethal {}", self.now_ms),
+            (true, Lethal::ModelRequest | Lethal::PlainRequest) => "lethal".into(),
+        };
+        let digest = RequestDigest::of("POST", "", "/", None, body.as_bytes());
+        suspects.push(Suspect::Request(digest));
         let host = self.rng.random_range(0..self.scenario.hosts);
-        self.send(host, parts, is_lethal, 1);
+        self.send(host, suspects, is_lethal, 1);
     }
 
-    fn send(&mut self, host: usize, parts: Vec<PartId>, is_lethal: bool, attempt: u32) {
+    fn send(&mut self, host: usize, suspects: Vec<Suspect>, is_lethal: bool, attempt: u32) {
         let now = self.now();
         let is_counted = !is_lethal
             && attempt == 1
-            && self.is_after_fifth_end(2 * STABLE_MS)
-            && (!self.scenario.has_common_first_part || parts[0] == "sound-0");
+            && self.is_after_free_ends(2 * STABLE_MS)
+            && (!self.scenario.has_common_first_part
+                || suspects[0] == Suspect::Part("sound-0".into()));
         self.outcome.sound_requests += usize::from(is_counted);
-        let Ok(admission) = self.hosts[host].admit(&parts, now, |_, age| {
+        let Ok(admission) = self.hosts[host].admit(&suspects, now, |_, age| {
             host == (age.as_millis() as u64 / TRIAL_SLOT_MS) as usize % self.scenario.hosts
         }) else {
             self.outcome.refused_sound_requests += usize::from(is_counted);
@@ -203,27 +244,38 @@
             .filter(|engine| self.engine_back_ms[*engine] <= self.now_ms)
             .collect();
         if up.is_empty() {
+            self.hosts[host].release_trial(&admission);
             return;
         }
         let engine = up[self.rng.random_range(0..up.len())];
         let is_in_touch = self.now_ms > self.started_ms[host] + STABLE_MS;
-        let is_late = is_in_touch && self.is_after_fifth_end(STABLE_MS);
+        let is_late = is_in_touch && self.is_after_free_ends(STABLE_MS);
         self.outcome.late_lethal_sends += usize::from(is_lethal && is_late);
-        let begins_ms = self.now_ms + self.rng.random_range(40..300);
+        let (begins_ms, answer_ms) = match self.scenario.lethal {
+            Lethal::PlainRequest => (1, self.rng.random_range(20..60)),
+            Lethal::Part | Lethal::ModelRequest => (
+                self.rng.random_range(40..300),
+                self.rng.random_range(100..3_000),
+            ),
+        };
+        let begins_ms = self.now_ms + begins_ms;
         let ends_engine_ms = match is_lethal {
             true => begins_ms + self.rng.random_range(0..80),
             false => u64::MAX,
         };
         self.running.push(Running {
             host,
-            parts,
+            suspects,
             is_lethal,
             admission,
             engine,
             attempt,
             begins_ms,
             ends_engine_ms,
-            ends_ms: begins_ms + self.rng.random_range(100..3_000),
+            ends_ms: match is_lethal {
+                true => u64::MAX,
+                false => begins_ms + answer_ms,
+            },
             is_answer_recorded: false,
         });
     }
@@ -240,8 +292,8 @@
         for engine in lethal {
             if self.engine_back_ms[engine] <= now_ms {
                 self.outcome.lethal_ends += 1;
-                if self.outcome.lethal_ends == ENDS_FREE {
-                    self.fifth_end_ms = Some(now_ms);
+                if self.outcome.lethal_ends == self.scenario.lethal.ends_free() {
+                    self.last_free_end_ms = Some(now_ms);
                 }
                 self.end_engine(engine);
             }
@@ -251,7 +303,7 @@
             let has_proof = now_ms >= request.begins_ms + 300 || now_ms >= request.ends_ms;
             if has_proof && !request.is_answer_recorded && !request.is_lethal {
                 request.is_answer_recorded = true;
-                let refuted = self.hosts[request.host].record_answer(&request.parts, now);
+                let refuted = self.hosts[request.host].record_answer(&request.suspects, now);
                 if !refuted.is_empty() {
                     changed_hosts.insert(request.host);
                 }
@@ -263,12 +315,18 @@
 
     /// Ends an engine: its streams are lost, recorded if they had just begun, and sent again.
     fn end_engine(&mut self, engine: usize) {
-        self.engine_back_ms[engine] = self.now_ms + RESTART_MS;
+        self.engine_back_ms[engine] = self.now_ms
+            + match self.scenario.lethal {
+                Lethal::PlainRequest => PLAIN_RESTART_MS,
+                Lethal::Part | Lethal::ModelRequest => ENGINE_RESTART_MS,
+            };
         let (lost, kept): (Vec<Running>, Vec<Running>) = std::mem::take(&mut self.running)
             .into_iter()
             .partition(|request| request.engine == engine);
         self.running = kept;
         let now = self.now();
+        // A target that starts again has a new id.
+        let target_hash = (engine as u64 * DAY_MS + self.now_ms) as u32;
         let mut changed_hosts = HashSet::new();
         for request in &lost {
             let progress = match request.begins_ms <= self.now_ms {
@@ -277,7 +335,13 @@
             };
             if self.now_ms < request.begins_ms + 300 {
                 let host = &mut self.hosts[request.host];
-                let changed = host.record_end(&request.parts, &request.admission, progress, now);
+                let changed = host.record_end(
+                    &request.suspects,
+                    &request.admission,
+                    target_hash,
+                    progress,
+                    now,
+                );
                 if !changed.is_empty() {
                     changed_hosts.insert(request.host);
                 }
@@ -288,7 +352,7 @@
             if request.attempt < ATTEMPTS_MAX {
                 self.send(
                     request.host,
-                    request.parts,
+                    request.suspects,
                     request.is_lethal,
                     request.attempt + 1,
                 );
@@ -325,7 +389,7 @@
     }
 
     fn send_states(&mut self, from: usize) {
-        let states = self.hosts[from].shared(16, self.now());
+        let states = self.hosts[from].shared(8, self.now());
         if states.is_empty() {
             return;
         }
@@ -355,6 +419,7 @@
 }
 
 const SCENARIO: Scenario = Scenario {
+    lethal: Lethal::Part,
     hosts: 20,
     engines: 8,
     requests_per_s: 75.0,
@@ -409,6 +474,51 @@
     ]
 }
 
+/// The scenarios of parts with a whole request instead, and a plain service with few targets.
+fn request_scenarios() -> Vec<Scenario> {
+    let model = scenarios().into_iter().map(|scenario| Scenario {
+        lethal: Lethal::ModelRequest,
+        ..scenario
+    });
+    let plain = scenarios().into_iter().map(|scenario| Scenario {
+        lethal: Lethal::PlainRequest,
+        engines: 3,
+        requests_per_s: 30.0_f64.max(scenario.lethal_per_s * 2.0),
+        ..scenario
+    });
+    model.chain(plain).collect()
+}
+
+/// Guards against hosts that go on sending a whole request that ended targets of others (BUDGET).
+#[gtest]
+fn quarantine_ends_sends_of_lethal_request_on_all_hosts() {
+    for scenario in request_scenarios() {
+        for seed in 0..SEEDS {
+            let outcome = Fleet::new(scenario, seed).run();
+            expect_that!(
+                outcome.late_lethal_sends,
+                le(LATE_SENDS_MAX),
+                "{scenario:?}, seed {seed}: {outcome:?}"
+            );
+        }
+    }
+}
+
+/// Guards against the refusal of sound requests beside a whole request that ends targets (LOST).
+#[gtest]
+fn quarantine_admits_sound_requests_beside_lethal_request() {
+    for scenario in request_scenarios() {
+        for seed in 0..SEEDS {
+            let outcome = Fleet::new(scenario, seed).run();
+            expect_that!(
+                outcome.refused_sound_requests,
+                le(outcome.sound_requests / 100),
+                "{scenario:?}, seed {seed}: {outcome:?}"
+            );
+        }
+    }
+}
+
 /// Guards against hosts that go on sending what ended engines of others (BUDGET).
 #[gtest]
 fn quarantine_ends_sends_of_lethal_part_on_all_hosts() {
--- a/crates/anvil_gateway/src/answer.rs
+++ b/crates/anvil_gateway/src/answer.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use anvil_core::id::RequestId;
+use anvil_core::{id::RequestId, quarantine::Suspect};
 
 use crate::http1::ResponseHead;
 
@@ -48,6 +48,8 @@
     NoTarget,
     /// A part of its prompt ends engines.
     QuarantinedPart,
+    /// Equal requests ended targets.
+    QuarantinedRequest,
     /// There is no capacity for the request now, or the retry budget of its service is used up.
     Overloaded,
     /// Its deadline passed.
@@ -70,6 +72,7 @@
             Self::Stopping => "stopping",
             Self::NoTarget => "no_target",
             Self::QuarantinedPart => "quarantined_part",
+            Self::QuarantinedRequest => "quarantined_request",
             Self::Overloaded => "overloaded",
             Self::Timeout => "timeout",
             Self::AnswerLost => "answer_lost",
@@ -90,6 +93,15 @@
     }
 }
 
+impl From<&Suspect> for ErrorReason {
+    fn from(suspect: &Suspect) -> Self {
+        match suspect {
+            Suspect::Part(_) => Self::QuarantinedPart,
+            Suspect::Request(_) => Self::QuarantinedRequest,
+        }
+    }
+}
+
 /// The gateway's answer to a request that it refuses or that failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ErrorResponse {
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -15,6 +15,7 @@
     },
     id::ServiceId,
     id::TeamId,
+    quarantine::Suspect,
     request_digest::RequestDigest, //
 };
 use bytes::Bytes;
@@ -85,6 +86,8 @@
     pub keep_alive: bool,
     /// Digest of the request; empty until it is needed.
     pub digest: OnceCell<RequestDigest>,
+    /// What the request has in common with others; empty until it is needed.
+    pub suspects: OnceCell<Vec<Suspect>>,
 }
 
 impl RequestContext<'_> {
@@ -97,6 +100,16 @@
             RequestDigest::of(&self.head.method, host, &self.head.target, team, &self.body)
         })
     }
+
+    /// Returns what the request has in common with others under which targets may end: the shared parts
+    /// of its prompt, and the request itself.
+    pub fn suspects(&self) -> &[Suspect] {
+        self.suspects.get_or_init(|| {
+            let parts = self.metadata.shared_parts.iter().cloned();
+            let parts = parts.map(Suspect::Part);
+            parts.chain([Suspect::Request(self.digest())]).collect()
+        })
+    }
 }
 
 /// How a request ended.
@@ -356,6 +369,7 @@
         deadline: arrived + time_limit.saturating_sub(DEADLINE_MARGIN),
         keep_alive,
         digest: OnceCell::new(),
+        suspects: OnceCell::new(),
     };
     let request_outcome = match &service.engine {
         Some(engine) if route.semantics.is_stream() => {
--- a/crates/anvil_gateway/src/follow/tests.rs
+++ b/crates/anvil_gateway/src/follow/tests.rs
@@ -99,7 +99,7 @@
         slow: Vec::new(),
         requests_per_s: 0.0,
         limits: Vec::new(),
-        part_states: Vec::new(),
+        suspect_states: Vec::new(),
         target_changes: None,
     }
 }
--- a/crates/anvil_gateway/src/follow/tests/fakes.rs
+++ b/crates/anvil_gateway/src/follow/tests/fakes.rs
@@ -17,10 +17,10 @@
     id::{
         HostId,
         Offset,
-        PartId,
         TargetId,
         Version, //
     },
+    quarantine::Suspect,
 };
 use smol_str::SmolStr;
 use tokio::{
@@ -288,7 +288,7 @@
         Box::pin(async { not_executed() })
     }
 
-    fn deregister_quarantine<'a>(&'a self, _part: &'a PartId) -> PlatformResult<'a, ()> {
+    fn deregister_quarantine<'a>(&'a self, _suspect: &'a Suspect) -> PlatformResult<'a, ()> {
         Box::pin(async { not_executed() })
     }
 
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -62,7 +62,7 @@
     targets_age_ms: IntGauge,
     peers_heard: IntGauge,
     store_era: IntGauge,
-    quarantined_parts: IntGauge,
+    quarantined: IntGauge,
     store_connections_given_up: IntGauge,
 }
 
@@ -160,9 +160,9 @@
                 "anvil_store_era",
                 "Newest known era of the store; 0 while it names none",
             ),
-            quarantined_parts: gauge(
-                "anvil_quarantined_parts",
-                "Parts of prompts that are quarantined because engines ended under them",
+            quarantined: gauge(
+                "anvil_quarantined",
+                "Parts of prompts, and requests, that are quarantined because targets ended under them",
             ),
             store_connections_given_up: gauge(
                 "anvil_store_connections_given_up",
@@ -234,7 +234,7 @@
         self.table_age_ms.set(age_ms(gateway.table_cache.age()));
         self.targets_age_ms.set(age_ms(gateway.targets.age()));
         let quarantined_count = gateway.quarantine.borrow().quarantined_count();
-        self.quarantined_parts
+        self.quarantined
             .set(i64::try_from(quarantined_count).unwrap_or(i64::MAX));
         let given_up = gateway.platform.store.given_up_connections();
         self.store_connections_given_up
--- a/crates/anvil_gateway/src/peers.rs
+++ b/crates/anvil_gateway/src/peers.rs
@@ -260,7 +260,7 @@
             slow: gateway.targets.own_slow(now),
             requests_per_s: gateway.own_requests_per_s(),
             limits: gateway.shared_limits(now),
-            part_states: gateway.shared_part_states(),
+            suspect_states: gateway.shared_suspect_states(),
             target_changes: None,
         }
     }
@@ -321,7 +321,7 @@
         let now = Instant::now();
         let echo = digest.echo_before(BootTime::now());
         gateway.platform.store.observe_era(digest.store_era);
-        gateway.merge_part_states(&digest.part_states, sender);
+        gateway.merge_suspect_states(&digest.suspect_states, sender);
         gateway.merge_limits(&digest.limits, sender, now);
         if let Some(echo) = echo {
             for age in [digest.table_age, digest.targets_age].into_iter().flatten() {
--- a/crates/anvil_gateway/src/peers/message.rs
+++ b/crates/anvil_gateway/src/peers/message.rs
@@ -10,10 +10,13 @@
         Offset,
         Version, //
     },
-    quarantine::PartState,
+    quarantine::SuspectState,
 };
 use anvil_wire::generated::peer_digest as wire;
-use smol_str::ToSmolStr;
+use smol_str::{
+    ToSmolStr,
+    format_smolstr, //
+};
 
 use crate::{
     clock::BootTime,
@@ -76,8 +79,8 @@
     pub requests_per_s: f64,
     /// Limits that targets stated to the sender or its peers.
     pub limits: Vec<SharedLimit>,
-    /// States of prompt parts that the sender knows.
-    pub part_states: Vec<PartState>,
+    /// States of suspects that the sender knows.
+    pub suspect_states: Vec<SuspectState>,
     /// Changes of the target list that the sender has just read from the store.
     pub target_changes: Option<TargetChangeBatch>,
 }
@@ -130,7 +133,7 @@
             u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
         })
     };
-    let states = &digest.part_states;
+    let states = &digest.suspect_states;
     let round_u32 = |number: f64| number.max(0.0).round() as u32;
     let loads = &digest.loads;
     wire::Digest {
@@ -187,11 +190,22 @@
             .iter()
             .map(|limit| millis(Some(limit.age)))
             .collect(),
-        part_names: states.iter().map(|state| state.part.clone()).collect(),
+        part_names: states
+            .iter()
+            .map(|state| format_smolstr!("{}", state.suspect))
+            .collect(),
         part_rounds: states.iter().map(|state| state.round).collect(),
         part_points: states.iter().map(|state| state.points).collect(),
         part_answered: states.iter().map(|state| state.was_answered).collect(),
         part_failed_trials: states.iter().map(|state| state.failed_trials).collect(),
+        part_ended_counts: states
+            .iter()
+            .map(|state| state.ended_targets.len() as u32)
+            .collect(),
+        part_ended_targets: states
+            .iter()
+            .flat_map(|state| state.ended_targets.iter().copied())
+            .collect(),
         part_ages_ms: states.iter().map(|state| millis(Some(state.age))).collect(),
         news: digest
             .target_changes
@@ -226,6 +240,7 @@
     if !is_consistent {
         return None;
     }
+    let mut ended_targets = ended_targets_from_wire(&digest)?;
     let loads = (0..count)
         .map(|index| TargetLoad {
             target_hash: digest.load_targets[index],
@@ -247,17 +262,21 @@
             }
         })
         .collect();
-    let part_states = digest
+    let suspect_states = digest
         .part_names
         .into_iter()
         .enumerate()
-        .map(|(index, part)| PartState {
-            part,
-            round: digest.part_rounds[index],
-            points: digest.part_points[index],
-            was_answered: digest.part_answered[index],
-            failed_trials: digest.part_failed_trials[index],
-            age: Duration::from_millis(u64::from(digest.part_ages_ms[index])),
+        .filter_map(|(index, name)| {
+            Some(SuspectState {
+                // A later release may know other kinds of suspects.
+                suspect: name.parse().ok()?,
+                round: digest.part_rounds[index],
+                points: digest.part_points[index],
+                was_answered: digest.part_answered[index],
+                failed_trials: digest.part_failed_trials[index],
+                ended_targets: std::mem::take(&mut ended_targets[index]),
+                age: Duration::from_millis(u64::from(digest.part_ages_ms[index])),
+            })
         })
         .collect();
     let changes: Option<Vec<_>> = digest.news.into_iter().map(change_from_wire).collect();
@@ -288,13 +307,35 @@
             .collect(),
         requests_per_s: f64::from(digest.requests_per_1000s) / RATE_FACTOR,
         limits,
-        part_states,
+        suspect_states,
         target_changes: digest
             .news_from
             .map(|from| TargetChangeBatch { from, changes }),
     })
 }
 
+/// Returns the targets that ended under each suspect, or `None` if the lists don't fit together. A
+/// release that doesn't know them sends none.
+fn ended_targets_from_wire(digest: &wire::Digest) -> Option<Vec<Vec<u32>>> {
+    let suspect_count = digest.part_names.len();
+    if digest.part_ended_counts.is_empty() {
+        return Some(vec![Vec::new(); suspect_count]);
+    }
+    if digest.part_ended_counts.len() != suspect_count {
+        return None;
+    }
+    let mut rest = digest.part_ended_targets.as_slice();
+    digest
+        .part_ended_counts
+        .iter()
+        .map(|count| {
+            let (targets, later) = rest.split_at_checked(*count as usize)?;
+            rest = later;
+            Some(targets.to_vec())
+        })
+        .collect()
+}
+
 fn change_to_wire(change: &TargetChange) -> wire::TargetNews {
     match change {
         TargetChange::Put(target, entry) => wire::TargetNews {
--- a/crates/anvil_gateway/src/peers/tests.rs
+++ b/crates/anvil_gateway/src/peers/tests.rs
@@ -2,7 +2,11 @@
 
 use anvil_core::{
     id::LayerRange,
-    quarantine::PartState, //
+    quarantine::{
+        Suspect,
+        SuspectState, //
+    },
+    request_digest::RequestDigest, //
 };
 use googletest::prelude::*;
 use tokio::time::Instant;
@@ -57,14 +61,26 @@
                 age: Duration::from_millis(2),
             },
         ],
-        part_states: vec![PartState {
-            part: "5c1e07a2".into(),
-            round: 1,
-            points: 4,
-            was_answered: true,
-            failed_trials: 2,
-            age: Duration::from_millis(1500),
-        }],
+        suspect_states: vec![
+            SuspectState {
+                suspect: Suspect::Part("5c1e07a2".into()),
+                round: 1,
+                points: 4,
+                was_answered: true,
+                failed_trials: 2,
+                ended_targets: Vec::new(),
+                age: Duration::from_millis(1500),
+            },
+            SuspectState {
+                suspect: Suspect::Request(RequestDigest::of("GET", "host", "/", None, b"")),
+                round: 0,
+                points: 4,
+                was_answered: false,
+                failed_trials: 0,
+                ended_targets: vec![7, 9],
+                age: Duration::from_millis(20),
+            },
+        ],
         target_changes: Some(TargetChangeBatch {
             from: 9,
             changes: vec![
@@ -117,7 +133,7 @@
     expect_that!(encoded.len(), le(DATAGRAM_LIMIT_BYTES));
     let decoded = datagram::decode_authenticated(&encoded, &key("a1")).unwrap();
     expect_that!(decoded.target_changes, none());
-    expect_that!(decoded.part_states, eq(&digest("peer").part_states));
+    expect_that!(decoded.suspect_states, eq(&digest("peer").suspect_states));
     expect_that!(decoded.loads.len(), ge(50));
     expect_that!(decoded.loads[0].token_layers, eq(399_000.0));
     expect_that!(
--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -6,7 +6,13 @@
     time::Duration, //
 };
 
-use anvil_core::id::RequestId;
+use anvil_core::{
+    id::RequestId,
+    quarantine::{
+        Admission,
+        Progress, //
+    },
+};
 use bytes::Bytes;
 use tokio::time::{
     Instant,
@@ -69,6 +75,8 @@
 enum AttemptResult {
     /// The complete answer of the target.
     Response(ResponseHead, ResponseMetadata, Bytes),
+    /// The request was not sent, since it has been quarantined meanwhile.
+    Quarantined,
     /// The request is known not to have run.
     NotRun(&'static str),
     /// The connection failed after the request may have run.
@@ -84,12 +92,6 @@
     request: &RequestContext<'_>,
     trace: &mut RequestTrace,
 ) -> RequestOutcome {
-    if let Err(refusal) = gateway.admit_parts(&request.metadata.shared_parts) {
-        trace.record_failure(format!("part {} is quarantined", refusal.part));
-        let reason = ErrorReason::QuarantinedPart;
-        let error_response = ErrorResponse::not_run(reason, Some(refusal.retry_after));
-        return RequestOutcome::Error(error_response);
-    }
     let result = tokio::select! {
         biased;
         result = try_targets(gateway, request, trace) => result,
@@ -123,8 +125,18 @@
     let mut tried: Vec<Rc<Target>> = Vec::new();
     let mut last_response: Option<(ResponseHead, Bytes)> = None;
     let mut may_have_run = false;
+    let mut refusal = None;
     while trace.sends < request.route.attempts_max {
+        let admission = match gateway.admit(request) {
+            Ok(admission) => admission,
+            Err(refused) => {
+                trace.record_failure(refused.to_string());
+                refusal = Some(refused);
+                break;
+            }
+        };
         let Some(target) = choose(gateway, request, &tried) else {
+            gateway.release_trial(&admission);
             break;
         };
         tried.push(Rc::clone(&target));
@@ -134,8 +146,19 @@
             false => request.deadline,
         };
         let _in_flight = InFlightGuard::begin(&target, 0.0, true);
-        match send(gateway, request, &target, attempt_deadline, trace).await {
+        let result = send(
+            gateway,
+            request,
+            &admission,
+            &target,
+            attempt_deadline,
+            trace,
+        );
+        match result.await {
             AttemptResult::Response(head, metadata, body) => {
+                if metadata.is_sealed {
+                    gateway.record_target_answer(request);
+                }
                 let is_failure = head.status >= 500;
                 let is_success = (200..300).contains(&head.status);
                 if metadata.is_sealed && !(is_failure && is_repeatable) {
@@ -155,16 +178,21 @@
                     }
                 }
             }
+            AttemptResult::Quarantined => continue,
             AttemptResult::NotRun(failure) => {
+                gateway.release_trial(&admission);
                 trace.record_failure(format!("{}: {failure}, not run", target.id))
             }
             AttemptResult::Lost(failure) => {
-                handle_lost_connection(gateway, request, &target, failure).await;
+                handle_lost_connection(gateway, request, &admission, &target, failure).await;
                 trace.record_failure(format!("{}: {failure}", target.id));
                 may_have_run = true;
             }
             AttemptResult::TimedOut => {
                 let failure = "no answer within the time for this attempt";
+                if admission.is_trial() {
+                    handle_lost_connection(gateway, request, &admission, &target, failure).await;
+                }
                 trace.record_failure(format!("{}: {failure}", target.id));
                 may_have_run = true;
             }
@@ -190,6 +218,10 @@
             false => ErrorReason::AnswerLost,
         }));
     }
+    if let Some(refusal) = refusal {
+        let reason = ErrorReason::from(&refusal.suspect);
+        return Err(ErrorResponse::not_run(reason, Some(refusal.retry_after)));
+    }
     let retry_after = shortest_closed_time(gateway, request)
         + gateway.random_duration(RETRY_AFTER_MIN, RETRY_AFTER_MIN + RETRY_AFTER_JITTER);
     Err(ErrorResponse::not_run(
@@ -198,16 +230,17 @@
     ))
 }
 
-/// Logs that the connection to a target was lost with a request on it, and whether the target still
-/// runs.
+/// Finds out whether a target still runs to which the connection was lost with a request on it, logs
+/// that, and records an end of the target as evidence against the request.
 async fn handle_lost_connection(
     gateway: &Gateway,
     request: &RequestContext<'_>,
+    admission: &Admission,
     target: &Target,
     failure: &'static str,
 ) {
-    let state = faults::check_state(target).await.as_str();
-    gateway.metrics.record_lost_request(state);
+    let state = faults::check_state(target).await;
+    gateway.metrics.record_lost_request(state.as_str());
     spdlog::info!("request.connection_lost", kv: {
         request = request.metadata.id.as_str(),
         target = target.id.as_str(),
@@ -215,8 +248,10 @@
         digest: = request.digest(),
         team = request.team.as_deref().unwrap_or_default(),
         path = request.head.path(),
-        target_state = state,
+        target_state = state.as_str(),
     });
+    // Nothing tells whether a plain target had begun.
+    gateway.record_lost_target(request, admission, target, Progress::Begun, state);
 }
 
 /// Returns when to give up on a target and send a repeatable request to another one: early enough
@@ -281,6 +316,7 @@
 async fn send(
     gateway: &Gateway,
     request: &RequestContext<'_>,
+    admission: &Admission,
     target: &Rc<Target>,
     attempt_deadline: Instant,
     trace: &mut RequestTrace,
@@ -299,6 +335,9 @@
     if !target.accepts(Instant::now()) {
         return AttemptResult::NotRun("target takes no requests");
     }
+    if gateway.is_admission_void(admission, request) {
+        return AttemptResult::Quarantined;
+    }
     if request.team.is_some() && are_keys_stale(gateway) {
         return AttemptResult::NotRun("keys may be outdated");
     }
--- a/crates/anvil_gateway/src/port.rs
+++ b/crates/anvil_gateway/src/port.rs
@@ -20,6 +20,7 @@
         TargetId,
         TeamId, //
     },
+    quarantine::Suspect,
 };
 use derive_more::{
     Display,
@@ -231,14 +232,14 @@
     pub key: SmolStr,
 }
 
-/// A quarantined part of prompts, as it is kept in the store.
+/// What is quarantined, as it is kept in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct QuarantineEntry {
-    /// The part.
-    pub part: PartId,
+    /// The part of prompts, or the request.
+    pub suspect: Suspect,
     /// Number of times that the evidence against it was refuted or lowered.
     pub round: u32,
-    /// Number of trials that ended an engine.
+    /// Number of trials that ended a target.
     pub failed_trials: u32,
 }
 
@@ -247,7 +248,7 @@
 pub struct HostRegistry {
     /// The hosts.
     pub hosts: Vec<HostEntry>,
-    /// The parts that hosts have quarantined.
+    /// What hosts have quarantined.
     pub quarantined: Vec<QuarantineEntry>,
 }
 
@@ -347,11 +348,11 @@
     /// Reads what the hosts have registered.
     fn registry(&self) -> PlatformResult<'_, HostRegistry>;
 
-    /// Registers a quarantined part, so that it stays known when all hosts restart.
+    /// Registers what is quarantined, so that it stays known when all hosts restart.
     fn register_quarantine<'a>(&'a self, entry: &'a QuarantineEntry) -> PlatformResult<'a, ()>;
 
-    /// Removes the entry of a part that is no longer quarantined.
-    fn deregister_quarantine<'a>(&'a self, part: &'a PartId) -> PlatformResult<'a, ()>;
+    /// Removes the entry of what is no longer quarantined.
+    fn deregister_quarantine<'a>(&'a self, suspect: &'a Suspect) -> PlatformResult<'a, ()>;
 
     /// Joins the group that elects the placer, or renews the membership for `lease`. `generation` is
     /// the last one of this era, or 0.
--- a/crates/anvil_gateway/src/quarantine.rs
+++ b/crates/anvil_gateway/src/quarantine.rs
@@ -1,23 +1,18 @@
-//! Quarantine of prompt parts under which engines end: admits requests, shares the evidence with
-//! peers, and keeps quarantined parts in the store.
+//! Quarantine of requests, and of prompt parts, under which targets end: admits requests, shares the
+//! evidence with peers, and keeps what is quarantined in the store.
 
 use std::{
     rc::Rc,
     time::Duration, //
 };
 
-use anvil_core::{
-    id::{
-        PartId,
-        RequestId, //
-    },
-    quarantine::{
-        Admission,
-        PartState,
-        Progress,
-        Quarantine,
-        Refusal, //
-    },
+use anvil_core::quarantine::{
+    Admission,
+    Progress,
+    Quarantine,
+    Refusal,
+    Suspect,
+    SuspectState, //
 };
 use tokio::{
     task::spawn_local,
@@ -28,6 +23,8 @@
 };
 
 use crate::{
+    exchange::RequestContext,
+    faults::ProcessState,
     gateway::Gateway,
     port::{
         QuarantineEntry,
@@ -36,35 +33,49 @@
     target::Target,
 };
 
-/// Most parts whose state is shared with peers in one digest.
-const SHARED_STATES_MAX: usize = 16;
-/// Time for which one host may try a part before another one may: not every host gets requests with
-/// the part.
+/// Most parts, and most requests, whose state is shared with peers in one digest.
+const SHARED_STATES_MAX: usize = 8;
+/// Time for which one host may try a suspect before another one may: not every host gets requests with
+/// it.
 const TRIAL_SLOT: Duration = Duration::from_secs(4);
-/// Pause before a failed write of a part to the store is tried again.
+/// Pause before a failed write to the store is tried again.
 const REGISTER_RETRY_DELAY: Duration = Duration::from_secs(1);
-/// Most tries to write a part to the store. They outlast an outage of the store.
+/// Most tries to write to the store. They outlast an outage of the store.
 const REGISTER_TRIES_MAX: u32 = 30;
 
 impl Gateway {
-    /// Admits a request to be sent, unless a part of its prompt is quarantined.
+    /// Admits a request to be sent, unless it or a part of its prompt is quarantined.
     ///
     /// # Errors
     ///
-    /// Returns a [`Refusal`] with the part and the time until it is tried again.
-    pub fn admit_parts(&self, parts: &[PartId]) -> Result<Admission, Refusal> {
-        let now = Instant::now().into_std();
+    /// Returns a [`Refusal`] with what is quarantined and the time until it is tried again.
+    pub fn admit(&self, request: &RequestContext<'_>) -> Result<Admission, Refusal> {
         let mut quarantine = self.quarantine.borrow_mut();
-        quarantine.admit(parts, now, |part, age| {
+        if quarantine.is_empty() {
+            return Ok(Admission::default());
+        }
+        let now = Instant::now().into_std();
+        quarantine.admit(request.suspects(), now, |suspect, age| {
             let slot = age.as_millis() / TRIAL_SLOT.as_millis();
-            self.is_chosen(&format!("{part} {slot}"))
+            self.is_chosen(&format!("{suspect} {slot}"))
         })
     }
 
-    /// Returns whether a part has been quarantined since the request was admitted.
-    pub fn is_admission_void(&self, admission: &Admission, parts: &[PartId]) -> bool {
+    /// Returns whether the request, or a part of its prompt, has been quarantined since it was admitted.
+    pub fn is_admission_void(&self, admission: &Admission, request: &RequestContext<'_>) -> bool {
         let quarantine = self.quarantine.borrow();
-        quarantine.quarantined_since(admission, parts).is_some()
+        if quarantine.is_empty() {
+            return false;
+        }
+        let suspect = quarantine.quarantined_since(admission, request.suspects());
+        suspect.is_some()
+    }
+
+    /// Records that an admitted request did not run.
+    pub fn release_trial(&self, admission: &Admission) {
+        if admission.is_trial() {
+            self.quarantine.borrow_mut().release_trial(admission);
+        }
     }
 
     /// Returns whether this host is the one among the live hosts that does the work for a key.
@@ -73,29 +84,42 @@
         peers.is_chosen(key, &self.settings.host_id, Instant::now())
     }
 
-    /// Records that an engine ended at the start of its answer to a request, or before.
-    pub fn record_engine_end(
+    /// Records in which state a target was found whose connection was lost at the start of its answer
+    /// to a request, or before.
+    pub fn record_lost_target(
         &self,
-        request: &RequestId,
-        parts: &[PartId],
+        request: &RequestContext<'_>,
         admission: &Admission,
-        engine: &Target,
+        target: &Target,
         progress: Progress,
+        state: ProcessState,
     ) {
+        let has_ended = match state {
+            ProcessState::Ended => true,
+            // Without a result the trial would be repeated.
+            ProcessState::Unreachable => admission.is_trial(),
+            ProcessState::Alive => false,
+        };
+        if !has_ended {
+            return;
+        }
         let now = Instant::now().into_std();
-        let changed = self
-            .quarantine
-            .borrow_mut()
-            .record_end(parts, admission, progress, now);
+        let changed = self.quarantine.borrow_mut().record_end(
+            request.suspects(),
+            admission,
+            target.process_hash(),
+            progress,
+            now,
+        );
         for state in &changed {
             spdlog::info!("quarantine.evidence", kv: {
-                part = state.part.as_str(),
+                suspect: = state.suspect,
                 round = state.round,
                 points = state.points,
                 was_answered = state.was_answered,
                 failed_trials = state.failed_trials,
-                request = request.as_str(),
-                target = engine.id.as_str(),
+                request = request.metadata.id.as_str(),
+                target = target.id.as_str(),
                 progress:? = progress,
             });
             if state.is_quarantined() {
@@ -108,18 +132,23 @@
         }
     }
 
-    /// Records that an engine answered a request and kept running.
-    pub fn record_engine_answer(&self, parts: &[PartId]) {
+    /// Records that a target answered a request and kept running.
+    pub fn record_target_answer(&self, request: &RequestContext<'_>) {
         let now = Instant::now().into_std();
-        let refuted = self.quarantine.borrow_mut().record_answer(parts, now);
+        let mut quarantine = self.quarantine.borrow_mut();
+        if quarantine.is_empty() {
+            quarantine.record_answered_parts(&request.metadata.shared_parts, now);
+            return;
+        }
+        let refuted = quarantine.record_answer(request.suspects(), now);
         for state in &refuted {
             spdlog::info!("quarantine.refuted", kv: {
-                part = state.part.as_str(),
+                suspect: = state.suspect,
                 round = state.round,
                 points = state.points,
             });
             if state.is_quarantined() {
-                self.remove_from_store(&state.part);
+                self.remove_from_store(&state.suspect);
             }
         }
         if !refuted.is_empty() {
@@ -128,48 +157,49 @@
     }
 
     /// Returns the states to share with peers.
-    pub(crate) fn shared_part_states(&self) -> Vec<PartState> {
+    pub(crate) fn shared_suspect_states(&self) -> Vec<SuspectState> {
         let now = Instant::now().into_std();
         self.quarantine.borrow().shared(SHARED_STATES_MAX, now)
     }
 
     /// Merges states that a peer or the store knows. `source` names it in the log.
-    pub(crate) fn merge_part_states(&self, states: &[PartState], source: &str) {
+    pub(crate) fn merge_suspect_states(&self, states: &[SuspectState], source: &str) {
         let now = Instant::now().into_std();
         for state in states {
             let merged = self.quarantine.borrow_mut().merge(state, now);
             if merged.is_newly_quarantined {
                 log_quarantined(state, source);
             }
-            if merged.adds_answer {
+            if merged.adds_answer || merged.is_outdated {
                 self.quarantine_changed.notify_one();
             }
         }
     }
 
-    /// Merges the quarantined parts that hosts have written to the store. The store keeps no ages, so
-    /// that each quarantine begins anew.
+    /// Merges what hosts have written to the store as quarantined. The store keeps no ages, so that each
+    /// quarantine begins anew.
     pub(crate) fn merge_quarantine_entries(&self, entries: Vec<QuarantineEntry>) {
-        let states: Vec<PartState> = entries
+        let states: Vec<SuspectState> = entries
             .into_iter()
-            .map(|entry| PartState {
-                part: entry.part,
+            .map(|entry| SuspectState {
+                suspect: entry.suspect,
                 round: entry.round,
                 points: Quarantine::restored_points(),
                 was_answered: false,
                 failed_trials: entry.failed_trials,
+                ended_targets: Vec::new(),
                 age: Duration::ZERO,
             })
             .collect();
-        self.merge_part_states(&states, "store");
+        self.merge_suspect_states(&states, "store");
     }
 
-    /// Writes the quarantined parts for which this host is responsible to the store.
+    /// Writes the part of the quarantine for which this host is responsible to the store.
     pub(crate) fn keep_quarantine_in_store(&self) {
         let now = Instant::now().into_std();
-        let states: Vec<PartState> = self.quarantine.borrow().quarantined(now).collect();
+        let states: Vec<SuspectState> = self.quarantine.borrow().quarantined(now).collect();
         for state in states {
-            if self.is_chosen(&state.part) {
+            if self.is_chosen(&state.suspect.to_string()) {
                 self.keep_in_store(&state);
             }
         }
@@ -181,50 +211,50 @@
         let lowered = self.quarantine.borrow_mut().expire(now);
         for state in lowered {
             spdlog::info!("quarantine.lowered", kv: {
-                part = state.part.as_str(),
+                suspect: = state.suspect,
                 round = state.round,
                 points = state.points,
             });
-            if self.is_chosen(&state.part) {
-                self.remove_from_store(&state.part);
+            if self.is_chosen(&state.suspect.to_string()) {
+                self.remove_from_store(&state.suspect);
             }
         }
     }
 
-    fn keep_in_store(&self, state: &PartState) {
+    fn keep_in_store(&self, state: &SuspectState) {
         let entry = QuarantineEntry {
-            part: state.part.clone(),
+            suspect: state.suspect.clone(),
             round: state.round,
             failed_trials: state.failed_trials,
         };
         let store = Rc::clone(&self.platform.store);
-        spawn_local(write_until_done(store, entry.part.clone(), Some(entry)));
+        spawn_local(write_until_done(store, entry.suspect.clone(), Some(entry)));
     }
 
-    fn remove_from_store(&self, part: &PartId) {
+    fn remove_from_store(&self, suspect: &Suspect) {
         let store = Rc::clone(&self.platform.store);
-        spawn_local(write_until_done(store, part.clone(), None));
+        spawn_local(write_until_done(store, suspect.clone(), None));
     }
 }
 
-/// Writes the entry of a part to the store, or removes it.
-async fn write_until_done(store: Rc<dyn Store>, part: PartId, entry: Option<QuarantineEntry>) {
+/// Writes the entry of a suspect to the store, or removes it.
+async fn write_until_done(store: Rc<dyn Store>, suspect: Suspect, entry: Option<QuarantineEntry>) {
     for _ in 0..REGISTER_TRIES_MAX {
         let written = match &entry {
             Some(entry) => store.register_quarantine(entry).await,
-            None => store.deregister_quarantine(&part).await,
+            None => store.deregister_quarantine(&suspect).await,
         };
         let Err(error) = written else {
             return;
         };
-        spdlog::warn!("quarantine.write_failed", kv: { part = part.as_str(), error: });
+        spdlog::warn!("quarantine.write_failed", kv: { suspect:, error: });
         sleep(REGISTER_RETRY_DELAY).await;
     }
 }
 
-fn log_quarantined(state: &PartState, source: &str) {
+fn log_quarantined(state: &SuspectState, source: &str) {
     spdlog::info!("quarantine.begun", kv: {
-        part = state.part.as_str(),
+        suspect: = state.suspect,
         source,
         round = state.round,
         failed_trials = state.failed_trials,
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -12,7 +12,8 @@
     entry::RequestSemantics,
     quarantine::{
         Admission,
-        Progress, //
+        Progress,
+        Refusal, //
     },
 };
 use tokio::time::{
@@ -40,10 +41,7 @@
         RequestTrace,
         are_keys_stale, //
     },
-    faults::{
-        self,
-        ProcessState, //
-    },
+    faults,
     gateway::Gateway,
     http1::{
         BodyDecoder,
@@ -94,8 +92,8 @@
     /// The request did not run on this path. Holds the reason, and the address of the engine at
     /// fault where it is known.
     NotRun(&'static str, Option<SocketAddr>),
-    /// The request was not sent, since a part of its prompt has been quarantined meanwhile.
-    PartQuarantined,
+    /// The request was not sent, since it or a part of its prompt has been quarantined meanwhile.
+    Quarantined,
     /// The request was not sent, since the caller's key may have been revoked meanwhile.
     KeysStale,
     /// The attempt failed after the request may have run.
@@ -126,7 +124,7 @@
     first_engines: Vec<Rc<Target>>,
     /// Engines blamed for a failure of this request.
     failed: Vec<Rc<Target>>,
-    /// What was known about the parts of the prompt before the current send.
+    /// What was known about the request and the parts of its prompt before the current send.
     admission: Admission,
     /// How far the engine of the current send has come.
     progress: SendProgress,
@@ -165,12 +163,11 @@
             if Instant::now() >= self.request.deadline {
                 return self.give_up(ErrorReason::Timeout, may_have_run, "timeout");
             }
-            let shared_parts = &self.request.metadata.shared_parts;
-            self.admission = match self.gateway.admit_parts(shared_parts) {
+            self.admission = match self.gateway.admit(self.request) {
                 Ok(admission) => admission,
                 Err(refusal) => {
-                    trace.record_failure(format!("part {} is quarantined", refusal.part));
-                    return self.refuse_part(may_have_run, refusal.retry_after);
+                    trace.record_failure(refusal.to_string());
+                    return self.refuse_quarantined(may_have_run, &refusal);
                 }
             };
             let chosen = paths::choose(
@@ -185,6 +182,7 @@
             let chosen = match chosen {
                 Ok(chosen) => chosen,
                 Err(error) => {
+                    self.gateway.release_trial(&self.admission);
                     trace.record_failure(error.to_string());
                     let since = *no_path_since.get_or_insert_with(Instant::now);
                     if !may_have_run || since.elapsed() > RESUME_TIMEOUT {
@@ -211,14 +209,16 @@
                 AttemptResult::DeadlineExceeded => {
                     return self.give_up(ErrorReason::Timeout, true, "timeout");
                 }
-                AttemptResult::PartQuarantined => continue,
+                AttemptResult::Quarantined => continue,
                 AttemptResult::KeysStale => {
+                    self.gateway.release_trial(&self.admission);
                     return self.give_up(ErrorReason::Stale, may_have_run, "keys may be outdated");
                 }
                 AttemptResult::ErrorStatus(head, body) => {
                     return self.relay_error_status(caller, &head, &body).await;
                 }
                 AttemptResult::NotRun(failure, at_fault) => {
+                    self.gateway.release_trial(&self.admission);
                     let engine_at_fault =
                         faults::record_refusal(self.gateway, self.engine, &chosen, at_fault);
                     trace
@@ -259,28 +259,16 @@
     }
 
     /// Logs a lost stream. If it was lost at the start of its answer or before, finds out whether the
-    /// engine ended, and records that as evidence against the parts of the prompt.
+    /// engine ended, and records that as evidence against the request and the parts of its prompt.
     async fn handle_lost_stream(&self, engine: &Target, failure: &'static str) {
         let progress = self.progress.name();
         let mut state = "not checked";
         if let Some(early) = self.progress.early() {
-            let engine_state = faults::check_state(engine).await;
-            state = engine_state.as_str();
-            let has_ended = match engine_state {
-                ProcessState::Ended => true,
-                // Without a result the trial would be repeated.
-                ProcessState::Unreachable => self.admission.is_trial(),
-                ProcessState::Alive => false,
-            };
-            if has_ended {
-                self.gateway.record_engine_end(
-                    &self.request.metadata.id,
-                    &self.request.metadata.shared_parts,
-                    &self.admission,
-                    engine,
-                    early,
-                );
-            }
+            let process_state = faults::check_state(engine).await;
+            state = process_state.as_str();
+            let (request, admission) = (self.request, &self.admission);
+            self.gateway
+                .record_lost_target(request, admission, engine, early, process_state);
         }
         self.gateway.metrics.record_lost_stream(progress, state);
         spdlog::info!("stream.lost", kv: {
@@ -312,18 +300,14 @@
         RequestOutcome::Error(ErrorResponse::not_run(reason, Some(retry_after)))
     }
 
-    /// Refuses a request, or gives it up after it was sent, because a part of its prompt is
+    /// Refuses a request, or gives it up after it was sent, because it or a part of its prompt is
     /// quarantined.
-    fn refuse_part(&self, may_have_run: bool, retry_after: Duration) -> RequestOutcome {
+    fn refuse_quarantined(&self, may_have_run: bool, refusal: &Refusal) -> RequestOutcome {
+        let reason = ErrorReason::from(&refusal.suspect);
         if may_have_run || self.is_head_sent {
-            return self.give_up(
-                ErrorReason::QuarantinedPart,
-                may_have_run,
-                "prompt part ends engines",
-            );
+            return self.give_up(reason, may_have_run, "request ends engines");
         }
-        let reason = ErrorReason::QuarantinedPart;
-        RequestOutcome::Error(ErrorResponse::not_run(reason, Some(retry_after)))
+        RequestOutcome::Error(ErrorResponse::not_run(reason, Some(refusal.retry_after)))
     }
 
     async fn finish(&mut self, caller: &mut Connection) -> RequestOutcome {
@@ -380,9 +364,8 @@
         if !first.accepts(Instant::now()) {
             return AttemptResult::NotRun("engine takes no requests", None);
         }
-        let shared_parts = &self.request.metadata.shared_parts;
-        if gateway.is_admission_void(&self.admission, shared_parts) {
-            return AttemptResult::PartQuarantined;
+        if gateway.is_admission_void(&self.admission, self.request) {
+            return AttemptResult::Quarantined;
         }
         // Keys are checked only before the first send: a request that was accepted continues under
         // the key that it came with.
@@ -581,7 +564,7 @@
                 }
                 Ok(Ok(None)) => {
                     if is_framed && !is_answer_recorded {
-                        self.record_engine_answer();
+                        self.gateway.record_target_answer(self.request);
                     }
                     return AttemptResult::Complete;
                 }
@@ -609,7 +592,7 @@
             }
             if !is_answer_recorded && self.progress.early().is_none() {
                 is_answer_recorded = true;
-                self.record_engine_answer();
+                self.gateway.record_target_answer(self.request);
             }
             if events == 0 {
                 continue;
@@ -635,11 +618,6 @@
         }
     }
 
-    fn record_engine_answer(&self) {
-        let shared_parts = &self.request.metadata.shared_parts;
-        self.gateway.record_engine_answer(shared_parts);
-    }
-
     fn time_left(&self) -> Duration {
         self.request
             .deadline
--- a/crates/anvil_gateway/src/target.rs
+++ b/crates/anvil_gateway/src/target.rs
@@ -17,6 +17,7 @@
         Statement, //
     },
 };
+use smol_str::format_smolstr;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -133,6 +134,12 @@
         self.entry.borrow().address
     }
 
+    /// Returns a hash of the target and the start of its process.
+    pub fn process_hash(&self) -> u32 {
+        let started_unix_ms = self.entry.borrow().started_unix_ms;
+        hash_id(&format_smolstr!("{} {started_unix_ms}", self.id))
+    }
+
     /// Returns whether the target takes new requests, according to the list and its own answers.
     pub fn is_listed_ready(&self) -> bool {
         !self.is_removed.get()
--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -37,6 +37,7 @@
         TargetId, //
     },
     key_digest::KeyDigest,
+    quarantine::Suspect,
 };
 use smol_str::{
     SmolStr,
@@ -330,7 +331,7 @@
 #[derive(Default)]
 pub(crate) struct SharedStore {
     hosts: RefCell<BTreeMap<HostId, HostEntry>>,
-    quarantined: RefCell<BTreeMap<PartId, QuarantineEntry>>,
+    quarantined: RefCell<BTreeMap<Suspect, QuarantineEntry>>,
 }
 
 impl Store for SharedStore {
@@ -386,12 +387,12 @@
 
     fn register_quarantine<'a>(&'a self, entry: &'a QuarantineEntry) -> PlatformResult<'a, ()> {
         let mut quarantined = self.quarantined.borrow_mut();
-        quarantined.insert(entry.part.clone(), entry.clone());
+        quarantined.insert(entry.suspect.clone(), entry.clone());
         Box::pin(async { Ok(()) })
     }
 
-    fn deregister_quarantine<'a>(&'a self, part: &'a PartId) -> PlatformResult<'a, ()> {
-        self.quarantined.borrow_mut().remove(part);
+    fn deregister_quarantine<'a>(&'a self, suspect: &'a Suspect) -> PlatformResult<'a, ()> {
+        self.quarantined.borrow_mut().remove(suspect);
         Box::pin(async { Ok(()) })
     }
 
@@ -518,9 +519,9 @@
 }
 
 impl Host {
-    /// Sends a request to the model with the given shared parts and reads its answer.
+    /// Sends a request to the model with a prompt of the given shared parts and reads its answer.
     pub(crate) async fn call(&self, parts: &[&str]) -> CallerResult {
-        self.call_model(parts, MODEL_PATH, "").await
+        self.call_model(parts, MODEL_PATH, &parts.join(" ")).await
     }
 
     /// Sends a request to the model on a certain path and with a certain body.
@@ -668,6 +669,7 @@
         tasks.spawn_local(Rc::clone(&peers).send_digests());
         tasks.spawn_local(Rc::clone(&peers).receive());
         tasks.spawn_local(accept(Rc::clone(&gateway), listener));
+        tasks.spawn_local(confirm_table(Rc::clone(&gateway)));
         Host {
             gateway,
             address: callers,
@@ -677,6 +679,16 @@
     }
 }
 
+/// Confirms the table all the time, so that its keys stay valid.
+async fn confirm_table(gateway: Rc<Gateway>) {
+    loop {
+        sleep(Duration::from_millis(500)).await;
+        gateway
+            .table_cache
+            .confirm_current(BootTime::now(), Source::Read);
+    }
+}
+
 async fn accept(gateway: Rc<Gateway>, listener: TcpListener) {
     loop {
         let (stream, _) = listener.accept().await.unwrap();
