Keep a quarantine in the store that the evidence of several hosts begins

Three targets that end under equal requests of three hosts quarantine the request by what each hears from the others, and no host wrote it to the store: after a restart of all hosts it was sent again. The live host with the highest rendezvous score for it now writes it. serve_keeps_request_in_store_that_ended_one_target_of_each_host fails without that (6 ends where 4 are allowed).

Also: a request is not blamed through the set of its targets for what a quarantined part of it did (record_end_blames_no_request_with_quarantined_part), and a trial that is no longer to be sent is released.

--- a/crates/anvil_core/src/quarantine.rs
+++ b/crates/anvil_core/src/quarantine.rs
@@ -422,6 +422,9 @@
                     })
                 }
             };
+            if is_explained && !is_trial && !entry.is_quarantined() {
+                continue;
+            }
             let points = match suspect {
                 Suspect::Part(_) => points_in_sequence,
                 Suspect::Request(_) if entry.add_ended_targets(&[target_hash]) => {
@@ -432,7 +435,7 @@
             let points = points.min(QUARANTINE_POINTS_ANSWERED);
             if is_trial {
                 entry.failed_trials = entry.failed_trials.saturating_add(1);
-            } else if points <= entry.points || (is_explained && !entry.is_quarantined()) {
+            } else if points <= entry.points {
                 continue;
             }
             entry.points = entry.points.max(points);
@@ -532,8 +535,8 @@
             }
             false => {
                 entry.ended_targets = ended_targets;
-                if is_same_round {
-                    entry.add_ended_targets(&merged.ended_targets);
+                if is_same_round && entry.add_ended_targets(&merged.ended_targets) {
+                    entry.changed_at = entry.changed_at.max(merged.changed_at);
                 }
             }
         }
--- a/crates/anvil_core/src/quarantine/tests.rs
+++ b/crates/anvil_core/src/quarantine/tests.rs
@@ -258,6 +258,33 @@
     expect_that!(quarantine.admit(&other, now, |_, _| true), ok(anything()));
 }
 
+/// Guards against evidence that a request gets for what a quarantined part did.
+#[gtest]
+fn record_end_blames_no_request_with_quarantined_part() {
+    let now = Instant::now();
+    let mut quarantine = quarantined("lethal", now);
+    let suspects = [part("lethal"), request("sound")];
+    quarantine.record_end(
+        &suspects[1..],
+        &Admission::default(),
+        1,
+        Progress::Begun,
+        now,
+    );
+    for target in 2..9 {
+        quarantine.record_end(
+            &suspects,
+            &Admission::default(),
+            target,
+            Progress::Begun,
+            now,
+        );
+    }
+    let entry = &quarantine.entries[&suspects[1]];
+    expect_that!(entry.points, eq(2));
+    expect_that!(entry.ended_targets, eq(&vec![1]));
+}
+
 #[gtest]
 fn merge_unites_targets_that_ended_under_equal_requests_in_any_order() {
     let now = Instant::now();
--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -178,7 +178,10 @@
                     }
                 }
             }
-            AttemptResult::Quarantined => continue,
+            AttemptResult::Quarantined => {
+                gateway.release_trial(&admission);
+                continue;
+            }
             AttemptResult::NotRun(failure) => {
                 gateway.release_trial(&admission);
                 trace.record_failure(format!("{}: {failure}, not run", target.id))
--- a/crates/anvil_gateway/src/plain/tests.rs
+++ b/crates/anvil_gateway/src/plain/tests.rs
@@ -132,6 +132,32 @@
     });
 }
 
+/// Guards against a quarantine that no host writes to the store, because each saw one end only.
+#[gtest]
+fn serve_keeps_request_in_store_that_ended_one_target_of_each_host() {
+    run(async {
+        let fleet = Fleet::start_plain(27, 16, None).await;
+        let hosts = [
+            fleet.start_host(0).await,
+            fleet.start_host(1).await,
+            fleet.start_host(2).await,
+        ];
+        wait_for_peers(&hosts.iter().collect::<Vec<_>>()).await;
+        let calls = hosts.iter().map(|host| send_lethal(host, 1));
+        futures::future::join_all(calls).await;
+        sleep(EXCHANGE_TIME).await;
+        for host in hosts {
+            host.kill().await;
+        }
+        let ended_count = fleet.ended_count();
+        expect_that!(ended_count, ge(3));
+        let host = fleet.start_host(3).await;
+        sleep(EXCHANGE_TIME).await;
+        send_lethal(&host, 8).await;
+        expect_that!(fleet.ended_count(), le(ended_count + TRIALS_MAX));
+    });
+}
+
 /// Guards against a request that ends targets and may not be repeated: it runs at most once, and not
 /// at all where the caller is told so.
 #[gtest]
--- a/crates/anvil_gateway/src/quarantine.rs
+++ b/crates/anvil_gateway/src/quarantine.rs
@@ -38,6 +38,8 @@
 /// Time for which one host may try a suspect before another one may: not every host gets requests with
 /// it.
 const TRIAL_SLOT: Duration = Duration::from_secs(4);
+/// Name of the store as the source of a state.
+const STORE_SOURCE: &str = "store";
 /// Pause before a failed write to the store is tried again.
 const REGISTER_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Most tries to write to the store. They outlast an outage of the store.
@@ -169,6 +171,10 @@
             let merged = self.quarantine.borrow_mut().merge(state, now);
             if merged.is_newly_quarantined {
                 log_quarantined(state, source);
+                // The evidence of several hosts may suffice where that of none does.
+                if source != STORE_SOURCE && self.is_chosen(&state.suspect.to_string()) {
+                    self.keep_in_store(state);
+                }
             }
             if merged.adds_answer || merged.is_outdated {
                 self.quarantine_changed.notify_one();
@@ -191,7 +197,7 @@
                 age: Duration::ZERO,
             })
             .collect();
-        self.merge_suspect_states(&states, "store");
+        self.merge_suspect_states(&states, STORE_SOURCE);
     }
 
     /// Writes the part of the quarantine for which this host is responsible to the store.
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -209,7 +209,10 @@
                 AttemptResult::DeadlineExceeded => {
                     return self.give_up(ErrorReason::Timeout, true, "timeout");
                 }
-                AttemptResult::Quarantined => continue,
+                AttemptResult::Quarantined => {
+                    self.gateway.release_trial(&self.admission);
+                    continue;
+                }
                 AttemptResult::KeysStale => {
                     self.gateway.release_trial(&self.admission);
                     return self.give_up(ErrorReason::Stale, may_have_run, "keys may be outdated");
