--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -46,6 +46,9 @@
     stream, //
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Time before a request's deadline by which the gateway answers it, so that the answer is sent in
 /// time even if this host is slow.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(40);
--- a/crates/anvil_gateway/src/plain/tests.rs
+++ b/crates/anvil_gateway/src/plain/tests.rs
@@ -1,6 +1,11 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use rand::{
+    RngExt,
+    SeedableRng,
+    rngs::SmallRng, //
+};
 use tokio::time::{
     Instant,
     sleep, //
@@ -158,6 +163,27 @@
     });
 }
 
+/// Guards against requests that are lost on one silent connection of a target after the other.
+#[gtest]
+fn serve_doubts_kept_connections_to_plain_target_when_drawn_share_is_silent() {
+    for seed in 0..6 {
+        run(async {
+            let mut rng = SmallRng::seed_from_u64(seed);
+            let fleet = Fleet::start_plain(51 + seed as u8, 1, None).await;
+            let target = &fleet.engines[0];
+            let host = fleet.start_host(0).await;
+            let calls = (0..6).map(|_| host.call_plain(SAFE_PATH, SOUND_KEY, "sound"));
+            futures::future::join_all(calls).await;
+            let share = rng.random_range(0.3..0.9);
+            target.fall_silent_partly(share, &mut rng);
+            for _ in 0..4 {
+                host.call_plain(SAFE_PATH, SOUND_KEY, "sound").await;
+            }
+            expect_that!(target.silent_request_count.get(), le(1), "seed {seed}");
+        });
+    }
+}
+
 /// Guards against a request that ends targets and may not be repeated: it runs at most once, and not
 /// at all where the caller is told so.
 #[gtest]
--- a/crates/anvil_gateway/src/stream/tests.rs
+++ b/crates/anvil_gateway/src/stream/tests.rs
@@ -1,6 +1,11 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use rand::{
+    RngExt,
+    SeedableRng,
+    rngs::SmallRng, //
+};
 use tokio::time::{
     Instant,
     sleep, //
@@ -188,3 +193,24 @@
         expect_that!(engine.silent_request_count.get(), le(1));
     });
 }
+
+/// The same where only a drawn share of the connections is silent.
+#[gtest]
+fn serve_doubts_kept_connections_when_drawn_share_is_silent() {
+    for seed in 0..6 {
+        run(async {
+            let mut rng = SmallRng::seed_from_u64(seed);
+            let fleet = Fleet::start(41 + seed as u8, 1).await;
+            let engine = &fleet.engines[0];
+            let host = fleet.start_host(0).await;
+            let calls = (0..6).map(|_| host.call(&["sound"]));
+            futures::future::join_all(calls).await;
+            let share = rng.random_range(0.3..0.9);
+            engine.fall_silent_partly(share, &mut rng);
+            for _ in 0..4 {
+                host.call(&["sound"]).await;
+            }
+            expect_that!(engine.silent_request_count.get(), le(1), "seed {seed}");
+        });
+    }
+}
--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -39,6 +39,10 @@
     key_digest::KeyDigest,
     quarantine::Suspect,
 };
+use rand::{
+    RngExt,
+    rngs::SmallRng, //
+};
 use smol_str::{
     SmolStr,
     format_smolstr, //
@@ -116,6 +120,10 @@
 const HEAD_LIMIT_BYTES: usize = 16 << 10;
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 const LAYER_COUNT: u16 = 4;
+/// Longest time for the head of a caller's request.
+const HEADER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest time that a caller's connection is kept open without a request.
+const CALLER_IDLE_TIMEOUT: Duration = Duration::from_millis(400);
 const MODEL_PATH: &str = "/m/";
 
 /// An engine that holds the whole model, and answers requests to plain services as well.
@@ -134,10 +142,8 @@
     pub(crate) limit_per_s: Cell<Option<f64>>,
     /// Number of requests that reached it.
     pub(crate) request_count: Cell<u32>,
-    /// Number of connections so far.
-    connection_count: Cell<u32>,
-    /// Connections below this number are silent.
-    silent_below: Cell<u32>,
+    /// Whether each connection so far is silent, in the order in which they were opened.
+    silent_connections: RefCell<Vec<bool>>,
     /// Number of requests that came on silent connections.
     pub(crate) silent_request_count: Cell<u32>,
 }
@@ -155,8 +161,7 @@
             run_ids: RefCell::default(),
             limit_per_s: Cell::new(None),
             request_count: Cell::new(0),
-            connection_count: Cell::new(0),
-            silent_below: Cell::new(0),
+            silent_connections: RefCell::default(),
             silent_request_count: Cell::new(0),
         });
         spawn_local(Rc::clone(&engine).run(listener));
@@ -165,7 +170,14 @@
 
     /// Falls silent on all connections that are open now.
     pub(crate) fn fall_silent(&self) {
-        self.silent_below.set(self.connection_count.get());
+        self.silent_connections.borrow_mut().fill(true);
+    }
+
+    /// Falls silent on a share of the connections that are open now.
+    pub(crate) fn fall_silent_partly(&self, share: f64, rng: &mut SmallRng) {
+        for is_silent in self.silent_connections.borrow_mut().iter_mut() {
+            *is_silent = rng.random_bool(share);
+        }
     }
 
     async fn run(self: Rc<Self>, mut listener: TcpListener) {
@@ -200,13 +212,13 @@
 
     async fn serve(self: Rc<Self>, stream: TcpStream) {
         let mut connection = Connection::new(stream);
-        let index = self.connection_count.get();
-        self.connection_count.set(index + 1);
+        let index = self.silent_connections.borrow().len();
+        self.silent_connections.borrow_mut().push(false);
         while let Ok(Some(head)) = connection
             .read_request(HEAD_LIMIT_BYTES, IDLE_TIMEOUT, IDLE_TIMEOUT)
             .await
         {
-            if index < self.silent_below.get() {
+            if self.silent_connections.borrow()[index] {
                 self.silent_request_count
                     .set(self.silent_request_count.get() + 1);
                 continue;
@@ -495,7 +507,11 @@
             ("plain".into(), service(None)),
         ],
         Some(vec![team(LETHAL_KEY), team(SOUND_KEY)]),
-        CallerLimits::default(),
+        CallerLimits {
+            header_timeout: HEADER_TIMEOUT,
+            idle_timeout: CALLER_IDLE_TIMEOUT,
+            ..CallerLimits::default()
+        },
     )
 }
 
@@ -535,6 +551,14 @@
         self.exchange(path, &format!("key: {key}\r\n"), body).await
     }
 
+    /// Opens a connection, sends some bytes on it and says nothing more.
+    pub(crate) async fn open_silent_connection(&self, bytes: &[u8]) -> Connection {
+        let limit = Duration::from_secs(5);
+        let mut connection = Connection::open(self.address, limit).await.unwrap();
+        connection.write_all(bytes).await.unwrap();
+        connection
+    }
+
     /// Returns the id of the last request.
     pub(crate) fn last_id(&self) -> RequestId {
         format_smolstr!(
