--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -554,7 +554,7 @@
     /// Opens a connection, sends some bytes on it and says nothing more.
     pub(crate) async fn open_silent_connection(&self, bytes: &[u8]) -> Connection {
         let limit = Duration::from_secs(5);
-        let mut connection = Connection::open(self.address, limit).await.unwrap();
+        let connection = Connection::open(self.address, limit).await.unwrap();
         connection.write_all(bytes).await.unwrap();
         connection
     }
