--- a/crates/anvil_core/src/quarantine.rs
+++ b/crates/anvil_core/src/quarantine.rs
@@ -98,7 +98,7 @@
     /// Number of trials that ended a target.
     pub failed_trials: u32,
     /// Hashes of targets that ended under the suspect, sorted. Invariant: empty for a part, and at most
-    /// [`ENDED_TARGETS_MAX`] for a request.
+    /// six for a request.
     pub ended_targets: Vec<u32>,
     /// Time since the state last changed.
     pub age: Duration,
