--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod document;
 pub mod engine_model;
 pub mod entry;
+pub mod exchange;
 pub mod freshness;
 pub mod health;
 pub mod id;
--- a/crates/anvil_gateway/src/clock.rs
+++ b/crates/anvil_gateway/src/clock.rs
@@ -47,6 +47,11 @@
         Self(self.0.saturating_add(by))
     }
 
+    /// Returns the time since the machine booted.
+    pub fn since_boot(self) -> Duration {
+        self.0
+    }
+
     /// Returns the milliseconds since the machine booted.
     pub fn as_millis(self) -> u64 {
         u64::try_from(self.0.as_millis()).unwrap_or(u64::MAX)
--- a/crates/anvil_gateway/src/faults.rs
+++ b/crates/anvil_gateway/src/faults.rs
@@ -48,7 +48,7 @@
     let now = Instant::now();
     // An engine whose other requests make progress is alive.
     let is_live = faulty.progressed_since(now - LIVENESS_WINDOW);
-    if may_be_full(gateway, engine, &faulty, now) {
+    if may_be_full(gateway, engine, &faulty) {
         faulty.record_no_capacity(now);
     } else if is_live {
         faulty.record_refusing(now);
@@ -102,14 +102,18 @@
 }
 
 /// Returns whether the requests that this host knows of may leave no capacity at an engine.
-fn may_be_full(gateway: &Gateway, engine: &EngineProfile, target: &Target, now: Instant) -> bool {
+fn may_be_full(gateway: &Gateway, engine: &EngineProfile, target: &Target) -> bool {
     let entry = target.entry.borrow();
     let kind = entry.kind.as_ref().and_then(|kind| engine.kinds.get(kind));
     let (Some(kind), Some((layers, _))) = (kind, entry.layers) else {
         return false;
     };
-    let peer_loads = gateway.peers.borrow().loads(now);
-    let load = peer_loads.get(&target.id_hash).copied().unwrap_or_default();
+    let peers_view = gateway.peers_view();
+    let load = peers_view
+        .loads
+        .get(&target.id_hash)
+        .copied()
+        .unwrap_or_default();
     let used = target.token_layers.get() + load.token_layers;
     used > MAYBE_FULL_USED_SHARE_MIN * engine.capacity_token_layers(*kind, layers.count())
 }
--- a/crates/anvil_gateway/src/follow.rs
+++ b/crates/anvil_gateway/src/follow.rs
@@ -6,10 +6,7 @@
 };
 
 use anvil_core::{entry::Table, freshness::Limits};
-use tokio::time::{
-    Instant,
-    sleep, //
-};
+use tokio::time::sleep;
 
 use crate::{
     clock::BootTime,
@@ -110,7 +107,7 @@
                 false => self.backoff.remaining(self.gateway.store_answered_as_of()),
             };
             if backoff.is_zero() {
-                if peers::is_reader(&self.gateway) || self.is_behind_peer() {
+                if peers::is_relay(&self.gateway) || self.is_behind_peer() {
                     return;
                 }
                 if self.is_overdue()
@@ -150,7 +147,7 @@
 
     async fn call(&mut self, requested_at: BootTime) -> Result<(), PlatformError> {
         let from = match self.next {
-            Some(from) if peers::is_reader(&self.gateway) && !self.is_of_older_era() => from,
+            Some(from) if peers::is_relay(&self.gateway) && !self.is_of_older_era() => from,
             // The changes since this host last asked may be many, or the log may no longer keep
             // them.
             Some(_) | None => return self.read(requested_at).await,
@@ -260,13 +257,13 @@
     let bound = gateway.settings.bounds.leaving_target;
     let limits = Limits::for_bound(bound);
     loop {
-        if gateway.peers.borrow().is_isolated(Instant::now()) {
+        if gateway.peers.borrow().is_isolated(BootTime::now()) {
             gateway.targets.record_isolation();
         }
         let is_due = || match gateway.targets.age() {
             None => true,
             Some(_) if gateway.awaits_targets.get() => last_read.elapsed() >= LIST_INTERVAL_PLACING,
-            Some(age) if peers::is_reader(gateway) => {
+            Some(age) if peers::is_relay(gateway) => {
                 last_read.elapsed() >= bound.mul_f64(LIST_INTERVAL_SHARE)
                     || age > limits.overdue_age
             }
@@ -332,7 +329,7 @@
             let changes = gateway.targets.effective_changes(&read.items);
             gateway.targets.apply(read.items, read.next, requested_at);
             if let Some(from) = from.offset_in(read.next.era())
-                && peers::is_reader(gateway)
+                && peers::is_relay(gateway)
             {
                 peers.send_changes(from, &changes).await;
             }
--- a/crates/anvil_gateway/src/follow/backoff.rs
+++ b/crates/anvil_gateway/src/follow/backoff.rs
@@ -2,12 +2,9 @@
 
 use std::time::Duration;
 
-use tokio::time::Instant;
-
 use crate::{
     clock::BootTime,
     gateway::Gateway,
-    peers,
     port::PlatformError, //
 };
 
@@ -122,16 +119,13 @@
 /// Returns the backoff after a failed call of a host that its peers will inform. Returns `None` for
 /// a host that reads for its peers or has never heard from any.
 pub(super) fn relayed_backoff(gateway: &Gateway) -> Option<Duration> {
-    let now = Instant::now();
-    let peers = gateway.peers.borrow();
-    if peers.live_count(now) == 0 {
-        let is_cut_off = peers
-            .never_heard_count()
-            .is_some_and(|count| count < peers.len());
-        return is_cut_off.then_some(CUT_OFF_BACKOFF);
+    let now = BootTime::now();
+    let mut peers = gateway.peers.borrow_mut();
+    if !peers.hears_any(now) {
+        return peers.has_heard_any().then_some(CUT_OFF_BACKOFF);
     }
-    let peer_count = peers.same_data_centre_count(&gateway.settings.data_centre, now);
-    if peer_count == 0 || peers::is_reader(gateway) {
+    let peer_count = peers.data_centre_live_count(&gateway.settings.data_centre, now);
+    if peer_count == 0 || peers.is_relay(now) {
         return None;
     }
     let share = FAILING_CALL_INTERVAL * u32::try_from(peer_count).unwrap_or(u32::MAX);
--- a/crates/anvil_gateway/src/follow/tests.rs
+++ b/crates/anvil_gateway/src/follow/tests.rs
@@ -1,30 +1,38 @@
 use std::{
+    collections::BTreeMap,
     future::Future,
     rc::Rc, //
 };
 
-use anvil_core::id::{
-    HostId,
-    TargetId,
-    Version, //
+use anvil_core::{
+    exchange::{
+        MessageKind,
+        Presence,
+        Summary, //
+    },
+    id::{
+        TargetId,
+        Version, //
+    },
 };
 use googletest::prelude::*;
 use rand::{
     SeedableRng,
     rngs::SmallRng, //
 };
-use tokio::task::{
-    LocalSet,
-    spawn_local, //
+use tokio::{
+    task::{
+        LocalSet,
+        spawn_local, //
+    },
+    time::Instant,
 };
 
 use super::*;
 use crate::{
-    peers::{
-        DatagramKey, //
-        Digest,
-    },
+    peers::Digest,
     port::{
+        HostEntry,
         TargetChange,
         TargetEntry,
         TargetState, //
@@ -70,21 +78,34 @@
 /// Records a digest of each of `count` peers in this data centre. All have more processor time than
 /// this host, so that two of them read the store for it.
 fn record_digests(gateway: &Gateway, count: usize) {
-    for index in 0..count {
-        let host: HostId = format!("peer-{index}").into();
-        let mut registry = gateway.peers.borrow_mut();
-        let key = DatagramKey::from_hex(&"a1".repeat(16)).unwrap();
-        registry.register(host.clone(), "127.0.0.1:9".parse().unwrap(), key);
-        registry.record_digest(&host, digest(&host), Instant::now());
+    let hosts: Vec<HostEntry> = (0..count)
+        .map(|index| HostEntry {
+            id: format!("peer-{index}").into(),
+            address: "127.0.0.1:9".parse().unwrap(),
+            key: "a1".repeat(16).into(),
+            data_centre: "a".into(),
+            processor_millis: 500,
+        })
+        .collect();
+    let now = BootTime::now();
+    let mut registry = gateway.peers.borrow_mut();
+    registry.apply_list(&hosts, now);
+    for host in hosts {
+        let digest = digest(&host.id, count);
+        registry.record_digest(&host.id, digest, now);
     }
 }
 
-/// Returns the digest of a peer in this data centre with more processor time than this host.
-fn digest(host: &str) -> Digest {
+/// Returns the digest in which a relay of this data centre tells of `count` hosts.
+fn digest(host: &str, count: usize) -> Digest {
+    let presence = Presence {
+        live_hosts: count as u32,
+        heard_hosts: count as u32,
+        requests_per_s: 0.0,
+    };
     Digest {
+        kind: MessageKind::Summary,
         host: host.into(),
-        data_centre: "a".into(),
-        processor_millis: 500,
         sent: BootTime::now(),
         echo: None,
         table_version: OLD_VERSION,
@@ -92,12 +113,13 @@
         store_era: 0,
         targets_next: Position::default(),
         targets_age: None,
-        loads: Vec::new(),
-        avoided: Vec::new(),
-        refusing: Vec::new(),
-        leaving: Vec::new(),
-        slow: Vec::new(),
-        requests_per_s: 0.0,
+        listed_hosts: 0,
+        summary: Summary {
+            hosts: BTreeMap::from([("a".into(), presence)]),
+            newest_table_version: OLD_VERSION,
+            ..Summary::default()
+        },
+        is_cut: false,
         limits: Vec::new(),
         suspect_states: Vec::new(),
         target_changes: None,
@@ -106,10 +128,16 @@
 
 /// Records a digest of a known peer that has the new table.
 fn record_digest_with_new_table(gateway: &Gateway) {
-    let mut digest = digest("peer-0");
-    digest.table_version = NEW_VERSION;
     let mut registry = gateway.peers.borrow_mut();
-    registry.record_digest(&"peer-0".into(), digest, Instant::now());
+    let now = BootTime::now();
+    for host in ["peer-0", "peer-1"] {
+        let mut digest = digest(host, 2);
+        // Newer than the digest that the peer may have sent at the same time.
+        digest.sent = now.later(Duration::from_millis(1));
+        digest.table_version = NEW_VERSION;
+        digest.summary.newest_table_version = NEW_VERSION;
+        registry.record_digest(&host.into(), digest, now);
+    }
 }
 
 /// Returns a gateway with live peers, two of which read the store for it.
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -7,10 +7,12 @@
         RefMut, //
     },
     collections::HashMap,
+    rc::Rc,
     time::Duration, //
 };
 
 use anvil_core::{
+    exchange::Summary,
     id::{
         ServiceId,
         Version, //
@@ -72,7 +74,7 @@
     pub targets: Targets,
     /// Counters and histograms that the metrics address serves.
     pub metrics: Metrics,
-    /// The other gateways, with their last digests.
+    /// The other gateways, and what they observe.
     pub peers: RefCell<PeerRegistry>,
     /// Notified when a peer has a newer table.
     pub newer_table_notify: Notify,
@@ -108,12 +110,12 @@
     /// Creates a gateway that draws its random delays and choices from `rng`.
     pub fn with_rng(settings: Settings, platform: Platform, rng: SmallRng) -> Self {
         Self {
+            peers: RefCell::new(PeerRegistry::new(&settings)),
             table_cache: TableCache::new(settings.bounds.config_apply),
             targets: Targets::new(settings.heartbeat),
             settings,
             platform,
             metrics: Metrics::new(),
-            peers: RefCell::new(PeerRegistry::default()),
             newer_table_notify: Notify::new(),
             quarantine: RefCell::new(Quarantine::default()),
             quarantine_changed: Notify::new(),
@@ -162,9 +164,16 @@
         metadata
     }
 
+    /// Returns what all other live hosts observe together.
+    pub fn peers_view(&self) -> Rc<Summary> {
+        self.peers.borrow_mut().view(BootTime::now())
+    }
+
     /// Returns the highest version of the operators' table that a live peer has, or 0.
     pub fn newest_peer_version(&self) -> Version {
-        self.peers.borrow().newest_table_version(Instant::now())
+        self.peers
+            .borrow_mut()
+            .newest_table_version(BootTime::now())
     }
 
     /// Returns whether a live peer has a newer table than this host.
--- a/crates/anvil_gateway/src/limits.rs
+++ b/crates/anvil_gateway/src/limits.rs
@@ -36,16 +36,20 @@
 
 impl Gateway {
     /// Returns the requests of this host and its peers.
-    pub fn fleet_demand(&self, now: Instant) -> FleetDemand {
-        let peers = self.peers.borrow();
-        let unheard_count = match peers.listed_host_count() {
-            Some(host_count) => host_count.saturating_sub(1 + peers.live_count(now)),
+    pub fn fleet_demand(&self) -> FleetDemand {
+        let view = self.peers_view();
+        let unheard_count = match self.peers.borrow().listed_host_count() {
+            Some(host_count) => host_count.saturating_sub(1 + view.live_hosts() as usize),
             None => UNKNOWN_HOSTS,
         };
         FleetDemand {
             data_centre: self.settings.data_centre.clone(),
             own_per_s: self.own_requests_per_s(),
-            peers_per_s: peers.requests_per_s(now),
+            peers_per_s: view
+                .hosts
+                .iter()
+                .map(|(data_centre, presence)| (data_centre.clone(), presence.requests_per_s))
+                .collect(),
             unheard_count,
         }
     }
@@ -61,7 +65,7 @@
         let Some(limit_per_s) = target.limit_per_s(now) else {
             return true;
         };
-        let demand = demand.get_or_insert_with(|| self.fleet_demand(now));
+        let demand = demand.get_or_insert_with(|| self.fleet_demand());
         let share_per_s = demand.share_per_s(limit_per_s, &target.entry.borrow().data_centre);
         target.admits_within(share_per_s, now, self.random_unit())
     }
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -30,6 +30,7 @@
     },
     gateway::Gateway,
     http1::Connection,
+    peers,
     run::{
         ACCEPT_RETRY_DELAY,
         READINESS_HEAD_LIMIT_BYTES,
@@ -61,6 +62,10 @@
     table_age_ms: IntGauge,
     targets_age_ms: IntGauge,
     peers_heard: IntGauge,
+    is_relay: IntGauge,
+    digests: IntCounterVec,
+    digest_bytes: IntCounterVec,
+    digest_loads_cut: IntCounter,
     store_era: IntGauge,
     quarantined: IntGauge,
     store_connections_given_up: IntGauge,
@@ -156,6 +161,24 @@
                 "Time since which the list of targets may have changed; -1 before the first",
             ),
             peers_heard: gauge("anvil_peers_heard", "Other hosts that are heard of"),
+            is_relay: gauge(
+                "anvil_is_relay",
+                "1 if this host is a relay of its data centre",
+            ),
+            digests: counters(
+                "anvil_peer_digests_total",
+                "Digests that were exchanged with other hosts",
+                &["direction", "kind"],
+            ),
+            digest_bytes: counters(
+                "anvil_peer_digest_bytes_total",
+                "Bytes of these digests",
+                &["direction", "kind"],
+            ),
+            digest_loads_cut: counter(
+                "anvil_peer_digest_loads_cut_total",
+                "Loads of targets that were left out of digests for lack of room",
+            ),
             store_era: gauge(
                 "anvil_store_era",
                 "Newest known era of the store; 0 while it names none",
@@ -177,6 +200,25 @@
         self.retries_denied.inc();
     }
 
+    /// Counts a digest that was sent to a peer, and the loads that were left out of it.
+    pub fn record_digest_sent(&self, kind: &str, bytes: usize, cut_loads: usize) {
+        let labels = ["sent", kind];
+        self.digests.with_label_values(&labels).inc();
+        self.digest_bytes
+            .with_label_values(&labels)
+            .inc_by(bytes as u64);
+        self.digest_loads_cut.inc_by(cut_loads as u64);
+    }
+
+    /// Counts a digest that a peer sent.
+    pub fn record_digest_received(&self, kind: &str, bytes: usize) {
+        let labels = ["received", kind];
+        self.digests.with_label_values(&labels).inc();
+        self.digest_bytes
+            .with_label_values(&labels)
+            .inc_by(bytes as u64);
+    }
+
     /// Counts a failed read from the store, by what was read.
     pub fn record_store_failure(&self, reading: &str) {
         self.store_failures.with_label_values(&[reading]).inc();
@@ -243,8 +285,9 @@
         self.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
         let live_peer_count = gateway
             .peers
-            .borrow()
-            .live_count(tokio::time::Instant::now());
+            .borrow_mut()
+            .live_count(crate::clock::BootTime::now());
+        self.is_relay.set(i64::from(peers::is_relay(gateway)));
         self.peers_heard
             .set(i64::try_from(live_peer_count).unwrap_or(i64::MAX));
         let mut text = Vec::new();
--- a/crates/anvil_gateway/src/paths.rs
+++ b/crates/anvil_gateway/src/paths.rs
@@ -24,6 +24,7 @@
 use tokio::time::Instant;
 
 use crate::{
+    clock::BootTime,
     exchange::RequestContext,
     gateway::Gateway,
     port::Stage,
@@ -346,45 +347,38 @@
         excluded: &[Rc<Target>],
     ) -> Self {
         let now = Instant::now();
-        let peer_leaving = gateway.peers.borrow().leaving(now);
+        let peers_view = gateway.peers_view();
         let ready_targets: Vec<Rc<Target>> = gateway
             .targets
             .of_service(request.service_id)
             .into_iter()
             .filter(|target| {
                 target.is_listed_ready()
-                    && !peer_leaving.contains(&target.id_hash)
+                    && !peers_view.leaving.contains_key(&target.id_hash)
                     && target.entry.borrow().layers.is_some()
             })
             .collect();
-        let peer_loads = gateway.peers.borrow().loads(now);
-        let peer_slow = gateway.peers.borrow().slowdowns(now);
         // If some engines are reported slow, they explain the slow paths. The samples from these
         // paths then say nothing about the other engines on them.
-        let is_any_slow = !peer_slow.is_empty() || !gateway.targets.own_slow(now).is_empty();
-        let peer_avoided = gateway.peers.borrow().avoided(now);
+        let is_any_slow = !peers_view.slow.is_empty() || !gateway.targets.own_slow(now).is_empty();
         let mut data_centres = vec![gateway.settings.data_centre.clone()];
         let avoided_count = ready_targets
             .iter()
-            .filter(|target| peer_avoided.contains(&target.id_hash))
+            .filter(|target| peers_view.avoided.contains_key(&target.id_hash))
             .count();
         // After a restart of all hosts, each must expect the others to send to the same engines as
         // itself.
         let (never_heard_count, never_heard_share) =
-            match gateway.peers.borrow().never_heard_count() {
+            match gateway.peers.borrow_mut().never_heard(BootTime::now()) {
                 None => (NEVER_HEARD_HOSTS_MAX, 1.0),
-                Some(count) => {
-                    let host_count = gateway.peers.borrow().len() + 1;
-                    (count, count as f64 / host_count as f64)
-                }
+                Some((count, host_count)) => (count, count as f64 / host_count as f64),
             };
         let own_load_factor = 1.0 + never_heard_count.min(NEVER_HEARD_HOSTS_MAX) as f64;
         let trusts_avoidance =
             avoided_count as f64 <= PEER_AVOIDED_SHARE_MAX * ready_targets.len() as f64;
-        let peer_refusing = gateway.peers.borrow().refusing(now);
         let refusing_count = ready_targets
             .iter()
-            .filter(|target| peer_refusing.contains(&target.id_hash))
+            .filter(|target| peers_view.refusing.contains_key(&target.id_hash))
             .count();
         let trusts_refusals =
             refusing_count as f64 <= PEER_REFUSING_SHARE_MAX * ready_targets.len() as f64;
@@ -405,14 +399,19 @@
                 let is_avoided = target.is_avoided(now) || !target.closed_for(now).is_zero();
                 let is_excluded = excluded.iter().any(|other| Rc::ptr_eq(other, target));
                 let is_avoided_by_peers = trusts_avoidance
-                    && peer_avoided.contains(&target.id_hash)
+                    && peers_view.avoided.contains_key(&target.id_hash)
                     && !target.progressed_since(now - LIVENESS_WINDOW);
-                let is_refusing_peers = trusts_refusals && peer_refusing.contains(&target.id_hash);
+                let is_refusing_peers =
+                    trusts_refusals && peers_view.refusing.contains_key(&target.id_hash);
                 let is_earlier_first = attempts
                     .first_engines
                     .iter()
                     .any(|other| Rc::ptr_eq(other, target));
-                let load = peer_loads.get(&target.id_hash).copied().unwrap_or_default();
+                let load = peers_view
+                    .loads
+                    .get(&target.id_hash)
+                    .copied()
+                    .unwrap_or_default();
                 let worker = Worker {
                     target: target.id.clone(),
                     data_centre,
@@ -424,7 +423,7 @@
                     first_requests: own_load_factor * target.sent_requests.get()
                         + load.sent_requests,
                     slowdown: target.reported_slowdown(now).unwrap_or_else(|| {
-                        match peer_slow.get(&target.id_hash) {
+                        match peers_view.slow.get(&target.id_hash) {
                             Some(slowdown) => *slowdown,
                             None if is_any_slow => 1.0,
                             None => target.slowdown(),
--- a/crates/anvil_gateway/src/peers.rs
+++ b/crates/anvil_gateway/src/peers.rs
@@ -1,6 +1,6 @@
 //! Exchanges datagrams with other gateways: the requests that each has in flight, what each has
-//! read from the store, and how old that reading is. A gateway that hears from no peer keeps
-//! working and reads the store more often itself.
+//! read from the store, and how old that reading is. [`anvil_core::exchange`] decides who sends what
+//! to whom. A gateway that hears from no peer keeps working and reads the store more often itself.
 
 mod datagram;
 mod message;
@@ -11,14 +11,26 @@
 
 use std::{
     cell::Cell,
-    net::SocketAddr,
+    collections::{
+        BTreeMap,
+        HashSet, //
+    },
     rc::Rc,
     time::Duration, //
 };
 
-use anvil_core::id::{
-    HostId,
-    Offset, //
+use anvil_core::{
+    exchange::{
+        Change,
+        MessageKind,
+        Outgoing,
+        Presence,
+        Summary, //
+    },
+    id::{
+        HostId,
+        Offset, //
+    },
 };
 use tokio::{
     net::UdpSocket,
@@ -41,26 +53,15 @@
     target::AvoidReason,
 };
 
+use datagram::LoadOrder;
+
 pub use datagram::DatagramKey;
 pub use message::{
     Digest,
-    SlowTarget,
-    TargetChangeBatch,
-    TargetLoad, //
-};
-pub use view::{
-    PeerLoad,
-    PeerRegistry, //
+    TargetChangeBatch, //
 };
+pub use view::PeerRegistry;
 
-/// Interval between two digests to a peer in the same data centre. Two hosts that choose targets
-/// within one interval don't know of each other's requests.
-const DIGEST_INTERVAL: Duration = Duration::from_millis(150);
-/// Rounds, one per [`DIGEST_INTERVAL`], between two digests to a peer in another data centre.
-/// Traffic there costs more.
-const REMOTE_PEER_ROUNDS: u64 = 4;
-/// Rounds between two digests to a peer that is not live.
-const SILENT_PEER_ROUNDS: u64 = 10;
 /// Largest datagram. It fits into one packet on any link.
 const DATAGRAM_LIMIT_BYTES: usize = 1400;
 /// Delay between registering this host and reading the host list, so that hosts that start together
@@ -68,9 +69,11 @@
 const HOST_LIST_DELAY: Duration = Duration::from_millis(400);
 /// Shortest interval between two reads of the host list, which unknown senders trigger.
 const HOST_LIST_INTERVAL: Duration = Duration::from_millis(1500);
-/// The same interval for a host whose peers read the store for it. It is longer because in a
+/// The same interval for a host that is no relay. It is longer because in a
 /// rolling restart every host would otherwise read the list once for each host that restarts.
-const HOST_LIST_INTERVAL_NON_READER: Duration = Duration::from_secs(5);
+const HOST_LIST_INTERVAL_NON_RELAY: Duration = Duration::from_secs(5);
+/// Pause after reading from the socket failed.
+const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Delay before registering is tried again after a failed call to the store.
 const REGISTER_RETRY_DELAY: Duration = Duration::from_millis(700);
 
@@ -79,7 +82,8 @@
     gateway: Rc<Gateway>,
     socket: UdpSocket,
     key: DatagramKey,
-    round: Cell<u64>,
+    /// Hash of the target whose load comes first in the next digest that must be shortened.
+    first_load: Cell<u32>,
     /// Whether a datagram from an unknown sender, or with an invalid tag, has arrived since the
     /// host list was last read. It is set at the start.
     is_list_outdated: Cell<bool>,
@@ -96,7 +100,7 @@
             socket: UdpSocket::bind(gateway.settings.peers).await?,
             key: DatagramKey::generate(&gateway),
             gateway,
-            round: Cell::new(0),
+            first_load: Cell::new(0),
             is_list_outdated: Cell::new(true),
         })
     }
@@ -108,6 +112,8 @@
             id: self.gateway.settings.host_id.clone(),
             address: self.gateway.settings.peers,
             key: self.key.hex(),
+            data_centre: self.gateway.settings.data_centre.clone(),
+            processor_millis: self.gateway.settings.processor_millis(),
         };
         let mut registered_era = self.register(&entry).await;
         sleep(HOST_LIST_DELAY).await;
@@ -120,7 +126,7 @@
             if self.is_list_outdated.replace(false) {
                 match self.gateway.platform.store.registry().await {
                     Ok(registry) => {
-                        self.apply_host_list(registry.hosts);
+                        self.apply_host_list(&registry.hosts);
                         self.gateway.merge_quarantine_entries(registry.quarantined);
                     }
                     Err(error) => {
@@ -129,9 +135,9 @@
                     }
                 }
             }
-            sleep(match is_reader(&self.gateway) {
+            sleep(match is_relay(&self.gateway) {
                 true => HOST_LIST_INTERVAL,
-                false => HOST_LIST_INTERVAL_NON_READER,
+                false => HOST_LIST_INTERVAL_NON_RELAY,
             })
             .await;
         }
@@ -156,34 +162,24 @@
         }
     }
 
-    fn apply_host_list(&self, hosts: Vec<HostEntry>) {
-        let own = &self.gateway.settings.host_id;
+    fn apply_host_list(&self, hosts: &[HostEntry]) {
         let mut registry = self.gateway.peers.borrow_mut();
-        for host in hosts {
-            if host.id == *own {
-                continue;
-            }
-            let Some(key) = DatagramKey::from_hex(&host.key) else {
-                spdlog::warn!("peers.unreadable", kv: { peer = host.id.as_str() });
-                continue;
-            };
-            registry.register(host.id, host.address, key);
-        }
-        registry.record_listed();
+        registry.apply_list(hosts, BootTime::now());
         spdlog::info!("peers.listed", kv: { peers = registry.len() });
     }
 
     /// Sends digests to the peers in rounds. Never returns.
     pub async fn send_digests(self: Rc<Self>) {
         loop {
+            let interval = self.gateway.peers.borrow().interval();
             let interval = self
                 .gateway
-                .random_duration(DIGEST_INTERVAL.mul_f64(0.9), DIGEST_INTERVAL);
+                .random_duration(interval.mul_f64(0.9), interval);
             let next_round = Instant::now() + interval;
             tokio::select! {
                 () = sleep_until(next_round) => {}
                 () = self.gateway.quarantine_changed.notified() => {
-                    self.send_to_live_peers().await;
+                    self.send_urgently().await;
                     sleep_until(next_round).await;
                 }
             }
@@ -192,60 +188,62 @@
     }
 
     async fn send_round(&self) {
-        let round = self.round.get();
-        self.round.set(round + 1);
-        let now = Instant::now();
-        let mut digest = self.digest();
-        let recipients = self.gateway.peers.borrow().recipients(now);
-        for recipient in recipients {
-            let rounds = match (recipient.is_live, recipient.data_centre.as_ref()) {
-                (false, _) => SILENT_PEER_ROUNDS,
-                (true, Some(data_centre)) if *data_centre == self.gateway.settings.data_centre => 1,
-                (true, _) => REMOTE_PEER_ROUNDS,
-            };
-            // The index spreads the peers over the rounds.
-            if (round + recipient.index as u64).is_multiple_of(rounds) {
-                digest.echo = recipient.echo;
-                self.send(&mut digest, recipient.address).await;
-            }
+        let (outgoing, changes) = self.gateway.peers.borrow_mut().round(BootTime::now());
+        for change in &changes {
+            log_change(change);
         }
+        self.send_all(outgoing).await;
+    }
+
+    /// Sends digests without waiting for the next round.
+    async fn send_urgently(&self) {
+        let outgoing = self
+            .gateway
+            .peers
+            .borrow()
+            .urgent_recipients(BootTime::now());
+        self.send_all(outgoing).await;
     }
 
-    /// Sends a digest to all live peers without waiting for their rounds.
-    async fn send_to_live_peers(&self) {
-        let mut digest = self.digest();
-        let recipients = self.gateway.peers.borrow().recipients(Instant::now());
-        for recipient in recipients.into_iter().filter(|recipient| recipient.is_live) {
-            digest.echo = recipient.echo;
-            self.send(&mut digest, recipient.address).await;
+    async fn send_all(&self, outgoing: Vec<Outgoing>) {
+        if outgoing.is_empty() {
+            return;
+        }
+        let base = self.own_digest();
+        for Outgoing { to, kind } in outgoing {
+            self.send(&base, kind, &to).await;
         }
     }
 
-    /// Sends target changes to the peers of this data centre without waiting for the next round.
+    /// Sends target changes to the hosts that report to this relay, without waiting for their next
+    /// reports. These digests carry no loads, which leaves room for the changes.
     pub async fn send_changes(&self, from: Offset, changes: &[TargetChange]) {
-        let mut digest = self.digest();
-        digest.target_changes = Some(TargetChangeBatch {
+        let recipients = self
+            .gateway
+            .peers
+            .borrow()
+            .urgent_recipients(BootTime::now());
+        let mut base = self.own_digest();
+        base.target_changes = Some(TargetChangeBatch {
             from,
             changes: changes.to_vec(),
         });
-        let recipients = self.gateway.peers.borrow().recipients(Instant::now());
-        for recipient in recipients {
-            let is_same_data_centre =
-                recipient.data_centre.as_ref() == Some(&self.gateway.settings.data_centre);
-            if recipient.is_live && is_same_data_centre {
-                digest.echo = recipient.echo;
-                self.send(&mut digest, recipient.address).await;
+        for Outgoing { to, kind } in recipients {
+            // The other relay reads the changes itself.
+            if kind == MessageKind::Summary {
+                self.send(&base, kind, &to).await;
             }
         }
     }
 
-    fn digest(&self) -> Digest {
+    /// Returns a digest that carries the observations of this host.
+    fn own_digest(&self) -> Digest {
         let gateway = &self.gateway;
         let now = Instant::now();
+        let listed_hosts = gateway.peers.borrow().listed_host_count().unwrap_or(0);
         Digest {
+            kind: MessageKind::Report,
             host: gateway.settings.host_id.clone(),
-            data_centre: gateway.settings.data_centre.clone(),
-            processor_millis: gateway.settings.processor_millis(),
             sent: BootTime::now(),
             echo: None,
             table_version: gateway.table_cache.version(),
@@ -253,70 +251,139 @@
             store_era: gateway.platform.store.era(),
             targets_next: gateway.targets.next(),
             targets_age: gateway.targets.age(),
-            loads: gateway.targets.own_loads(),
-            avoided: gateway.targets.own_avoided(AvoidReason::Unresponsive, now),
-            refusing: gateway.targets.own_avoided(AvoidReason::Refusing, now),
-            leaving: gateway.targets.own_leaving(),
-            slow: gateway.targets.own_slow(now),
-            requests_per_s: gateway.own_requests_per_s(),
+            listed_hosts: u32::try_from(listed_hosts).unwrap_or(u32::MAX),
+            summary: self.own_summary(now),
+            is_cut: false,
             limits: gateway.shared_limits(now),
             suspect_states: gateway.shared_suspect_states(),
             target_changes: None,
         }
     }
 
-    /// Sends a digest, shortened if it is too large for a datagram.
-    async fn send(&self, digest: &mut Digest, address: SocketAddr) {
-        let datagram = match datagram::encode_within(DATAGRAM_LIMIT_BYTES, digest, &self.key) {
-            Ok(Some(datagram)) => datagram,
-            Ok(None) => {
-                spdlog::warn!("peers.too_large", kv: { peer: = address });
-                return;
-            }
-            Err(error) => {
-                spdlog::warn!("peers.send_failed", kv: { peer: = address, error: });
+    fn own_summary(&self, now: Instant) -> Summary {
+        let gateway = &self.gateway;
+        let presence = Presence {
+            live_hosts: 1,
+            heard_hosts: 1,
+            requests_per_s: gateway.own_requests_per_s(),
+        };
+        let counts = |targets: Vec<u32>| targets.into_iter().map(|target| (target, 1)).collect();
+        let targets = &gateway.targets;
+        Summary {
+            hosts: BTreeMap::from([(gateway.settings.data_centre.clone(), presence)]),
+            loads: targets.own_loads(),
+            avoided: counts(targets.own_avoided(AvoidReason::Unresponsive, now)),
+            refusing: counts(targets.own_avoided(AvoidReason::Refusing, now)),
+            leaving: counts(targets.own_leaving()),
+            slow: targets.own_slow(now),
+            newest_table_version: gateway.table_cache.version(),
+        }
+    }
+
+    /// Sends a digest of a kind to a peer. `base` carries the observations of this host.
+    async fn send(&self, base: &Digest, kind: MessageKind, to: &HostId) {
+        let (address, mut digest) = {
+            let registry = self.gateway.peers.borrow();
+            let Some(address) = registry.address_of(to) else {
                 return;
+            };
+            let mut digest = base.clone();
+            digest.kind = kind;
+            digest.sent = BootTime::now();
+            digest.echo = registry.echo_for(to);
+            digest.summary = registry.summary(kind, to, &base.summary, digest.sent);
+            if digest.target_changes.is_some() {
+                digest.summary.loads.clear();
+                digest.is_cut = true;
             }
+            (address, digest)
         };
-        if let Err(error) = self.socket.send_to(&datagram, address).await {
-            spdlog::debug!("peers.send_failed", kv: { peer: = address, error: });
+        let near = Cell::new(None);
+        let order = LoadOrder {
+            is_near: &|target| {
+                let hashes = near.take().unwrap_or_else(|| self.near_targets());
+                let is_near = hashes.contains(&target);
+                near.set(Some(hashes));
+                is_near
+            },
+            first: self.first_load.get(),
+        };
+        let encoded =
+            match datagram::encode_within(DATAGRAM_LIMIT_BYTES, &mut digest, &order, &self.key) {
+                Ok(Some(encoded)) => encoded,
+                Ok(None) => {
+                    spdlog::warn!("peers.too_large", kv: { peer = to.as_str() });
+                    return;
+                }
+                Err(error) => {
+                    spdlog::warn!("peers.send_failed", kv: { peer = to.as_str(), error: });
+                    return;
+                }
+            };
+        if let Some(first_cut) = encoded.first_cut {
+            self.first_load.set(first_cut);
+        }
+        let metrics = &self.gateway.metrics;
+        metrics.record_digest_sent(kind_label(kind), encoded.datagram.len(), encoded.cut_loads);
+        if let Err(error) = self.socket.send_to(&encoded.datagram, address).await {
+            spdlog::debug!("peers.send_failed", kv: { peer = to.as_str(), error: });
         }
     }
 
+    /// Returns the hashes of the targets of this data centre, which its hosts use most.
+    fn near_targets(&self) -> HashSet<u32> {
+        let own = &self.gateway.settings.data_centre;
+        let targets = self.gateway.targets.all();
+        let near = targets
+            .iter()
+            .filter(|target| target.entry.borrow().data_centre == *own);
+        near.map(|target| target.id_hash).collect()
+    }
+
     /// Receives digests and applies them. Never returns.
     pub async fn receive(self: Rc<Self>) {
         let mut buffer = vec![0; DATAGRAM_LIMIT_BYTES + 1];
         loop {
             match self.socket.recv_from(&mut buffer).await {
-                Ok((length, _)) => self.handle_datagram(&buffer[..length]),
+                Ok((length, _)) => {
+                    let answer = self.handle_datagram(&buffer[..length]);
+                    if let Some(Outgoing { to, kind }) = answer {
+                        self.send(&self.own_digest(), kind, &to).await;
+                    }
+                }
                 Err(error) => {
                     spdlog::warn!("peers.receive_failed", kv: { error: });
-                    sleep(DIGEST_INTERVAL).await;
+                    sleep(RECEIVE_RETRY_DELAY).await;
                 }
             }
         }
     }
 
-    fn handle_datagram(&self, datagram: &[u8]) {
+    /// Applies a datagram, and returns the digest to answer with, or `None`.
+    fn handle_datagram(&self, datagram: &[u8]) -> Option<Outgoing> {
         let Some(sender) = datagram::claimed_sender(datagram) else {
             spdlog::warn!("peers.forged", kv: { reason = "malformed" });
-            return;
+            return None;
         };
         let key = self.gateway.peers.borrow().key_of(&sender);
         let Some(key) = key else {
             self.is_list_outdated.set(true);
-            return;
+            return None;
         };
         let Some(digest) = datagram::decode_authenticated(datagram, &key) else {
             // A host that restarted has a new key.
             self.is_list_outdated.set(true);
             spdlog::warn!("peers.forged", kv: { reason = "seal", peer = sender.as_str() });
-            return;
+            return None;
         };
-        self.apply_digest(&sender, digest);
+        self.gateway
+            .metrics
+            .record_digest_received(kind_label(digest.kind), datagram.len());
+        let kind = self.apply_digest(&sender, digest)?;
+        Some(Outgoing { to: sender, kind })
     }
 
-    fn apply_digest(&self, sender: &HostId, digest: Digest) {
+    fn apply_digest(&self, sender: &HostId, digest: Digest) -> Option<MessageKind> {
         let gateway = &self.gateway;
         let now = Instant::now();
         let echo = digest.echo_before(BootTime::now());
@@ -353,22 +420,48 @@
                 gateway.targets.confirm_current(echo.earlier(age));
             }
         }
-        if digest.table_version > gateway.table_cache.version() {
+        let newest_version = digest
+            .table_version
+            .max(digest.summary.newest_table_version);
+        if newest_version > gateway.table_cache.version() {
             gateway.newer_table_notify.notify_one();
         }
         gateway
             .peers
             .borrow_mut()
-            .record_digest(sender, digest, now);
+            .record_digest(sender, digest, BootTime::now())
+    }
+}
+
+fn log_change(change: &Change) {
+    match change {
+        Change::IsRelay(is_relay) => {
+            spdlog::info!("peers.relay_role", kv: { is_relay = *is_relay });
+        }
+        Change::FirstRelay {
+            before,
+            after,
+            reason,
+        } => {
+            spdlog::info!("peers.first_relay", kv: {
+                before = before.as_deref().unwrap_or(""),
+                after = after.as_deref().unwrap_or(""),
+                reason = *reason,
+            });
+        }
+    }
+}
+
+fn kind_label(kind: MessageKind) -> &'static str {
+    match kind {
+        MessageKind::Report => "report",
+        MessageKind::Summary => "summary",
+        MessageKind::Region => "region",
+        MessageKind::RegionAnswer => "region_answer",
     }
 }
 
-/// Returns whether this host is one of those that read the store for their data centre.
-pub fn is_reader(gateway: &Gateway) -> bool {
-    gateway.peers.borrow().is_reader(
-        &gateway.settings.host_id,
-        gateway.settings.processor_millis(),
-        &gateway.settings.data_centre,
-        Instant::now(),
-    )
+/// Returns whether this host is a relay of its data centre, which also reads the store for it.
+pub fn is_relay(gateway: &Gateway) -> bool {
+    gateway.peers.borrow().is_relay(BootTime::now())
 }
--- a/crates/anvil_gateway/src/peers/datagram.rs
+++ b/crates/anvil_gateway/src/peers/datagram.rs
@@ -3,7 +3,10 @@
 
 use std::fmt;
 
-use anvil_core::id::HostId;
+use anvil_core::{
+    exchange::TargetLoad,
+    id::HostId, //
+};
 use anvil_wire::codec::{
     self,
     CodecError, //
@@ -29,6 +32,9 @@
 /// probability of 2^-128.
 const TAG_BYTES: usize = 16;
 
+/// Most bytes that the load of a target takes.
+const LOAD_BYTES_MAX: usize = 20;
+
 /// Key that authenticates a host's datagrams. It is kept in the store, which only hosts can read,
 /// and is valid as long as the process runs.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -72,7 +78,7 @@
     digest: &Digest,
     key: &DatagramKey,
 ) -> Result<Vec<u8>, CodecError> {
-    let mut datagram = Vec::with_capacity(512);
+    let mut datagram = Vec::with_capacity(1024);
     datagram.put_u8(u8::try_from(digest.host.len()).unwrap_or(u8::MAX));
     datagram.extend_from_slice(digest.host.as_bytes());
     let tag_offset = datagram.len();
@@ -87,30 +93,65 @@
     Ok(datagram)
 }
 
+/// Order in which loads are left out of a digest that is too large.
+pub(super) struct LoadOrder<'a> {
+    /// Whether a target, by its hash, is one that the receiver probably uses. These come first.
+    pub is_near: &'a dyn Fn(u32) -> bool,
+    /// Hash from which on targets come first among the near ones, and among the others. If it moves
+    /// on, each load is sent once in a few digests.
+    pub first: u32,
+}
+
+/// A digest in a datagram.
+#[derive(Debug)]
+pub(super) struct Encoded {
+    pub datagram: Vec<u8>,
+    /// Number of loads that were left out.
+    pub cut_loads: usize,
+    /// Hash of the first target whose load was left out.
+    pub first_cut: Option<u32>,
+}
+
 /// Encodes a digest into a datagram of at most `limit_bytes`. A larger digest is shortened: first by
-/// the target changes, which the receivers then read from the store, then by the smallest loads.
-/// Returns `None` if it is too large without both.
+/// the target changes, which the receivers then read from the store, then by loads. Returns `None` if
+/// it is too large without both.
 pub(super) fn encode_within(
     limit_bytes: usize,
     digest: &mut Digest,
+    order: &LoadOrder<'_>,
     key: &DatagramKey,
-) -> Result<Option<Vec<u8>>, CodecError> {
-    loop {
-        let datagram = encode_authenticated(digest, key)?;
-        if datagram.len() <= limit_bytes {
-            return Ok(Some(datagram));
-        }
-        let has_changes = digest.target_changes.take().is_some();
-        if has_changes {
-            continue;
-        }
-        if digest.loads.is_empty() {
-            return Ok(None);
+) -> Result<Option<Encoded>, CodecError> {
+    let datagram = encode_authenticated(digest, key)?;
+    let mut encoded = Encoded {
+        datagram,
+        cut_loads: 0,
+        first_cut: None,
+    };
+    if encoded.datagram.len() > limit_bytes && digest.target_changes.take().is_some() {
+        encoded.datagram = encode_authenticated(digest, key)?;
+    }
+    if encoded.datagram.len() <= limit_bytes {
+        return Ok(Some(encoded));
+    }
+    let mut loads: Vec<(u32, TargetLoad)> = std::mem::take(&mut digest.summary.loads)
+        .into_iter()
+        .collect();
+    loads.sort_by_key(|(target, _)| (!(order.is_near)(*target), target.wrapping_sub(order.first)));
+    let load_count = loads.len();
+    digest.is_cut = true;
+    while !loads.is_empty() {
+        let excess_bytes = encoded.datagram.len().saturating_sub(limit_bytes);
+        let cut = excess_bytes.div_ceil(LOAD_BYTES_MAX).clamp(1, loads.len());
+        let rest = loads.split_off(loads.len() - cut);
+        encoded.first_cut = rest.first().map(|(target, _)| *target);
+        encoded.cut_loads = load_count - loads.len();
+        digest.summary.loads = loads.iter().copied().collect();
+        encoded.datagram = encode_authenticated(digest, key)?;
+        if encoded.datagram.len() <= limit_bytes {
+            return Ok(Some(encoded));
         }
-        let loads = &mut digest.loads;
-        loads.sort_by(|left, right| right.token_layers.total_cmp(&left.token_layers));
-        loads.truncate(loads.len() * 3 / 4);
     }
+    Ok(None)
 }
 
 /// Returns the sender that a datagram names, without checking the tag. Returns `None` if the name
--- a/crates/anvil_gateway/src/peers/message.rs
+++ b/crates/anvil_gateway/src/peers/message.rs
@@ -3,8 +3,13 @@
 use std::time::Duration;
 
 use anvil_core::{
+    exchange::{
+        MessageKind,
+        Presence,
+        Summary,
+        TargetLoad, //
+    },
     id::{
-        DataCentreId,
         HostId,
         LayerRange,
         Offset,
@@ -38,15 +43,13 @@
 /// Factor from requests a second to the number on the wire, which is per 1,000 seconds.
 const RATE_FACTOR: f64 = 1000.0;
 
-/// State that a gateway reports to its peers.
+/// What a gateway tells a peer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Digest {
+    /// Whose observations the digest carries.
+    pub kind: MessageKind,
     /// Sender of the digest.
     pub host: HostId,
-    /// Data centre of the sender.
-    pub data_centre: DataCentreId,
-    /// Processor time available to the sender, in thousandths of a core.
-    pub processor_millis: u32,
     /// Sender's clock when it sent the digest.
     pub sent: BootTime,
     /// Receiver's clock (`sent`) from the last digest that the sender got from the receiver. `None`
@@ -63,20 +66,13 @@
     /// Time since the sender's target list was last known to be current. `None` before the first
     /// read.
     pub targets_age: Option<Duration>,
-    /// Load of the sender's requests in flight, by target.
-    pub loads: Vec<TargetLoad>,
-    /// Hashes of the targets that the sender avoids because they did not respond to its own
-    /// requests.
-    pub avoided: Vec<u32>,
-    /// Hashes of the targets that refuse the sender's requests although they are alive and have
-    /// capacity.
-    pub refusing: Vec<u32>,
-    /// Hashes of the targets that stated to the sender that they are shutting down.
-    pub leaving: Vec<u32>,
-    /// Targets that reported a slowdown to the sender.
-    pub slow: Vec<SlowTarget>,
-    /// Callers' requests a second at the sender.
-    pub requests_per_s: f64,
+    /// Number of hosts that the sender knows from the host list, itself included; 0 before it read
+    /// the list.
+    pub listed_hosts: u32,
+    /// Observations of the hosts that the digest covers.
+    pub summary: Summary,
+    /// Whether loads of some targets are left out for lack of room.
+    pub is_cut: bool,
     /// Limits that targets stated to the sender or its peers.
     pub limits: Vec<SharedLimit>,
     /// States of suspects that the sender knows.
@@ -94,28 +90,6 @@
     }
 }
 
-/// Load of one host's requests at one target.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct TargetLoad {
-    /// Hash of the target's name.
-    pub target_hash: u32,
-    /// Requests whose path includes the target.
-    pub sequences: f64,
-    /// Memory that these requests take, in tokens times layers.
-    pub token_layers: f64,
-    /// Requests that the host sent directly to the target.
-    pub sent_requests: f64,
-}
-
-/// Slowdown that a target reported.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct SlowTarget {
-    /// Hash of the target's name.
-    pub target_hash: u32,
-    /// Ratio of the time that the target takes to the usual time.
-    pub slowdown: f64,
-}
-
 /// Consecutive changes of the target list.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TargetChangeBatch {
@@ -128,49 +102,60 @@
 
 /// Converts a digest to the wire format.
 pub(super) fn to_wire(digest: &Digest) -> wire::Digest {
-    let millis = |age: Option<Duration>| {
-        age.map_or(u32::MAX, |age| {
-            u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
-        })
-    };
+    let millis = |age: Duration| u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
     let states = &digest.suspect_states;
     let round_u32 = |number: f64| number.max(0.0).round() as u32;
-    let loads = &digest.loads;
+    let summary = &digest.summary;
+    let loads = summary.loads.values();
+    let presences = summary.hosts.values();
     wire::Digest {
+        kind: kind_to_wire(digest.kind),
         host: digest.host.clone(),
-        data_centre: digest.data_centre.clone(),
-        processor_millis: digest.processor_millis,
         sent_ms: digest.sent.as_millis(),
-        echo_ms: digest.echo.map_or(0, BootTime::as_millis),
+        echo_ms: digest.echo.map(BootTime::as_millis),
         table_version: digest.table_version,
-        table_age_ms: millis(digest.table_age),
+        table_age_ms: digest.table_age.map(millis),
         targets_next: digest
             .targets_next
             .offset_in(digest.targets_next.era())
             .unwrap_or(0),
         store_era: Some(digest.store_era),
         targets_era: Some(digest.targets_next.era()),
-        targets_age_ms: millis(digest.targets_age),
-        load_targets: loads.iter().map(|load| load.target_hash).collect(),
-        load_sequences: loads.iter().map(|load| round_u32(load.sequences)).collect(),
+        targets_age_ms: digest.targets_age.map(millis),
+        listed_hosts: Some(digest.listed_hosts),
+        newest_version: Some(summary.newest_table_version),
+        dc_names: summary.hosts.keys().cloned().collect(),
+        dc_live: presences
+            .clone()
+            .map(|presence| presence.live_hosts)
+            .collect(),
+        dc_heard: presences
+            .clone()
+            .map(|presence| presence.heard_hosts)
+            .collect(),
+        dc_requests: presences
+            .map(|presence| round_u32(presence.requests_per_s * RATE_FACTOR))
+            .collect(),
+        is_cut: digest.is_cut.then_some(true),
+        load_targets: summary.loads.keys().copied().collect(),
+        load_sequences: loads
+            .clone()
+            .map(|load| round_u32(load.sequences))
+            .collect(),
         load_token_layers: loads
-            .iter()
+            .clone()
             .map(|load| round_u32(load.token_layers / WIRE_UNIT_TOKEN_LAYERS))
             .collect(),
-        load_sent: loads
-            .iter()
-            .map(|load| round_u32(load.sent_requests))
-            .collect(),
-        avoided: digest.avoided.clone(),
-        refusing: digest.refusing.clone(),
-        leaving: digest.leaving.clone(),
-        slow_targets: digest.slow.iter().map(|slow| slow.target_hash).collect(),
-        slow_percents: digest
+        load_sent: loads.map(|load| round_u32(load.sent_requests)).collect(),
+        avoided: summary.avoided.keys().copied().collect(),
+        refusing: summary.refusing.keys().copied().collect(),
+        leaving: summary.leaving.keys().copied().collect(),
+        slow_targets: summary.slow.keys().copied().collect(),
+        slow_percents: summary
             .slow
-            .iter()
-            .map(|slow| round_u32(slow.slowdown * PERCENT_FACTOR))
+            .values()
+            .map(|slowdown| round_u32(slowdown * PERCENT_FACTOR))
             .collect(),
-        requests_per_1000s: round_u32(digest.requests_per_s * RATE_FACTOR),
         limit_targets: digest
             .limits
             .iter()
@@ -188,7 +173,7 @@
         limit_ages_ms: digest
             .limits
             .iter()
-            .map(|limit| millis(Some(limit.age)))
+            .map(|limit| millis(limit.age))
             .collect(),
         part_names: states
             .iter()
@@ -206,7 +191,7 @@
             .iter()
             .flat_map(|state| state.ended_targets.iter().copied())
             .collect(),
-        part_ages_ms: states.iter().map(|state| millis(Some(state.age))).collect(),
+        part_ages_ms: states.iter().map(|state| millis(state.age)).collect(),
         news: digest
             .target_changes
             .iter()
@@ -220,11 +205,15 @@
 /// Converts a digest from the wire format. Returns `None` if lists that belong together differ in
 /// length or a target change can't be read.
 pub(super) fn from_wire(digest: wire::Digest) -> Option<Digest> {
-    let age = |millis: u32| (millis != u32::MAX).then(|| Duration::from_millis(u64::from(millis)));
-    let count = digest.load_targets.len();
-    let is_consistent = digest.load_sequences.len() == count
-        && digest.load_token_layers.len() == count
-        && digest.load_sent.len() == count
+    let age = |millis: u32| Duration::from_millis(u64::from(millis));
+    let load_count = digest.load_targets.len();
+    let data_centre_count = digest.dc_names.len();
+    let is_consistent = digest.load_sequences.len() == load_count
+        && digest.load_token_layers.len() == load_count
+        && digest.load_sent.len() == load_count
+        && digest.dc_live.len() == data_centre_count
+        && digest.dc_heard.len() == data_centre_count
+        && digest.dc_requests.len() == data_centre_count
         && digest.slow_targets.len() == digest.slow_percents.len()
         && digest.limit_per_1000s.len() == digest.limit_targets.len()
         && digest.limit_ages_ms.len() == digest.limit_targets.len()
@@ -240,15 +229,8 @@
     if !is_consistent {
         return None;
     }
+    let summary = summary_from_wire(&digest);
     let mut ended_targets = ended_targets_from_wire(&digest)?;
-    let loads = (0..count)
-        .map(|index| TargetLoad {
-            target_hash: digest.load_targets[index],
-            sequences: f64::from(digest.load_sequences[index]),
-            token_layers: f64::from(digest.load_token_layers[index]) * WIRE_UNIT_TOKEN_LAYERS,
-            sent_requests: f64::from(digest.load_sent[index]),
-        })
-        .collect();
     let limits = digest
         .limit_targets
         .into_iter()
@@ -282,30 +264,18 @@
     let changes: Option<Vec<_>> = digest.news.into_iter().map(change_from_wire).collect();
     let changes = changes?;
     Some(Digest {
+        kind: kind_from_wire(digest.kind),
         host: digest.host,
-        data_centre: digest.data_centre,
-        processor_millis: digest.processor_millis,
         sent: BootTime::from_millis(digest.sent_ms),
-        echo: (digest.echo_ms > 0).then(|| BootTime::from_millis(digest.echo_ms)),
+        echo: digest.echo_ms.map(BootTime::from_millis),
         table_version: digest.table_version,
-        table_age: age(digest.table_age_ms),
+        table_age: digest.table_age_ms.map(age),
         store_era: digest.store_era.unwrap_or(0),
         targets_next: Position::new(digest.targets_era.unwrap_or(0), digest.targets_next),
-        targets_age: age(digest.targets_age_ms),
-        loads,
-        avoided: digest.avoided,
-        refusing: digest.refusing,
-        leaving: digest.leaving,
-        slow: digest
-            .slow_targets
-            .into_iter()
-            .zip(digest.slow_percents)
-            .map(|(target_hash, percent)| SlowTarget {
-                target_hash,
-                slowdown: f64::from(percent) / PERCENT_FACTOR,
-            })
-            .collect(),
-        requests_per_s: f64::from(digest.requests_per_1000s) / RATE_FACTOR,
+        targets_age: digest.targets_age_ms.map(age),
+        listed_hosts: digest.listed_hosts.unwrap_or(0),
+        summary,
+        is_cut: digest.is_cut.unwrap_or(false),
         limits,
         suspect_states,
         target_changes: digest
@@ -314,6 +284,63 @@
     })
 }
 
+fn kind_to_wire(kind: MessageKind) -> wire::MessageKind {
+    match kind {
+        MessageKind::Report => wire::MessageKind::Report,
+        MessageKind::Summary => wire::MessageKind::Summary,
+        MessageKind::Region => wire::MessageKind::Region,
+        MessageKind::RegionAnswer => wire::MessageKind::RegionAnswer,
+    }
+}
+
+fn kind_from_wire(kind: wire::MessageKind) -> MessageKind {
+    match kind {
+        wire::MessageKind::Report => MessageKind::Report,
+        wire::MessageKind::Summary => MessageKind::Summary,
+        wire::MessageKind::Region => MessageKind::Region,
+        wire::MessageKind::RegionAnswer => MessageKind::RegionAnswer,
+    }
+}
+
+/// Reads the observations of a digest whose lists fit together. Each target that is avoided, refuses
+/// or leaves counts for one host, because the digest doesn't say for how many.
+fn summary_from_wire(digest: &wire::Digest) -> Summary {
+    let counts = |targets: &[u32]| targets.iter().map(|target| (*target, 1)).collect();
+    let hosts = digest.dc_names.iter().enumerate().map(|(index, name)| {
+        let live_hosts = digest.dc_live[index];
+        let presence = Presence {
+            live_hosts,
+            heard_hosts: digest.dc_heard[index].max(live_hosts),
+            requests_per_s: f64::from(digest.dc_requests[index]) / RATE_FACTOR,
+        };
+        (name.clone(), presence)
+    });
+    let loads = digest
+        .load_targets
+        .iter()
+        .enumerate()
+        .map(|(index, target)| {
+            let load = TargetLoad {
+                sequences: f64::from(digest.load_sequences[index]),
+                token_layers: f64::from(digest.load_token_layers[index]) * WIRE_UNIT_TOKEN_LAYERS,
+                sent_requests: f64::from(digest.load_sent[index]),
+            };
+            (*target, load)
+        });
+    let slow = digest.slow_targets.iter().zip(&digest.slow_percents);
+    Summary {
+        hosts: hosts.collect(),
+        loads: loads.collect(),
+        avoided: counts(&digest.avoided),
+        refusing: counts(&digest.refusing),
+        leaving: counts(&digest.leaving),
+        slow: slow
+            .map(|(target, percent)| (*target, f64::from(*percent) / PERCENT_FACTOR))
+            .collect(),
+        newest_table_version: digest.newest_version.unwrap_or(0),
+    }
+}
+
 /// Returns the targets that ended under each suspect, or `None` if the lists don't fit together. A
 /// release that doesn't know them sends none.
 fn ended_targets_from_wire(digest: &wire::Digest) -> Option<Vec<Vec<u32>>> {
--- a/crates/anvil_gateway/src/peers/tests.rs
+++ b/crates/anvil_gateway/src/peers/tests.rs
@@ -1,6 +1,16 @@
-use std::time::Duration;
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    time::Duration, //
+};
 
 use anvil_core::{
+    exchange::{
+        Presence,
+        TargetLoad, //
+    },
     id::LayerRange,
     quarantine::{
         Suspect,
@@ -9,7 +19,6 @@
     request_digest::RequestDigest, //
 };
 use googletest::prelude::*;
-use tokio::time::Instant;
 
 use super::*;
 use crate::limits::SharedLimit;
@@ -18,16 +27,24 @@
     TargetEntry,
     TargetState, //
 };
+use crate::settings;
 
 fn key(text: &str) -> DatagramKey {
     DatagramKey::from_hex(&text.repeat(16)).unwrap()
 }
 
+fn load(sequences: f64, token_layers: f64) -> TargetLoad {
+    TargetLoad {
+        sequences,
+        token_layers,
+        sent_requests: 1.0,
+    }
+}
+
 fn digest(host: &str) -> Digest {
     Digest {
+        kind: MessageKind::Summary,
         host: host.into(),
-        data_centre: "a".into(),
-        processor_millis: 170,
         sent: BootTime::from_millis(5000),
         echo: Some(BootTime::from_millis(4000)),
         table_version: 3,
@@ -35,20 +52,24 @@
         store_era: 2,
         targets_next: Position::new(2, 12),
         targets_age: None,
-        loads: vec![TargetLoad {
-            target_hash: 7,
-            sequences: 2.0,
-            token_layers: 5000.0,
-            sent_requests: 1.0,
-        }],
-        avoided: vec![7, 8],
-        refusing: vec![9],
-        leaving: vec![10, 11],
-        slow: vec![SlowTarget {
-            target_hash: 8,
-            slowdown: 12.5,
-        }],
-        requests_per_s: 3.75,
+        listed_hosts: 20,
+        summary: Summary {
+            hosts: BTreeMap::from([(
+                "a".into(),
+                Presence {
+                    live_hosts: 2,
+                    heard_hosts: 3,
+                    requests_per_s: 3.75,
+                },
+            )]),
+            loads: BTreeMap::from([(7, load(2.0, 5000.0))]),
+            avoided: BTreeMap::from([(7, 1), (8, 1)]),
+            refusing: BTreeMap::from([(9, 1)]),
+            leaving: BTreeMap::from([(10, 1), (11, 1)]),
+            slow: BTreeMap::from([(8, 12.5)]),
+            newest_table_version: 4,
+        },
+        is_cut: false,
         limits: vec![
             SharedLimit {
                 target_hash: 7,
@@ -117,29 +138,59 @@
 }
 
 /// Guards against hosts that hear nothing of one that has requests at many targets.
-#[gtest]
-fn encode_within_shortens_large_digest_by_changes_and_smallest_loads() {
+/// Returns a digest with more loads than a datagram holds.
+fn large_digest() -> Digest {
     let mut large = digest("peer");
-    large.loads = (1..400)
-        .map(|index| TargetLoad {
-            target_hash: u32::MAX - index,
-            sequences: 1.0,
-            token_layers: f64::from(index) * 1000.0,
-            sent_requests: 1.0,
-        })
+    large.summary.loads = (1..400)
+        .map(|index| (u32::MAX - index, load(1.0, f64::from(index) * 1000.0)))
         .collect();
-    let encoded = datagram::encode_within(DATAGRAM_LIMIT_BYTES, &mut large, &key("a1")).unwrap();
-    let encoded = encoded.unwrap();
-    expect_that!(encoded.len(), le(DATAGRAM_LIMIT_BYTES));
-    let decoded = datagram::decode_authenticated(&encoded, &key("a1")).unwrap();
+    large
+}
+
+#[gtest]
+fn encode_within_shortens_large_digest_by_changes_and_far_loads() {
+    let mut large = large_digest();
+    let is_near = |target: u32| target > u32::MAX - 40;
+    let order = LoadOrder {
+        is_near: &is_near,
+        first: 0,
+    };
+    let encode = |limit_bytes, digest: &mut Digest| {
+        datagram::encode_within(limit_bytes, digest, &order, &key("a1")).unwrap()
+    };
+    let encoded = encode(DATAGRAM_LIMIT_BYTES, &mut large).unwrap();
+    expect_that!(encoded.datagram.len(), le(DATAGRAM_LIMIT_BYTES));
+    let decoded = datagram::decode_authenticated(&encoded.datagram, &key("a1")).unwrap();
     expect_that!(decoded.target_changes, none());
     expect_that!(decoded.suspect_states, eq(&digest("peer").suspect_states));
-    expect_that!(decoded.loads.len(), ge(50));
-    expect_that!(decoded.loads[0].token_layers, eq(399_000.0));
+    expect_that!(decoded.is_cut, eq(true));
+    let loads = &decoded.summary.loads;
+    expect_that!(loads.len(), ge(50));
+    expect_that!(loads.len() + encoded.cut_loads, eq(399));
+    let near = (1..40).map(|index| u32::MAX - index);
     expect_that!(
-        datagram::encode_within(10, &mut large, &key("a1")).unwrap(),
-        none()
+        near.filter(|target| loads.contains_key(target)).count(),
+        eq(39)
     );
+    expect_that!(encode(10, &mut large_digest()).is_none(), eq(true));
+}
+
+/// Guards against targets whose load never reaches the peers because there is no room for it.
+#[gtest]
+fn encode_within_sends_each_load_once_in_few_digests() {
+    let mut sent = BTreeSet::new();
+    let mut first = 0;
+    for _ in 0..10 {
+        let order = LoadOrder {
+            is_near: &|_| false,
+            first,
+        };
+        let mut large = large_digest();
+        let encoded = datagram::encode_within(DATAGRAM_LIMIT_BYTES, &mut large, &order, &key("a1"));
+        first = encoded.unwrap().unwrap().first_cut.unwrap();
+        sent.extend(large.summary.loads.into_keys());
+    }
+    expect_that!(sent.len(), eq(399));
 }
 
 #[gtest]
@@ -163,118 +214,127 @@
     }
 }
 
-#[gtest]
-fn loads_sums_peers_without_silent_ones() {
-    let mut registry = PeerRegistry::default();
-    let start = Instant::now();
-    for host in ["one", "two"] {
-        registry.register(host.into(), "10.0.0.1:80".parse().unwrap(), key("a1"));
+fn registry_with(hosts: &[(&str, u32)]) -> PeerRegistry {
+    let text = r#"
+        host_id = "own"
+        data_centre = "a"
+        processor_share = 0.17
+        listen = { callers = "10.0.0.1:80", readiness = "10.0.0.1:81", peers = "127.0.0.1:0" }
+        platform = { store = "10.0.0.2:80" }
+    "#;
+    let mut registry = PeerRegistry::new(&settings::read("test", text).unwrap());
+    let entries: Vec<HostEntry> = hosts
+        .iter()
+        .map(|(id, processor_millis)| HostEntry {
+            id: (*id).into(),
+            address: "10.0.0.1:80".parse().unwrap(),
+            key: "a1".repeat(16).into(),
+            data_centre: "a".into(),
+            processor_millis: *processor_millis,
+        })
+        .collect();
+    if !entries.is_empty() {
+        registry.apply_list(&entries, BootTime::now());
     }
-    registry.record_digest(&"one".into(), digest("one"), start);
-    registry.record_digest(&"two".into(), digest("two"), start + Duration::from_secs(1));
-    let load = |at| {
-        registry
-            .loads(at)
-            .get(&7)
-            .copied()
-            .unwrap_or_default()
-            .sequences
-    };
-    expect_that!(load(start + Duration::from_secs(1)), eq(4.0));
-    expect_that!(load(start + Duration::from_secs(2)), eq(2.0));
-    expect_that!(load(start + Duration::from_secs(9)), eq(0.0));
+    registry
+}
+
+/// Returns the digest in which a host reports its own observations.
+fn report(host: &str, sent: BootTime) -> Digest {
+    let mut report = digest(host);
+    report.kind = MessageKind::Report;
+    report.sent = sent;
+    report
 }
 
 #[gtest]
-fn record_digest_drops_older_digest() {
-    let mut registry = PeerRegistry::default();
-    let now = Instant::now();
-    registry.register("one".into(), "10.0.0.1:80".parse().unwrap(), key("a1"));
-    registry.record_digest(&"one".into(), digest("one"), now);
-    let mut older = digest("one");
-    older.sent = BootTime::from_millis(100);
-    older.loads.clear();
-    registry.record_digest(&"one".into(), older, now);
-    expect_that!(registry.loads(now).len(), eq(1));
+fn view_sums_reports_without_those_of_silent_hosts() {
+    let mut registry = registry_with(&[("one", 84), ("two", 84)]);
+    let start = BootTime::now();
+    let second = Duration::from_secs(1);
+    registry.record_digest(&"one".into(), report("one", start), start);
+    registry.record_digest(&"two".into(), report("two", start), start.later(second));
+    let mut sequences = |at: BootTime| {
+        let view = registry.view(at);
+        view.loads.get(&7).copied().unwrap_or_default().sequences
+    };
+    expect_that!(sequences(start.later(second)), eq(4.0));
+    expect_that!(sequences(start.later(second * 2)), eq(2.0));
+    expect_that!(sequences(start.later(second * 9)), eq(0.0));
 }
 
 #[gtest]
-fn is_reader_selects_two_hosts_per_data_centre() {
-    let names = ["one", "two", "three", "four"];
-    let now = Instant::now();
-    let mut readers = 0;
-    for own in names {
-        let mut registry = PeerRegistry::default();
-        for host in names.iter().filter(|host| **host != own) {
-            registry.register((*host).into(), "10.0.0.1:80".parse().unwrap(), key("a1"));
-            registry.record_digest(&(*host).into(), digest(host), now);
-        }
-        readers += u32::from(registry.is_reader(&own.into(), 170, &"a".into(), now));
-    }
-    expect_that!(readers, eq(2));
+fn record_digest_drops_older_digest() {
+    let mut registry = registry_with(&[("one", 84)]);
+    let now = BootTime::now();
+    registry.record_digest(&"one".into(), report("one", now), now);
+    let mut older = report("one", now.earlier(Duration::from_millis(100)));
+    older.summary.loads.clear();
+    registry.record_digest(&"one".into(), older, now);
+    expect_that!(registry.view(now).loads.len(), eq(1));
+    expect_that!(registry.echo_for(&"one".into()), some(eq(now)));
 }
 
 #[gtest]
-fn is_reader_selects_single_host() {
-    let registry = PeerRegistry::default();
-    expect_that!(
-        registry.is_reader(&"one".into(), 170, &"a".into(), Instant::now()),
-        eq(true)
-    );
+fn is_relay_holds_for_single_host() {
+    let registry = registry_with(&[]);
+    expect_that!(registry.is_relay(BootTime::now()), eq(true));
 }
 
 #[gtest]
-fn is_reader_prefers_hosts_with_more_processor_time() {
-    let now = Instant::now();
-    let mut registry = PeerRegistry::default();
-    for (host, processor_millis) in [("one", 84), ("two", 500), ("three", 500), ("four", 84)] {
-        registry.register(host.into(), "10.0.0.1:80".parse().unwrap(), key("a1"));
-        let mut digest = digest(host);
-        digest.processor_millis = processor_millis;
-        registry.record_digest(&host.into(), digest, now);
+fn is_relay_prefers_hosts_with_more_processor_time() {
+    let mut registry = registry_with(&[("one", 84), ("two", 500), ("three", 500), ("four", 84)]);
+    let now = BootTime::now();
+    for host in ["two", "three"] {
+        let mut answer = digest(host);
+        answer.sent = now;
+        registry.record_digest(&host.into(), answer, now);
     }
-    for own in ["five", "six", "seven"] {
-        expect_that!(
-            registry.is_reader(&own.into(), 84, &"a".into(), now),
-            eq(false)
-        );
+    expect_that!(registry.is_relay(now), eq(false));
+    // Once the two relays are silent, this host, the next in the order, takes over.
+    let second = Duration::from_secs(1);
+    for count in 0..9 {
+        registry.round(now.later(second * count));
     }
-    // Once the two readers with more processor time are silent, other hosts take over.
-    let later = now + Duration::from_secs(9);
-    expect_that!(
-        registry.is_reader(&"five".into(), 84, &"a".into(), later),
-        eq(true)
-    );
+    expect_that!(registry.is_relay(now.later(second * 9)), eq(true));
 }
 
 #[gtest]
-fn slowdowns_returns_largest_report() {
-    let now = Instant::now();
-    let mut registry = PeerRegistry::default();
+fn view_holds_largest_slowdown() {
+    let mut registry = registry_with(&[("one", 84), ("two", 84)]);
+    let now = BootTime::now();
     for (host, slowdown) in [("one", 4.0), ("two", 12.0)] {
-        registry.register(host.into(), "10.0.0.1:80".parse().unwrap(), key("a1"));
-        let mut digest = digest(host);
-        digest.slow[0].slowdown = slowdown;
-        registry.record_digest(&host.into(), digest, now);
+        let mut report = report(host, now);
+        report.summary.slow.insert(8, slowdown);
+        registry.record_digest(&host.into(), report, now);
     }
-    expect_that!(registry.slowdowns(now).get(&8).copied(), some(eq(12.0)));
-    expect_that!(
-        registry.slowdowns(now + Duration::from_secs(9)).is_empty(),
-        eq(true)
-    );
+    expect_that!(registry.view(now).slow.get(&8), some(eq(&12.0)));
+    let later = now.later(Duration::from_secs(9));
+    expect_that!(registry.view(later).slow.is_empty(), eq(true));
 }
 
 #[gtest]
 fn listed_host_count_is_none_before_list_was_read() {
-    let mut registry = PeerRegistry::default();
-    registry.register("one".into(), "10.0.0.1:80".parse().unwrap(), key("a1"));
+    let mut registry = registry_with(&[]);
+    let now = BootTime::now();
     expect_that!(registry.listed_host_count(), none());
-    expect_that!(registry.never_heard_count(), none());
-    registry.record_listed();
+    expect_that!(registry.never_heard(now), none());
+    let mut registry = registry_with(&[("one", 84)]);
     expect_that!(registry.listed_host_count(), some(eq(2)));
-    expect_that!(registry.never_heard_count(), some(eq(1)));
-    registry.record_digest(&"one".into(), digest("one"), Instant::now());
-    expect_that!(registry.never_heard_count(), some(eq(0)));
+    expect_that!(registry.never_heard(now), some(eq((1, 2))));
+    let mut report = report("one", now);
+    report.listed_hosts = 2;
+    registry.record_digest(&"one".into(), report, now);
+    expect_that!(registry.never_heard(now), some(eq((0, 2))));
+}
+
+/// Guards against budgets that grow with the fleet at hosts that don't read the host list again.
+#[gtest]
+fn listed_host_count_follows_longer_list_of_peer() {
+    let mut registry = registry_with(&[("one", 84)]);
+    let now = BootTime::now();
+    registry.record_digest(&"one".into(), report("one", now), now);
+    expect_that!(registry.listed_host_count(), some(eq(20)));
 }
 
 /// Guards against a host that takes its table for fresh, and says so to its peers, because a peer
--- a/crates/anvil_gateway/src/peers/view.rs
+++ b/crates/anvil_gateway/src/peers/view.rs
@@ -1,113 +1,117 @@
-//! Registry of the other gateways and of the last digest of each.
+//! Registry of the other gateways: their addresses and keys, and this host's part in the exchange
+//! with them.
 
 use std::{
-    collections::{
-        BTreeMap,
-        HashMap,
-        HashSet, //
-    },
+    collections::BTreeMap,
     net::SocketAddr,
-    time::Duration, //
+    rc::Rc, //
 };
 
 use anvil_core::{
+    exchange::{
+        Change,
+        Exchange,
+        HostRecord,
+        Message,
+        MessageKind,
+        Outgoing,
+        Summary, //
+    },
     id::{
         DataCentreId,
         HostId,
         Version, //
     },
-    rendezvous,
 };
-use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
-use crate::clock::BootTime;
+use crate::{
+    clock::BootTime,
+    port::HostEntry,
+    settings::Settings, //
+};
 
 use super::{
     datagram::DatagramKey,
     message::Digest, //
 };
 
-/// Time without a digest after which a peer, with its requests, no longer counts as live. Several
-/// digests must be missed for this.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Number of hosts per data centre that read the store for the others. With two, the loss of one
-/// may go unnoticed for a while.
-const READERS_PER_DATA_CENTRE: usize = 2;
-/// Rendezvous key that selects the readers of a data centre.
-const READER_SELECTION_KEY: &str = "reader";
-
-/// Load of the requests of all peers together at one target.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct PeerLoad {
-    /// Requests whose path includes the target.
-    pub sequences: f64,
-    /// Memory that these requests take, in tokens times layers.
-    pub token_layers: f64,
-    /// Requests that the peers sent directly to the target.
-    pub sent_requests: f64,
-}
-
 #[derive(Debug)]
 struct Peer {
     address: SocketAddr,
     key: DatagramKey,
-    last_heard: Option<Instant>,
-    digest: Option<Digest>,
-}
-
-impl Peer {
-    fn is_live(&self, now: Instant) -> bool {
-        self.last_heard
-            .is_some_and(|last_heard| now.duration_since(last_heard) < SILENCE_TIMEOUT)
-    }
-}
-
-/// Peer to send a digest to.
-#[derive(Clone, Debug)]
-pub(super) struct Recipient {
-    pub index: usize,
-    pub address: SocketAddr,
-    pub data_centre: Option<DataCentreId>,
-    pub is_live: bool,
-    pub echo: Option<BootTime>,
+    /// Peer's clock in its last digest.
+    last_sent: Option<BootTime>,
 }
 
-/// Known peers with their keys and last digests.
-#[derive(Debug, Default)]
+/// Known peers with their keys, and what they observe.
+#[derive(Debug)]
 pub struct PeerRegistry {
     peers: BTreeMap<HostId, Peer>,
+    exchange: Exchange,
     /// Whether the host list has been read from the store.
     is_listed: bool,
+    /// Largest number of hosts on a peer's host list.
+    peers_listed_hosts: usize,
+    /// Largest number of other hosts that were heard of.
+    heard_hosts: usize,
 }
 
 impl PeerRegistry {
-    /// Adds a peer from the host list. A peer whose address and key are unchanged keeps its digest.
-    pub(crate) fn register(&mut self, id: HostId, address: SocketAddr, key: DatagramKey) {
-        let is_known = self
-            .peers
-            .get(&id)
-            .is_some_and(|peer| peer.address == address && peer.key == key);
-        if is_known {
-            return;
+    /// Creates a registry for a host that knows no peers yet.
+    pub fn new(settings: &Settings) -> Self {
+        Self {
+            peers: BTreeMap::new(),
+            exchange: Exchange::new(HostRecord {
+                id: settings.host_id.clone(),
+                data_centre: settings.data_centre.clone(),
+                processor_millis: settings.processor_millis(),
+                run: 0,
+            }),
+            is_listed: false,
+            peers_listed_hosts: 0,
+            heard_hosts: 0,
         }
-        let peer = Peer {
-            address,
-            key,
-            last_heard: None,
-            digest: None,
-        };
-        self.peers.insert(id, peer);
     }
 
-    /// Records that the host list has been read from the store.
-    pub(super) fn record_listed(&mut self) {
+    /// Takes over the host list. A peer whose address and key are unchanged keeps its state. Peers
+    /// that are no longer listed are kept, because they may still be running.
+    pub(crate) fn apply_list(&mut self, hosts: &[HostEntry], now: BootTime) {
+        let mut records = Vec::new();
+        let own = self.exchange.own_id().clone();
+        for host in hosts.iter().filter(|host| host.id != own) {
+            let Some(key) = DatagramKey::from_hex(&host.key) else {
+                spdlog::warn!("peers.unreadable", kv: { peer = host.id.as_str() });
+                continue;
+            };
+            records.push(HostRecord {
+                id: host.id.clone(),
+                data_centre: host.data_centre.clone(),
+                processor_millis: host.processor_millis,
+                run: xxh3_64(format!("{} {}", host.address, host.key).as_bytes()),
+            });
+            let is_known = self
+                .peers
+                .get(&host.id)
+                .is_some_and(|peer| peer.address == host.address && peer.key == key);
+            if !is_known {
+                let peer = Peer {
+                    address: host.address,
+                    key,
+                    last_sent: None,
+                };
+                self.peers.insert(host.id.clone(), peer);
+            }
+        }
+        self.exchange.replace_list(records, now.since_boot());
         self.is_listed = true;
     }
 
-    /// Returns the number of hosts on the host list, this host included. Returns `None` before the
-    /// list was read.
+    /// Returns the number of hosts on the host list, this host included, as this host or a peer read
+    /// it. Returns `None` before this host read it.
     pub fn listed_host_count(&self) -> Option<usize> {
-        self.is_listed.then_some(self.peers.len() + 1)
+        let count = self.exchange.known_hosts() + 1;
+        self.is_listed.then_some(count.max(self.peers_listed_hosts))
     }
 
     /// Returns the number of known peers, including those from which nothing is heard.
@@ -115,193 +119,127 @@
         self.peers.len()
     }
 
-    /// Returns the number of peers from which nothing was ever heard since they or this host
-    /// started. Returns `None` before the host list was read.
-    pub fn never_heard_count(&self) -> Option<usize> {
-        let unheard = self.peers.values().filter(|peer| peer.digest.is_none());
-        self.is_listed.then(|| unheard.count())
+    /// Returns whether no peer is known.
+    pub fn is_empty(&self) -> bool {
+        self.peers.is_empty()
     }
 
-    /// Returns the highest version of the operators' table that a live peer has, or 0.
-    pub fn newest_table_version(&self, now: Instant) -> Version {
-        self.peers
-            .values()
-            .filter(|peer| peer.is_live(now))
-            .filter_map(|peer| peer.digest.as_ref())
-            .map(|digest| digest.table_version)
-            .max()
-            .unwrap_or(0)
+    /// Returns the number of hosts of which nothing was ever heard since this host started, and the
+    /// number of hosts on the list. Returns `None` before the host list was read.
+    pub fn never_heard(&mut self, now: BootTime) -> Option<(usize, usize)> {
+        // Updates the number of hosts that were heard of.
+        self.view(now);
+        let listed = self.listed_host_count()?;
+        Some((listed.saturating_sub(1 + self.heard_hosts), listed))
     }
 
-    /// Returns the number of peers that are live: a digest arrived from them recently.
-    pub fn live_count(&self, now: Instant) -> usize {
-        self.peers.values().filter(|peer| peer.is_live(now)).count()
+    /// Returns whether a digest ever arrived from a peer.
+    pub fn has_heard_any(&self) -> bool {
+        self.exchange.has_heard_any()
     }
 
-    /// Returns whether peers are known and none of them is live.
-    pub fn is_isolated(&self, now: Instant) -> bool {
-        !self.is_empty() && self.live_count(now) == 0
+    /// Returns what all other live hosts observe together.
+    pub fn view(&mut self, now: BootTime) -> Rc<Summary> {
+        let view = self.exchange.view(now.since_boot());
+        self.heard_hosts = self.heard_hosts.max(view.heard_hosts() as usize);
+        view
     }
 
-    /// Returns whether no peer is known.
-    pub fn is_empty(&self) -> bool {
-        self.peers.is_empty()
+    /// Returns the highest version of the operators' table that a live peer has, or 0.
+    pub fn newest_table_version(&mut self, now: BootTime) -> Version {
+        self.view(now).newest_table_version
     }
 
-    pub(super) fn key_of(&self, id: &HostId) -> Option<DatagramKey> {
-        self.peers.get(id).map(|peer| peer.key)
+    /// Returns the number of other hosts that are live.
+    pub fn live_count(&mut self, now: BootTime) -> usize {
+        self.view(now).live_hosts() as usize
     }
 
-    /// Records a peer's digest. Drops it if it is older than the last one or the peer is unknown.
-    pub(crate) fn record_digest(&mut self, id: &HostId, digest: Digest, now: Instant) {
-        let Some(peer) = self.peers.get_mut(id) else {
-            return;
-        };
-        let is_stale = peer
-            .digest
-            .as_ref()
-            .is_some_and(|last| last.sent > digest.sent);
-        if is_stale {
-            return;
-        }
-        peer.last_heard = Some(now);
-        peer.digest = Some(digest);
+    /// Returns the number of other hosts of a data centre that are live.
+    pub fn data_centre_live_count(&mut self, data_centre: &DataCentreId, now: BootTime) -> usize {
+        let view = self.view(now);
+        let presence = view.hosts.get(data_centre);
+        presence.map_or(0, |presence| presence.live_hosts as usize)
     }
 
-    pub(super) fn recipients(&self, now: Instant) -> Vec<Recipient> {
-        self.peers
-            .values()
-            .enumerate()
-            .map(|(index, peer)| Recipient {
-                index,
-                address: peer.address,
-                data_centre: peer
-                    .digest
-                    .as_ref()
-                    .map(|digest| digest.data_centre.clone()),
-                is_live: peer.is_live(now),
-                echo: peer.digest.as_ref().map(|digest| digest.sent),
-            })
-            .collect()
+    /// Returns whether a digest arrived recently.
+    pub fn hears_any(&self, now: BootTime) -> bool {
+        self.exchange.hears_any(now.since_boot())
     }
 
-    /// Returns the load of all live peers together, by the hash of the target's name.
-    pub fn loads(&self, now: Instant) -> HashMap<u32, PeerLoad> {
-        let mut loads: HashMap<u32, PeerLoad> = HashMap::new();
-        for peer in self.peers.values().filter(|peer| peer.is_live(now)) {
-            for load in peer.digest.iter().flat_map(|digest| &digest.loads) {
-                let sum = loads.entry(load.target_hash).or_default();
-                sum.sequences += load.sequences;
-                sum.token_layers += load.token_layers;
-                sum.sent_requests += load.sent_requests;
-            }
-        }
-        loads
+    /// Returns whether peers are known and none of them is heard.
+    pub fn is_isolated(&self, now: BootTime) -> bool {
+        !self.is_empty() && !self.hears_any(now)
     }
 
-    /// Returns the hashes of the targets that at least one live peer avoids.
-    pub fn avoided(&self, now: Instant) -> HashSet<u32> {
-        self.peers
-            .values()
-            .filter(|peer| peer.is_live(now))
-            .flat_map(|peer| &peer.digest)
-            .flat_map(|digest| digest.avoided.iter().copied())
-            .collect()
+    /// Returns whether this host is a relay of its data centre. Relays also read the store for it.
+    pub fn is_relay(&self, now: BootTime) -> bool {
+        self.exchange.is_relay(now.since_boot())
     }
 
-    /// Returns the hashes of the targets that refuse requests of at least one live peer although
-    /// they are alive and have capacity.
-    pub fn refusing(&self, now: Instant) -> HashSet<u32> {
-        self.peers
-            .values()
-            .filter(|peer| peer.is_live(now))
-            .flat_map(|peer| &peer.digest)
-            .flat_map(|digest| digest.refusing.iter().copied())
-            .collect()
+    /// Returns whether this host is the one among the relays that does the work for a key.
+    pub fn is_chosen(&self, key: &str, now: BootTime) -> bool {
+        self.exchange.is_chosen(key, now.since_boot())
     }
 
-    /// Returns the hashes of the targets that stated to at least one live peer that they are shutting
-    /// down.
-    pub fn leaving(&self, now: Instant) -> HashSet<u32> {
-        self.peers
-            .values()
-            .filter(|peer| peer.is_live(now))
-            .flat_map(|peer| &peer.digest)
-            .flat_map(|digest| digest.leaving.iter().copied())
-            .collect()
+    pub(super) fn key_of(&self, id: &HostId) -> Option<DatagramKey> {
+        self.peers.get(id).map(|peer| peer.key)
     }
 
-    /// Returns the slowdowns that targets reported to live peers, by the hash of the target's name.
-    /// The largest one counts where several peers report a target.
-    pub fn slowdowns(&self, now: Instant) -> HashMap<u32, f64> {
-        let mut slowdowns: HashMap<u32, f64> = HashMap::new();
-        for peer in self.peers.values().filter(|peer| peer.is_live(now)) {
-            for target in peer.digest.iter().flat_map(|digest| &digest.slow) {
-                let max_slowdown = slowdowns.entry(target.target_hash).or_insert(1.0);
-                *max_slowdown = max_slowdown.max(target.slowdown);
-            }
-        }
-        slowdowns
+    pub(super) fn address_of(&self, id: &HostId) -> Option<SocketAddr> {
+        self.peers.get(id).map(|peer| peer.address)
     }
 
-    /// Returns whether a host is one of those that read the store for their data centre.
-    ///
-    /// The readers are selected among the hosts with the most processor time, because the placer is
-    /// one of them and searches for layouts.
-    pub fn is_reader(
-        &self,
-        own: &HostId,
-        processor_millis: u32,
-        data_centre: &DataCentreId,
-        now: Instant,
-    ) -> bool {
-        let mut members: Vec<(u32, &HostId)> = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| peer.is_live(now))
-            .filter_map(|(id, peer)| Some((peer.digest.as_ref()?, id)))
-            .filter(|(digest, _)| digest.data_centre == *data_centre)
-            .map(|(digest, id)| (digest.processor_millis, id))
-            .chain([(processor_millis, own)])
-            .collect();
-        members.sort_unstable_by(|left, right| right.cmp(left));
-        // Every host with as much processor time as the last reader in this order is eligible, so
-        // that ties are broken by the rendezvous hash.
-        let min_processor_millis = members[READERS_PER_DATA_CENTRE.min(members.len()) - 1].0;
-        let eligible = members
-            .iter()
-            .filter(|(processor_millis, _)| *processor_millis >= min_processor_millis)
-            .map(|(_, id)| *id);
-        rendezvous::choose_many(READER_SELECTION_KEY, eligible, READERS_PER_DATA_CENTRE)
-            .contains(&own)
+    /// Returns the peer's clock in its last digest, which the next digest to it echoes.
+    pub(super) fn echo_for(&self, id: &HostId) -> Option<BootTime> {
+        self.peers.get(id).and_then(|peer| peer.last_sent)
     }
 
-    /// Returns the requests a second of the live peers, by data centre.
-    pub fn requests_per_s(&self, now: Instant) -> HashMap<DataCentreId, f64> {
-        let mut requests_per_s: HashMap<DataCentreId, f64> = HashMap::new();
-        for peer in self.peers.values().filter(|peer| peer.is_live(now)) {
-            if let Some(digest) = &peer.digest {
-                *requests_per_s
-                    .entry(digest.data_centre.clone())
-                    .or_default() += digest.requests_per_s;
-            }
-        }
-        requests_per_s
+    /// Records a peer's digest, and returns the kind of the digest to answer with, or `None`. Drops
+    /// a digest that isn't newer than the last one, and one of an unknown peer.
+    pub(crate) fn record_digest(
+        &mut self,
+        id: &HostId,
+        digest: Digest,
+        now: BootTime,
+    ) -> Option<MessageKind> {
+        let peer = self.peers.get_mut(id)?;
+        peer.last_sent = peer.last_sent.max(Some(digest.sent));
+        self.peers_listed_hosts = self.peers_listed_hosts.max(digest.listed_hosts as usize);
+        let message = Message {
+            kind: digest.kind,
+            sent: digest.sent.as_millis(),
+            summary: digest.summary,
+            is_cut: digest.is_cut,
+        };
+        self.exchange.record(id, message, now.since_boot())
+    }
+
+    /// Returns the digests that are due in a round, and what changed in this host's part.
+    pub(super) fn round(&mut self, now: BootTime) -> (Vec<Outgoing>, Vec<Change>) {
+        self.exchange.round(now.since_boot())
+    }
+
+    pub(super) fn interval(&self) -> std::time::Duration {
+        self.exchange.interval()
     }
 
-    /// Returns whether a host is the one among the live hosts that does the work for a key.
-    pub fn is_chosen(&self, key: &str, own: &HostId, now: Instant) -> bool {
-        let live = self.peers.iter().filter(|(_, peer)| peer.is_live(now));
-        rendezvous::choose(key, live.map(|(id, _)| id).chain([own])) == Some(own)
+    pub(super) fn urgent_recipients(&self, now: BootTime) -> Vec<Outgoing> {
+        self.exchange.urgent_recipients(now.since_boot())
     }
 
-    /// Returns the number of live peers in a data centre.
-    pub fn same_data_centre_count(&self, data_centre: &DataCentreId, now: Instant) -> usize {
-        self.peers
-            .values()
-            .filter(|peer| peer.is_live(now))
-            .filter_map(|peer| peer.digest.as_ref())
-            .filter(|digest| digest.data_centre == *data_centre)
-            .count()
+    /// Returns the observations for a digest of a kind to a peer.
+    pub(super) fn summary(
+        &self,
+        kind: MessageKind,
+        to: &HostId,
+        own: &Summary,
+        now: BootTime,
+    ) -> Summary {
+        match kind {
+            MessageKind::Report => own.clone(),
+            MessageKind::Summary => self.exchange.summary_for(to, own, now.since_boot()),
+            MessageKind::Region | MessageKind::RegionAnswer => self.exchange.region(own),
+        }
     }
 }
--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -270,7 +270,7 @@
 fn shortest_closed_time(gateway: &Gateway, request: &RequestContext<'_>) -> Duration {
     let now = Instant::now();
     let targets = gateway.targets.of_service(request.service_id);
-    let demand = gateway.fleet_demand(now);
+    let demand = gateway.fleet_demand();
     targets
         .iter()
         .filter(|target| target.is_listed_ready())
@@ -294,7 +294,7 @@
 ) -> Option<Rc<Target>> {
     let now = Instant::now();
     let candidates = gateway.targets.of_service(request.service_id);
-    let peer_leaving = gateway.peers.borrow().leaving(now);
+    let peers_view = gateway.peers_view();
     let cost = |target: &Rc<Target>| {
         let is_remote = target.entry.borrow().data_centre != gateway.settings.data_centre;
         let avoided = f64::from(u8::from(target.is_avoided(now)));
@@ -307,7 +307,7 @@
     let mut demand = None;
     candidates
         .into_iter()
-        .filter(|target| target.accepts(now) && !peer_leaving.contains(&target.id_hash))
+        .filter(|target| target.accepts(now) && !peers_view.leaving.contains_key(&target.id_hash))
         .filter(|target| !tried.iter().any(|other| Rc::ptr_eq(other, target)))
         .filter(|target| gateway.is_within_limit(target, &mut demand, now))
         .map(|target| (cost(&target), target))
--- a/crates/anvil_gateway/src/port.rs
+++ b/crates/anvil_gateway/src/port.rs
@@ -230,6 +230,10 @@
     pub address: SocketAddr,
     /// Key that authenticates the messages that it sends to peers.
     pub key: SmolStr,
+    /// Its data centre. Empty in entries of releases that did not state it.
+    pub data_centre: DataCentreId,
+    /// Processor time available to it, in thousandths of a core.
+    pub processor_millis: u32,
 }
 
 /// What is quarantined, as it is kept in the store.
--- a/crates/anvil_gateway/src/quarantine.rs
+++ b/crates/anvil_gateway/src/quarantine.rs
@@ -23,9 +23,11 @@
 };
 
 use crate::{
+    clock::BootTime,
     exchange::RequestContext,
     faults::ProcessState,
     gateway::Gateway,
+    peers,
     port::{
         QuarantineEntry,
         Store, //
@@ -80,10 +82,9 @@
         }
     }
 
-    /// Returns whether this host is the one among the live hosts that does the work for a key.
+    /// Returns whether this host is the one among the relays that does the work for a key.
     fn is_chosen(&self, key: &str) -> bool {
-        let peers = self.peers.borrow();
-        peers.is_chosen(key, &self.settings.host_id, Instant::now())
+        self.peers.borrow().is_chosen(key, BootTime::now())
     }
 
     /// Records in which state a target was found whose connection was lost at the start of its answer
@@ -176,7 +177,9 @@
                     self.keep_in_store(state);
                 }
             }
-            if merged.adds_answer || merged.is_outdated {
+            // The hosts that report to a relay hear of it only through the relay.
+            let is_relayed = merged.is_newly_quarantined && peers::is_relay(self);
+            if merged.adds_answer || merged.is_outdated || is_relayed {
                 self.quarantine_changed.notify_one();
             }
         }
--- a/crates/anvil_gateway/src/targets.rs
+++ b/crates/anvil_gateway/src/targets.rs
@@ -6,6 +6,7 @@
         RefCell, //
     },
     collections::{
+        BTreeMap,
         HashMap,
         HashSet, //
     },
@@ -15,6 +16,7 @@
 };
 
 use anvil_core::{
+    exchange::TargetLoad,
     id::{
         Offset,
         ServiceId,
@@ -27,10 +29,6 @@
 use crate::{
     clock::BootTime,
     limits,
-    peers::{
-        SlowTarget,
-        TargetLoad, //
-    },
     port::{
         Position,
         ResponseMetadata,
@@ -247,32 +245,30 @@
             .collect()
     }
 
-    /// Returns the targets that reported to this host a slowdown worth passing on to peers.
-    pub fn own_slow(&self, now: Instant) -> Vec<SlowTarget> {
+    /// Returns the targets that reported to this host a slowdown worth passing on to peers, with the
+    /// slowdown, by the hash of their names.
+    pub fn own_slow(&self, now: Instant) -> BTreeMap<u32, f64> {
         self.by_id
             .borrow()
             .values()
-            .filter_map(|target| {
-                Some(SlowTarget {
-                    target_hash: target.id_hash,
-                    slowdown: target.reported_slowdown(now)?,
-                })
-            })
-            .filter(|slow| slow.slowdown >= RELAYED_SLOWDOWN_MIN)
+            .filter_map(|target| Some((target.id_hash, target.reported_slowdown(now)?)))
+            .filter(|(_, slowdown)| *slowdown >= RELAYED_SLOWDOWN_MIN)
             .collect()
     }
 
-    /// Returns the load of this host's own requests, by target.
-    pub fn own_loads(&self) -> Vec<TargetLoad> {
+    /// Returns the load of this host's own requests, by the hash of the target's name.
+    pub fn own_loads(&self) -> BTreeMap<u32, TargetLoad> {
         self.by_id
             .borrow()
             .values()
             .filter(|target| target.sequences.get() > 0.0)
-            .map(|target| TargetLoad {
-                target_hash: target.id_hash,
-                sequences: target.sequences.get(),
-                token_layers: target.token_layers.get(),
-                sent_requests: target.sent_requests.get(),
+            .map(|target| {
+                let load = TargetLoad {
+                    sequences: target.sequences.get(),
+                    token_layers: target.token_layers.get(),
+                    sent_requests: target.sent_requests.get(),
+                };
+                (target.id_hash, load)
             })
             .collect()
     }
--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -755,8 +755,8 @@
 pub(crate) async fn wait_for_peers(hosts: &[&Host]) {
     const POLL_INTERVAL: Duration = Duration::from_millis(50);
     let is_met = |host: &&Host| {
-        let peers = host.gateway.peers.borrow();
-        peers.live_count(tokio::time::Instant::now()) + 1 == hosts.len()
+        let mut peers = host.gateway.peers.borrow_mut();
+        peers.live_count(BootTime::now()) + 1 == hosts.len()
     };
     while !hosts.iter().all(is_met) {
         sleep(POLL_INTERVAL).await;
