Take a changed table from a relay instead of the store

Change: a host that learns of a newer version asks the relays of its data centre over TCP, and the store only if none answers in time. Both sides are authenticated by their registered keys, and an answer belongs to one question (nonce) and one era of the store. The age of the table counts from the question.

Tests that failed before: a host that the store turns away has a change within the bound; a change is read from the store by relays alone.

--- a/crates/anvil_core/src/exchange.rs
+++ b/crates/anvil_core/src/exchange.rs
@@ -397,6 +397,13 @@
             .contains(&self.own.id)
     }
 
+    /// Returns the relays of this host's data centre but for itself, the first one first.
+    pub fn other_relays(&self, now: Duration) -> Vec<HostId> {
+        let mut relays = self.relays_of(&self.own.data_centre, now);
+        relays.retain(|id| *id != self.own.id);
+        relays
+    }
+
     /// Returns whether this host is the one among the relays of all data centres that does the work
     /// for a key.
     pub fn is_chosen(&self, key: &str, now: Duration) -> bool {
--- a/crates/anvil_gateway/src/follow.rs
+++ b/crates/anvil_gateway/src/follow.rs
@@ -14,7 +14,8 @@
     knowledge::Source,
     peers::{
         self,
-        Peers, //
+        Peers,
+        table, //
     },
     port::{
         Changes,
@@ -41,6 +42,8 @@
 const LIST_INTERVAL_PLACING: Duration = Duration::from_millis(350);
 /// Interval between two checks whether this host must read for itself.
 const DUE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Why a wait at the store is abandoned where a peer had the change first.
+const PEER_IS_AHEAD: &str = "a peer has a newer table";
 /// Delay after a read that found no table.
 const NO_TABLE_DELAY: Duration = Duration::from_millis(300);
 
@@ -134,7 +137,7 @@
         loop {
             sleep(DUE_CHECK_INTERVAL).await;
             if self.is_behind_peer() {
-                return "a peer has a newer table";
+                return PEER_IS_AHEAD;
             }
             if self.is_of_older_era() {
                 return "the store was restored";
@@ -174,6 +177,9 @@
             reason = doubt,
             requested_age_ms = requested_at.elapsed().as_millis() as u64,
         });
+        if doubt == PEER_IS_AHEAD && table::fetch_from_relays(&self.gateway).await {
+            return Ok(());
+        }
         self.read(BootTime::now()).await
     }
 
@@ -233,6 +239,10 @@
     let mut follower = TableFollower::new(Rc::clone(&gateway));
     loop {
         follower.wait_until_due().await;
+        let has_newer_peer = follower.is_behind_peer();
+        if has_newer_peer && table::fetch_from_relays(&gateway).await {
+            continue;
+        }
         let peer_version = gateway.newest_peer_version();
         let requested_at = BootTime::now();
         match follower.call(requested_at).await {
--- a/crates/anvil_gateway/src/follow/tests/fakes.rs
+++ b/crates/anvil_gateway/src/follow/tests/fakes.rs
@@ -22,6 +22,7 @@
     },
     quarantine::Suspect,
 };
+use bytes::Bytes;
 use smol_str::SmolStr;
 use tokio::{
     sync::Notify,
@@ -122,6 +123,15 @@
         self.availability.set(availability);
     }
 
+    /// Registers the hosts of this store and of another one with both.
+    pub(super) fn share_hosts(&self, other: &Self) {
+        let mut hosts = self.hosts.borrow_mut();
+        let mut other_hosts = other.hosts.borrow_mut();
+        let own_hosts = hosts.clone();
+        hosts.extend(other_hosts.iter().cloned());
+        other_hosts.extend(own_hosts);
+    }
+
     pub(super) fn write_table(&self, version: Version) {
         self.tables.borrow_mut().push(version);
         self.changed.notify_waiters();
@@ -204,6 +214,15 @@
         ))
     }
 
+    fn encoded_table(&self, version: Version) -> Option<Bytes> {
+        Some(version.to_string().into())
+    }
+
+    fn decode_table(&self, encoded: Bytes) -> Result<Table, PlatformError> {
+        let text = std::str::from_utf8(&encoded).unwrap();
+        Ok(table(text.parse().unwrap()))
+    }
+
     fn tables_after(
         &self,
         from: Position,
--- a/crates/anvil_gateway/src/follow/tests/fleet.rs
+++ b/crates/anvil_gateway/src/follow/tests/fleet.rs
@@ -20,6 +20,7 @@
     rngs::SmallRng, //
 };
 use tokio::{
+    net::TcpListener,
     task::spawn_local,
     time::{
         Instant,
@@ -47,7 +48,10 @@
         follow_targets, //
     },
     gateway::Gateway,
-    peers::Peers,
+    peers::{
+        Peers,
+        table, //
+    },
     settings, //
 };
 
@@ -91,6 +95,8 @@
     spawn_local(Rc::clone(&peers).maintain_host_list());
     spawn_local(Rc::clone(&peers).send_digests());
     spawn_local(Rc::clone(&peers).receive());
+    let listener = TcpListener::bind(address).await.unwrap();
+    spawn_local(table::serve(Rc::clone(&gateway), listener));
     spawn_local(follow_table(Rc::clone(&gateway)));
     spawn_local(follow_targets(Rc::clone(&gateway), peers));
     gateway
@@ -151,3 +157,47 @@
         });
     }
 }
+
+/// Guards against a host that serves by an old table because the store turns it away, while its
+/// relays have the new one.
+#[gtest]
+fn follow_table_takes_change_from_relay_when_store_turns_host_away() {
+    for seed in 0..4 {
+        run_with_paused_clock(async {
+            let stores = [store(), store()];
+            let port = PEER_PORT_MIN + FLEET_COUNT.fetch_add(1, Ordering::Relaxed);
+            let mut hosts = Vec::new();
+            for index in 0..5 {
+                // All hosts have the same processor time, so that the order of the relays doesn't
+                // depend on which one is turned away.
+                let store = &stores[usize::from(index == 4)];
+                hosts.push(start_host(store, index, port, "a", seed * 100 + index as u64).await);
+            }
+            sleep(Duration::from_millis(100)).await;
+            stores[0].share_hosts(&stores[1]);
+            sleep(START_TIME).await;
+            stores[1].set_availability(Availability::Refusing);
+            stores[0].write_table(NEW_VERSION);
+            let in_force = time_until_in_force(&hosts, NEW_VERSION, BOUND * 3).await;
+            expect_that!(in_force, some(le(BOUND)), "seed {seed}");
+            // What the relays confirm is the newest for this host too.
+            sleep(START_TIME).await;
+            expect_that!(hosts[4].table_cache.age(), some(le(BOUND)), "seed {seed}");
+        });
+    }
+}
+
+/// Guards against a change that each host reads from the store by itself.
+#[gtest]
+fn follow_table_reads_change_from_store_at_relays_alone() {
+    run_with_paused_clock(async {
+        let store = store();
+        let hosts = start_fleet(&store, 1).await;
+        store.table_calls.borrow_mut().clear();
+        store.write_table(NEW_VERSION);
+        let in_force = time_until_in_force(&hosts, NEW_VERSION, BOUND * 3).await;
+        expect_that!(in_force, some(le(BOUND / 2)));
+        // Each of the six relays waits at the store again.
+        expect_that!(store.table_calls.borrow().len(), le(6));
+    });
+}
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -86,6 +86,8 @@
     pub last_slowdown_query: Cell<Option<Instant>>,
     /// Whether this host is to place a model and waits for the target list to be complete.
     pub awaits_targets: Cell<bool>,
+    /// Number of peers' questions for the table that are being answered.
+    pub table_questions: Cell<u32>,
     /// Number of requests that are open now.
     pub open_requests: Cell<u32>,
     /// Number of caller connections that are open now.
@@ -121,6 +123,7 @@
             quarantine_changed: Notify::new(),
             last_slowdown_query: Cell::new(None),
             awaits_targets: Cell::new(false),
+            table_questions: Cell::new(0),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
             phase: watch::Sender::new(Phase::Serving),
--- a/crates/anvil_gateway/src/peers.rs
+++ b/crates/anvil_gateway/src/peers.rs
@@ -4,6 +4,7 @@
 
 mod datagram;
 mod message;
+pub mod table;
 mod view;
 
 #[cfg(test)]
@@ -96,9 +97,11 @@
     ///
     /// Returns an error if the address can't be bound.
     pub async fn open(gateway: Rc<Gateway>) -> std::io::Result<Self> {
+        let key = DatagramKey::generate(&gateway);
+        gateway.peers.borrow_mut().set_own_key(key);
         Ok(Self {
             socket: UdpSocket::bind(gateway.settings.peers).await?,
-            key: DatagramKey::generate(&gateway),
+            key,
             gateway,
             first_load: Cell::new(0),
             is_list_outdated: Cell::new(true),
--- a/crates/anvil_gateway/src/peers/datagram.rs
+++ b/crates/anvil_gateway/src/peers/datagram.rs
@@ -68,11 +68,43 @@
         Some(Self(number.to_be_bytes()))
     }
 
+    /// Returns the authentication tag of parts of a message as hexadecimal digits. The length of each
+    /// part counts, so that no part can pass for the end of another.
+    pub(super) fn tag(&self, parts: &[&[u8]]) -> String {
+        let tag = self.mac_of(parts).finalize().into_bytes();
+        tag[..TAG_BYTES]
+            .iter()
+            .map(|byte| format!("{byte:02x}"))
+            .collect()
+    }
+
+    /// Returns whether a tag in hexadecimal digits is that of parts of a message.
+    pub(super) fn verify(&self, parts: &[&[u8]], tag: &str) -> bool {
+        let Some(bytes) = decode_hex(tag) else {
+            return false;
+        };
+        self.mac_of(parts).verify_truncated_left(&bytes).is_ok()
+    }
+
+    fn mac_of(&self, parts: &[&[u8]]) -> Hmac<Sha256> {
+        parts.iter().fold(self.mac(), |mac, part| {
+            mac.chain_update((part.len() as u64).to_be_bytes())
+                .chain_update(part)
+        })
+    }
+
     fn mac(&self) -> Hmac<Sha256> {
         Hmac::<Sha256>::new_from_slice(&self.0).expect("HMAC accepts keys of any length")
     }
 }
 
+/// Decodes a tag from hexadecimal digits.
+fn decode_hex(text: &str) -> Option<[u8; TAG_BYTES]> {
+    let is_tag = text.len() == 2 * TAG_BYTES && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    let number = u128::from_str_radix(text, 16).ok()?;
+    is_tag.then_some(number.to_be_bytes())
+}
+
 /// Encodes a digest into a datagram with an authentication tag.
 pub(super) fn encode_authenticated(
     digest: &Digest,
--- /dev/null
+++ b/crates/anvil_gateway/src/peers/table.rs
@@ -0,0 +1,312 @@
+//! Passes the operators' table on between hosts, so that not every host reads each change from the
+//! store, and a host that can't reach the store has the change as well.
+//!
+//! The table travels in the store's encoding over a TCP connection to the address for peers. Both
+//! sides prove by their registered keys who they are, and the answer belongs to one question.
+
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
+
+use anvil_core::{
+    freshness::Limits,
+    id::{
+        HostId,
+        Version, //
+    },
+};
+use bytes::Bytes;
+use derive_more::{
+    Display,
+    Error, //
+};
+use smol_str::{
+    SmolStr,
+    ToSmolStr,
+    format_smolstr, //
+};
+use tokio::{
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    task::spawn_local,
+    time::{
+        sleep,
+        timeout, //
+    },
+};
+
+use crate::{
+    calls::{
+        CallKind,
+        CallPool, //
+    },
+    clock::BootTime,
+    gateway::{
+        CountGuard,
+        Gateway, //
+    },
+    http1::{
+        Connection,
+        RequestHead,
+        ResponseHead, //
+    },
+    knowledge::Source,
+    port::Era,
+    run::ACCEPT_RETRY_DELAY,
+};
+
+use super::DatagramKey;
+
+/// Path of a question for a newer table, without its query.
+const PATH: &str = "/v1/table";
+const HOST_HEADER: &str = "Anvil-Host";
+const NONCE_HEADER: &str = "Anvil-Nonce";
+const TAG_HEADER: &str = "Anvil-Tag";
+const AGE_HEADER: &str = "Anvil-Age-Ms";
+const ERA_HEADER: &str = "Anvil-Era";
+/// Time within which a question must arrive.
+const QUESTION_TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest head of a question.
+const QUESTION_LIMIT_BYTES: usize = 4 << 10;
+/// Most questions that are answered at the same time. The hosts of a data centre ask together after
+/// a change.
+const QUESTIONS_MAX: u32 = 128;
+/// Longest time for an answer. The store is asked after it, within the bound on changes.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest random delay before a question, which spreads the questions after a change.
+const QUESTION_DELAY_MAX: Duration = Duration::from_millis(100);
+/// Labels of what the tags authenticate.
+const QUESTION_LABEL: &str = "table question";
+const ANSWER_LABEL: &str = "table answer";
+
+/// Why a peer's table could not be had.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+pub(super) enum FetchError {
+    /// The peer did not answer.
+    #[display("no answer: {message}")]
+    NoAnswer {
+        /// Description of the cause.
+        message: SmolStr,
+    },
+    /// The peer refused, or has no newer table.
+    #[display("status {status}")]
+    Refused {
+        /// HTTP status of the answer.
+        status: u16,
+    },
+    /// The answer has no valid tag, or can't be decoded.
+    #[display("invalid answer: {message}")]
+    Invalid {
+        /// Description of the fault.
+        message: SmolStr,
+    },
+}
+
+/// Serves this host's table to its peers. Never returns.
+pub async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                spawn_local(serve_connection(Rc::clone(&gateway), stream));
+            }
+            Err(error) => {
+                spdlog::warn!("listener.accept_failed", kv: { error: });
+                sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream) {
+    if gateway.table_questions.get() >= QUESTIONS_MAX {
+        return;
+    }
+    let _count = CountGuard::begin(&gateway.table_questions);
+    let mut connection = Connection::new(stream);
+    let question = connection
+        .read_request(QUESTION_LIMIT_BYTES, QUESTION_TIMEOUT, QUESTION_TIMEOUT)
+        .await;
+    let Ok(Some(head)) = question else {
+        return;
+    };
+    let written = connection.write_all(&answer(&gateway, &head)).await;
+    if let Err(error) = written {
+        spdlog::debug!("table.answer_failed", kv: { error: });
+    }
+    connection.close(QUESTION_TIMEOUT).await;
+}
+
+/// Returns the answer to a question.
+fn answer(gateway: &Gateway, head: &RequestHead) -> Vec<u8> {
+    let refused = |status: &str| {
+        format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n").into_bytes()
+    };
+    let Some((key, nonce, held)) = authenticate(gateway, head) else {
+        spdlog::warn!("peers.forged", kv: { reason = "question for the table" });
+        return refused("403 Forbidden");
+    };
+    let cache = &gateway.table_cache;
+    let version = cache.version();
+    let encoded = gateway.platform.store.encoded_table(version);
+    let (Some(encoded), Some(age), true) = (encoded, cache.age(), version > held) else {
+        return refused("404 Not Found");
+    };
+    let age_ms = age.as_millis().to_smolstr();
+    let era = gateway.platform.store.era().to_smolstr();
+    let tag = key.tag(&[
+        ANSWER_LABEL.as_bytes(),
+        nonce.as_bytes(),
+        age_ms.as_bytes(),
+        era.as_bytes(),
+        &encoded,
+    ]);
+    let mut out = format!(
+        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\nConnection: close\r\n\
+         {AGE_HEADER}: {age_ms}\r\n{ERA_HEADER}: {era}\r\n{TAG_HEADER}: {tag}\r\n\r\n",
+        encoded.len()
+    )
+    .into_bytes();
+    out.extend_from_slice(&encoded);
+    out
+}
+
+/// Returns this host's key, the nonce of a question, and the version that the peer has. Returns
+/// `None` if the question isn't one of a known host.
+fn authenticate(gateway: &Gateway, head: &RequestHead) -> Option<(DatagramKey, SmolStr, Version)> {
+    let peers = gateway.peers.borrow();
+    let host = HostId::new(head.headers.text(HOST_HEADER)?);
+    let nonce = head.headers.text(NONCE_HEADER)?;
+    let tag = head.headers.text(TAG_HEADER)?;
+    let query = head.target.strip_prefix(PATH)?;
+    let held = query.strip_prefix("?after=")?.parse().ok()?;
+    let key = peers.key_of(&host)?;
+    let is_valid = key.verify(
+        &[
+            QUESTION_LABEL.as_bytes(),
+            nonce.as_bytes(),
+            query.as_bytes(),
+        ],
+        tag,
+    );
+    is_valid.then_some((peers.own_key()?, nonce.into(), held))
+}
+
+/// Asks the relays of this data centre for a table that is newer than the one in force, one after the
+/// other, and takes it over. Returns whether there is a newer table in force now.
+pub async fn fetch_from_relays(gateway: &Gateway) -> bool {
+    let version = gateway.table_cache.version();
+    let (own_key, mut relays) = {
+        let peers = gateway.peers.borrow();
+        (peers.own_key(), peers.other_relays(BootTime::now()))
+    };
+    let Some(own_key) = own_key else {
+        return false;
+    };
+    if relays.is_empty() {
+        return false;
+    }
+    sleep(gateway.random_duration(Duration::ZERO, QUESTION_DELAY_MAX)).await;
+    // The hosts of a data centre share the relays evenly.
+    if gateway.random_unit() < 0.5 {
+        relays.reverse();
+    }
+    for relay in relays {
+        if gateway.table_cache.version() > version {
+            return true;
+        }
+        let fetched = timeout(ANSWER_TIMEOUT, fetch(gateway, own_key, &relay, version)).await;
+        let error = match fetched {
+            Ok(Ok(())) => return true,
+            Ok(Err(error)) => error,
+            Err(_) => FetchError::NoAnswer {
+                message: SmolStr::new_static("no answer within the timeout"),
+            },
+        };
+        spdlog::info!("table.fetch_failed", kv: { peer = relay.as_str(), version, error: });
+    }
+    false
+}
+
+async fn fetch(
+    gateway: &Gateway,
+    own_key: DatagramKey,
+    relay: &HostId,
+    version: Version,
+) -> Result<(), FetchError> {
+    let invalid = |message: &str| FetchError::Invalid {
+        message: message.into(),
+    };
+    let (address, key) = {
+        let peers = gateway.peers.borrow();
+        let known = peers.address_of(relay).zip(peers.key_of(relay));
+        known.ok_or_else(|| invalid("the host is not known"))?
+    };
+    let nonce = format_smolstr!("{:016x}", gateway.random_u64());
+    let query = format_smolstr!("?after={version}");
+    let tag = own_key.tag(&[
+        QUESTION_LABEL.as_bytes(),
+        nonce.as_bytes(),
+        query.as_bytes(),
+    ]);
+    let question = format!(
+        "GET {PATH}{query} HTTP/1.1\r\nHost: {address}\r\n{HOST_HEADER}: {}\r\n\
+         {NONCE_HEADER}: {nonce}\r\n{TAG_HEADER}: {tag}\r\n\r\n",
+        gateway.settings.host_id
+    );
+    let limits = Limits::for_bound(gateway.settings.bounds.config_apply);
+    let requested_at = BootTime::now();
+    let (head, body) = CallPool::new(address, "relay", limits)
+        .call("fetch table", question.as_bytes(), CallKind::Read)
+        .await
+        .map_err(|error| FetchError::NoAnswer {
+            message: error.message,
+        })?;
+    if head.status != 200 {
+        return Err(FetchError::Refused {
+            status: head.status,
+        });
+    }
+    let (age, era) = read_head(&head, &body, &nonce, key).ok_or_else(|| invalid("wrong tag"))?;
+    let store = &gateway.platform.store;
+    store.observe_era(era);
+    if era != store.era() {
+        return Err(invalid("the table is of an older era of the store"));
+    }
+    let table = store
+        .decode_table(body)
+        .map_err(|error| invalid(&error.message))?;
+    if table.version() <= version {
+        return Err(invalid("the table is not newer"));
+    }
+    gateway.table_cache.update(
+        Some(table),
+        requested_at.earlier(age),
+        Source::Peer(relay.clone()),
+    );
+    Ok(())
+}
+
+/// Checks the tag of an answer, and returns the age of the table and the era of the store.
+fn read_head(
+    head: &ResponseHead,
+    body: &Bytes,
+    nonce: &str,
+    key: DatagramKey,
+) -> Option<(Duration, Era)> {
+    let headers = &head.headers;
+    let age_ms = headers.text(AGE_HEADER)?;
+    let era = headers.text(ERA_HEADER)?;
+    let parts: [&[u8]; 5] = [
+        ANSWER_LABEL.as_bytes(),
+        nonce.as_bytes(),
+        age_ms.as_bytes(),
+        era.as_bytes(),
+        body,
+    ];
+    let is_valid = key.verify(&parts, headers.text(TAG_HEADER)?);
+    let age = Duration::from_millis(age_ms.parse().ok()?);
+    is_valid.then_some((age, era.parse().ok()?))
+}
--- a/crates/anvil_gateway/src/peers/view.rs
+++ b/crates/anvil_gateway/src/peers/view.rs
@@ -51,6 +51,8 @@
     exchange: Exchange,
     /// Whether the host list has been read from the store.
     is_listed: bool,
+    /// Key of this host; `None` before its address is bound.
+    own_key: Option<DatagramKey>,
     /// Largest number of hosts on a peer's host list.
     peers_listed_hosts: usize,
     /// Largest number of other hosts that were heard of.
@@ -69,6 +71,7 @@
                 run: 0,
             }),
             is_listed: false,
+            own_key: None,
             peers_listed_hosts: 0,
             heard_hosts: 0,
         }
@@ -182,6 +185,19 @@
         self.exchange.is_chosen(key, now.since_boot())
     }
 
+    /// Returns the other relays of this data centre, the first one first.
+    pub(super) fn other_relays(&self, now: BootTime) -> Vec<HostId> {
+        self.exchange.other_relays(now.since_boot())
+    }
+
+    pub(super) fn own_key(&self) -> Option<DatagramKey> {
+        self.own_key
+    }
+
+    pub(super) fn set_own_key(&mut self, key: DatagramKey) {
+        self.own_key = Some(key);
+    }
+
     pub(super) fn key_of(&self, id: &HostId) -> Option<DatagramKey> {
         self.peers.get(id).map(|peer| peer.key)
     }
--- a/crates/anvil_gateway/src/port.rs
+++ b/crates/anvil_gateway/src/port.rs
@@ -18,10 +18,12 @@
         RequestId,
         ServiceId,
         TargetId,
-        TeamId, //
+        TeamId,
+        Version, //
     },
     quarantine::Suspect,
 };
+use bytes::Bytes;
 use derive_more::{
     Display,
     Error, //
@@ -330,6 +332,17 @@
     /// Reads the operators' newest routing table; the items are `None` if there is none yet.
     fn newest_table(&self) -> PlatformResult<'_, Snapshot<Option<Table>>>;
 
+    /// Returns the record from which the table of a version was decoded. Returns `None` unless it is
+    /// the last one that was decoded.
+    fn encoded_table(&self, version: Version) -> Option<Bytes>;
+
+    /// Decodes the record of a table that a peer read.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PlatformErrorKind::Unreadable`] if it is no valid table.
+    fn decode_table(&self, encoded: Bytes) -> Result<Table, PlatformError>;
+
     /// Waits up to `wait` for tables from position `from` on, and returns the newest of them.
     fn tables_after(
         &self,
--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -33,12 +33,18 @@
     },
     http1::Connection,
     metrics,
-    peers::Peers,
+    peers::{
+        Peers,
+        table, //
+    },
     placer::Placer,
     port::Platform,
     settings::Settings, //
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Most connections that wait to be accepted, per listener.
 const BACKLOG_CONNECTIONS: u32 = 1024;
 /// Pause after a connection could not be accepted, for example because descriptors ran out.
@@ -84,6 +90,7 @@
     let mut hangup = signal(SignalKind::hangup())?;
     let callers = listen(settings.callers)?;
     let readiness = listen(settings.readiness)?;
+    let tables = listen(settings.peers)?;
     let gateway = Rc::new(Gateway::new(settings, platform));
     let peers = Rc::new(Peers::open(Rc::clone(&gateway)).await?);
     let placer = Rc::new(Placer::new(Rc::clone(&gateway)));
@@ -96,6 +103,7 @@
     }
     spawn_local(accept_callers(Rc::clone(&gateway), callers));
     spawn_local(accept_readiness(Rc::clone(&gateway), readiness));
+    spawn_local(table::serve(Rc::clone(&gateway), tables));
     spawn_local(follow::follow_table(Rc::clone(&gateway)));
     spawn_local(follow::follow_targets(
         Rc::clone(&gateway),
--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -7,6 +7,7 @@
         RefCell, //
     },
     collections::BTreeMap,
+    io,
     net::{
         IpAddr,
         SocketAddr, //
@@ -34,11 +35,13 @@
         LayerRange,
         PartId,
         RequestId,
-        TargetId, //
+        TargetId,
+        Version, //
     },
     key_digest::KeyDigest,
     quarantine::Suspect,
 };
+use bytes::Bytes;
 use rand::{
     RngExt,
     rngs::SmallRng, //
@@ -146,6 +149,28 @@
     silent_connections: RefCell<Vec<bool>>,
     /// Number of requests that came on silent connections.
     pub(crate) silent_request_count: Cell<u32>,
+    /// How it answers requests that don't end it.
+    pub(crate) behaviour: Cell<Behaviour>,
+}
+
+/// How a target answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Behaviour {
+    /// At once and whole.
+    #[default]
+    Sound,
+    /// At once and whole, and with a second copy of the answer right after it.
+    AnswersTwice,
+    /// The same, with the second copy after a delay.
+    AnswersTwiceLate(Duration),
+    /// The same, with the second copy as the answer to the next request on the connection.
+    AnswersTwiceNext,
+    /// After a delay.
+    Late(Duration),
+    /// A stream of some events, each after a pause.
+    Slow { events: u32, pause: Duration },
+    /// A stream of one event and the start of a second one, of which a byte comes after each pause.
+    Stalled { pause: Duration },
 }
 
 impl Engine {
@@ -163,6 +188,7 @@
             request_count: Cell::new(0),
             silent_connections: RefCell::default(),
             silent_request_count: Cell::new(0),
+            behaviour: Cell::default(),
         });
         spawn_local(Rc::clone(&engine).run(listener));
         engine
@@ -214,6 +240,7 @@
         let mut connection = Connection::new(stream);
         let index = self.silent_connections.borrow().len();
         self.silent_connections.borrow_mut().push(false);
+        let mut late_copy: Option<String> = None;
         while let Ok(Some(head)) = connection
             .read_request(HEAD_LIMIT_BYTES, IDLE_TIMEOUT, IDLE_TIMEOUT)
             .await
@@ -236,11 +263,38 @@
                     return self.end_process();
                 }
                 let answer = format!(
-                    "HTTP/1.1 200 OK\r\nid: {id}\r\nsealed: 1\r\nContent-Length: 2\r\n\r\nok"
+                    "HTTP/1.1 200 OK\r\nid: {id}\r\nsealed: 1\r\nContent-Length: {}\r\n\r\n{id}",
+                    id.len()
                 );
-                if connection.write_all(answer.as_bytes()).await.is_err() {
+                let mut written = late_copy.take().unwrap_or_default();
+                let mut later = None;
+                match self.behaviour.get() {
+                    Behaviour::AnswersTwice => written = answer.repeat(2),
+                    Behaviour::AnswersTwiceLate(delay) => {
+                        written.push_str(&answer);
+                        later = Some((delay, answer));
+                    }
+                    Behaviour::AnswersTwiceNext => {
+                        written.push_str(&answer);
+                        late_copy = Some(answer);
+                    }
+                    Behaviour::Late(delay) => {
+                        sleep(delay).await;
+                        written.push_str(&answer);
+                    }
+                    Behaviour::Sound | Behaviour::Slow { .. } | Behaviour::Stalled { .. } => {
+                        written.push_str(&answer);
+                    }
+                }
+                if connection.write_all(written.as_bytes()).await.is_err() {
                     return;
                 }
+                if let Some((delay, copy)) = later {
+                    sleep(delay).await;
+                    if connection.write_all(copy.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
                 continue;
             }
             let limit = self.limit_per_s.get();
@@ -254,14 +308,46 @@
             if is_lethal {
                 return self.end_process();
             }
-            let written = connection.write_all(b"f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n");
-            if written.await.is_err() {
+            if write_stream(&connection, self.behaviour.get())
+                .await
+                .is_err()
+            {
                 return;
             }
         }
     }
 }
 
+async fn write_stream(connection: &Connection, behaviour: Behaviour) -> io::Result<()> {
+    match behaviour {
+        Behaviour::Slow { events, pause } => {
+            for id in 1..=events {
+                sleep(pause).await;
+                let event = format!("id: {id}\ndata: a\n\n");
+                let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+                connection.write_all(chunk.as_bytes()).await?;
+            }
+            connection.write_all(b"0\r\n\r\n").await
+        }
+        Behaviour::Stalled { pause } => {
+            connection.write_all(b"f\r\nid: 1\ndata: a\n\n\r\n").await?;
+            loop {
+                sleep(pause).await;
+                connection.write_all(b"1\r\n:\r\n").await?;
+            }
+        }
+        Behaviour::Sound
+        | Behaviour::AnswersTwice
+        | Behaviour::AnswersTwiceLate(_)
+        | Behaviour::AnswersTwiceNext
+        | Behaviour::Late(_) => {
+            connection
+                .write_all(b"f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n")
+                .await
+        }
+    }
+}
+
 /// Returns whether a request ends the target that runs it.
 fn is_lethal(head: &RequestHead, body: &[u8]) -> bool {
     let is_of_lethal_team = match head.target.starts_with(MODEL_PATH) {
@@ -361,6 +447,14 @@
         Box::pin(async { not_executed() })
     }
 
+    fn encoded_table(&self, _version: Version) -> Option<Bytes> {
+        None
+    }
+
+    fn decode_table(&self, _encoded: Bytes) -> Result<Table, PlatformError> {
+        not_executed()
+    }
+
     fn tables_after(
         &self,
         _from: Position,
@@ -551,6 +645,16 @@
         self.exchange(path, &format!("key: {key}\r\n"), body).await
     }
 
+    /// Sends a request to the plain service, and returns its id and the body of the answer. Returns
+    /// `None` without an answer of status 200.
+    pub(crate) async fn answer_of(&self, path: &str) -> (RequestId, Option<String>) {
+        let (id, answer) = self.send(path, &format!("key: {SOUND_KEY}\r\n"), "").await;
+        let body = answer
+            .filter(|(status, _)| *status == 200)
+            .map(|(_, body)| String::from_utf8_lossy(&body).into_owned());
+        (id, body)
+    }
+
     /// Opens a connection, sends some bytes on it and says nothing more.
     pub(crate) async fn open_silent_connection(&self, bytes: &[u8]) -> Connection {
         let limit = Duration::from_secs(5);
@@ -569,24 +673,37 @@
     }
 
     async fn exchange(&self, path: &str, headers: &str, body: &str) -> CallerResult {
+        match self.send(path, headers, body).await.1 {
+            Some((200, _)) => CallerResult::Complete,
+            Some((status, _)) => CallerResult::Status(status),
+            None => CallerResult::Broken,
+        }
+    }
+
+    /// Sends a request, and returns its id with the status and body of its answer. Returns `None` for
+    /// an answer that breaks off.
+    async fn send(
+        &self,
+        path: &str,
+        headers: &str,
+        body: &str,
+    ) -> (RequestId, Option<(u16, Bytes)>) {
         self.next_id.set(self.next_id.get() + 1);
+        let id = self.last_id();
         let request = format!(
-            "POST {path} HTTP/1.1\r\nHost: test\r\nid: {}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
-            self.last_id(),
+            "POST {path} HTTP/1.1\r\nHost: test\r\nid: {id}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
             body.len(),
         );
         let limit = Duration::from_secs(5);
         let mut connection = Connection::open(self.address, limit).await.unwrap();
         connection.write_all(request.as_bytes()).await.unwrap();
         let Ok(head) = connection.read_response().await else {
-            return CallerResult::Broken;
+            return (id, None);
         };
         let mut decoder = BodyDecoder::new(head.framing);
-        match connection.read_whole_body(&mut decoder, 1 << 20).await {
-            Ok(Some(_)) if head.status == 200 => CallerResult::Complete,
-            Ok(Some(_)) => CallerResult::Status(head.status),
-            Ok(None) | Err(_) => CallerResult::Broken,
-        }
+        let body = connection.read_whole_body(&mut decoder, 1 << 20).await;
+        let answer = body.ok().flatten().map(|body| (head.status, body));
+        (id, answer)
     }
 
     /// Ends the host's process: all its tasks, with what it has in memory.
--- a/crates/anvil_observe/src/events.rs
+++ b/crates/anvil_observe/src/events.rs
@@ -132,6 +132,8 @@
     "stream.repair_unknown": "An order to continue a request on another path was not answered.",
     "stream.silent": "The cause of a silent stream was investigated. The line tells whether the stream continues on another path.",
     "stream.state_unknown": "The first engine of a silent stream could not be asked what it is waiting for.",
+    "table.answer_failed": "The answer to a peer's question for the operators' table could not be sent.",
+    "table.fetch_failed": "A relay did not pass on the operators' table. The host asks the next relay, and then the store.",
     "target.cache_events_missed": "Cache events of a target were missed, so the host's view of its cache is out of date.",
     "target.connection_silent": "A connection to a target stopped answering. A new one is opened.",
     "target.connections_doubted": "A request on a kept connection to a target was not answered in time. The other kept connections to it were dropped.",
