--- a/crates/anvil_gateway/src/plain/tests.rs
+++ b/crates/anvil_gateway/src/plain/tests.rs
@@ -12,6 +12,7 @@
 };
 
 use crate::tests::fleet::{
+    Behaviour,
     CallerResult,
     Fleet,
     Host,
@@ -205,3 +206,34 @@
         expect_sound_answered(&host).await;
     });
 }
+
+/// Guards against a caller that gets the answer to another one's request, because a target sends a
+/// second copy of an answer on a connection that is in use again.
+#[gtest]
+fn serve_gives_no_caller_late_copy_of_other_answer() {
+    for (network, behaviour) in [
+        (66, Behaviour::AnswersTwice),
+        (67, Behaviour::AnswersTwiceLate(Duration::from_millis(15))),
+        (68, Behaviour::AnswersTwiceNext),
+    ] {
+        run(async {
+            let fleet = Fleet::start_plain(network, 1, None).await;
+            let host = fleet.start_host(0).await;
+            fleet.engines[0].behaviour.set(behaviour);
+            for index in 0..30 {
+                let path = [SAFE_PATH, UNSAFE_PATH][index % 2];
+                let (id, body) = host.answer_of(path).await;
+                if let Some(body) = &body {
+                    expect_that!(*body, eq(id.as_str()), "{behaviour:?}");
+                }
+                // A request that may be repeated is answered over another connection.
+                if path == SAFE_PATH {
+                    expect_that!(body, some(anything()), "{behaviour:?}, request {index}");
+                }
+                expect_that!(fleet.run_count(&id), le(2 - index % 2), "{behaviour:?}");
+                // Copies arrive while the connection is idle, in use, or neither.
+                sleep(Duration::from_millis(10 * (index as u64 % 3))).await;
+            }
+        });
+    }
+}
--- a/crates/anvil_gateway/src/stream/tests.rs
+++ b/crates/anvil_gateway/src/stream/tests.rs
@@ -12,6 +12,7 @@
 };
 
 use crate::tests::fleet::{
+    Behaviour,
     CallerResult,
     Fleet,
     Host,
@@ -214,3 +215,39 @@
         });
     }
 }
+
+/// Guards against a slow but sound stream that is cut or sent again.
+#[gtest]
+fn serve_relays_slow_stream_to_its_end() {
+    run(async {
+        let fleet = Fleet::start(61, 2).await;
+        let host = fleet.start_host(0).await;
+        for engine in &fleet.engines {
+            engine.behaviour.set(Behaviour::Slow {
+                events: 5,
+                pause: Duration::from_millis(600),
+            });
+        }
+        expect_that!(host.call(&["part"]).await, eq(CallerResult::Complete));
+        expect_that!(fleet.run_count(&host.last_id()), eq(1));
+    });
+}
+
+/// Guards against a stalled stream that never ends because a byte of it comes now and then.
+#[gtest]
+fn serve_ends_stalled_stream_whose_bytes_complete_no_event() {
+    run(async {
+        let fleet = Fleet::start(62, 2).await;
+        let host = fleet.start_host(0).await;
+        for engine in &fleet.engines {
+            engine.behaviour.set(Behaviour::Stalled {
+                pause: Duration::from_millis(50),
+            });
+        }
+        let start = Instant::now();
+        let result = host.call(&["part"]).await;
+        expect_that!(result, eq(CallerResult::Broken));
+        // Before the deadline of the route.
+        expect_that!(start.elapsed(), lt(Duration::from_secs(20)));
+    });
+}
