Probe the engines of a silent stream, and read the store at one relay a data centre

The first engine's report tells of a stall some 300 ms after the last event, and was asked after 450 ms; callers there count a pause as late from 300 ms on.

Change: a stream that ran evenly and pauses for several usual pauses has the engines of its path probed by a connection, but for those with progress of other streams; engines that do not accept are told to peers at once, and the stream is moved. If most of a path seems lost, no engine is blamed. anvil_core::stall holds both decisions. The report is asked after 320 ms. The second relay of a data centre reads the store only while less than two other data centres are heard.

--- a/crates/anvil_core/src/exchange.rs
+++ b/crates/anvil_core/src/exchange.rs
@@ -61,6 +61,8 @@
 const PROBE_ROUNDS: u64 = 4;
 /// Hosts that are probed in one round while there are fewer relays than there should be.
 const PROBES_MAX: usize = 3;
+/// Other data centres whose readers make up for the loss of a reader.
+const OTHER_REGIONS_MIN: usize = 2;
 /// Share of the live hosts that the most complete sum covers, from which on a sum is complete enough
 /// for the order of the relays to decide.
 const COMPLETE_SHARE: f64 = 0.9;
@@ -397,6 +399,30 @@
             .contains(&self.own.id)
     }
 
+    /// Returns whether this host is one of those that read the store for the others: the first relay
+    /// of each data centre, and the second one too while less than two other data centres are heard
+    /// that would make up for the loss of the first.
+    pub fn is_reader(&self, now: Duration) -> bool {
+        let relays = self.relays_of(&self.own.data_centre, now);
+        match relays.iter().position(|id| *id == self.own.id) {
+            None => false,
+            Some(0) => true,
+            Some(_) => self.heard_regions(now) < OTHER_REGIONS_MIN,
+        }
+    }
+
+    /// Returns the number of other data centres whose relays were heard recently.
+    fn heard_regions(&self, now: Duration) -> usize {
+        let fresh = self
+            .regions
+            .iter()
+            .filter(|(_, region)| region.is_fresh(now));
+        let data_centres: BTreeSet<&DataCentreId> = fresh
+            .filter_map(|(id, _)| Some(&self.peers.get(id)?.data_centre))
+            .collect();
+        data_centres.len()
+    }
+
     /// Returns the relays of this host's data centre but for itself, the first one first.
     pub fn other_relays(&self, now: Duration) -> Vec<HostId> {
         let mut relays = self.relays_of(&self.own.data_centre, now);
--- a/crates/anvil_core/src/exchange/tests.rs
+++ b/crates/anvil_core/src/exchange/tests.rs
@@ -204,3 +204,22 @@
         expect_that!(chosen.count(), eq(1), "key {key}");
     }
 }
+
+/// Guards against a data centre that loses its only reader, and against a store that every relay asks.
+#[gtest]
+fn is_reader_holds_for_second_relay_while_few_regions_are_heard() {
+    for (region_count, expected) in [(0, true), (1, true), (2, false)] {
+        let mut exchange = Exchange::new(record("own", "a", 100));
+        let regions = (0..region_count).map(|index| format_smolstr!("region-{index}"));
+        let remote = regions.clone().map(|region| record(&region, &region, 100));
+        exchange.replace_list(remote.chain([record("first", "a", 500)]), at_ms(0));
+        let answer = message(MessageKind::Summary, 1, presence("a"));
+        exchange.record(&"first".into(), answer, at_ms(1));
+        for region in regions {
+            let message = message(MessageKind::Region, 1, presence(&region));
+            exchange.record(&region, message, at_ms(1));
+        }
+        expect_that!(exchange.is_relay(at_ms(2)), eq(true));
+        expect_that!(exchange.is_reader(at_ms(2)), eq(expected), "{region_count}");
+    }
+}
--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod request_digest;
 pub mod retry;
 pub mod route;
+pub mod stall;
 pub mod step;
 pub mod subset;
 pub mod target_limit;
--- a/crates/anvil_gateway/src/faults.rs
+++ b/crates/anvil_gateway/src/faults.rs
@@ -6,7 +6,10 @@
     time::Duration, //
 };
 
-use anvil_core::engine_model::EngineProfile;
+use anvil_core::{
+    engine_model::EngineProfile,
+    stall::Evidence, //
+};
 use tokio::time::Instant;
 
 use crate::{
@@ -16,7 +19,10 @@
         ChosenPath,
         LIVENESS_WINDOW, //
     },
-    target::Target, //
+    target::{
+        AvoidReason,
+        Target, //
+    },
 };
 
 /// Share of an engine's memory in known use from which on a refusal may be for lack of capacity.
@@ -29,8 +35,13 @@
 /// Shortest interval between two slowdown queries of this host. Peers query other engines and
 /// report the result.
 const SLOWDOWN_QUERY_INTERVAL: Duration = Duration::from_millis(400);
+/// Longest time that the probe of an engine may take: several round trips and the time to accept.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(60);
 /// Longest time that the check of a target after a lost connection may take: a few round trips.
 const STATE_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after the last event of a stream within which events of other streams may be of the same
+/// pass of the engines.
+const SAME_PASS_TIME: Duration = Duration::from_millis(20);
 /// Largest number of engines of a stalled path that are all recorded as unresponsive.
 const SUSPECTS_MAX: usize = 2;
 
@@ -163,10 +174,42 @@
 /// Finds out by a new connection whether a target to which one was lost is still running. The new one
 /// is kept for the next request.
 pub async fn check_state(target: &Target) -> ProcessState {
-    let opened = target
-        .pool
-        .open(target.address(), STATE_CHECK_TIMEOUT)
-        .await;
+    check_state_within(target, STATE_CHECK_TIMEOUT).await
+}
+
+/// Returns what is known of each engine of a path whose stream has been silent since `silent_since`:
+/// whether it made progress with another stream after that, whether this host or a peer found it
+/// unresponsive, or otherwise whether it accepts a connection.
+pub async fn probe_path(
+    gateway: &Gateway,
+    chosen: &ChosenPath,
+    silent_since: Instant,
+) -> Vec<Evidence> {
+    let now = Instant::now();
+    let peers_view = gateway.peers_view();
+    let probes = chosen.hops.iter().map(|hop| {
+        let target = &hop.target;
+        let is_avoided = target.is_avoided(now)
+            && target.avoid_reason.get() == AvoidReason::Unresponsive
+            || peers_view.avoided.contains_key(&target.id_hash);
+        async move {
+            if target.progressed_since(silent_since + SAME_PASS_TIME) {
+                return Evidence::Alive;
+            }
+            if is_avoided || target.is_removed.get() {
+                return Evidence::Lost;
+            }
+            match check_state_within(target, PROBE_TIMEOUT).await {
+                ProcessState::Alive => Evidence::Alive,
+                ProcessState::Ended | ProcessState::Unreachable => Evidence::Lost,
+            }
+        }
+    });
+    futures::future::join_all(probes).await
+}
+
+async fn check_state_within(target: &Target, limit: Duration) -> ProcessState {
+    let opened = target.pool.open(target.address(), limit).await;
     match opened {
         Ok(acquired) => {
             target.pool.release(acquired.connection, None);
--- a/crates/anvil_gateway/src/follow.rs
+++ b/crates/anvil_gateway/src/follow.rs
@@ -110,7 +110,7 @@
                 false => self.backoff.remaining(self.gateway.store_answered_as_of()),
             };
             if backoff.is_zero() {
-                if peers::is_relay(&self.gateway) || self.is_behind_peer() {
+                if peers::is_reader(&self.gateway) || self.is_behind_peer() {
                     return;
                 }
                 if self.is_overdue()
@@ -150,7 +150,7 @@
 
     async fn call(&mut self, requested_at: BootTime) -> Result<(), PlatformError> {
         let from = match self.next {
-            Some(from) if peers::is_relay(&self.gateway) && !self.is_of_older_era() => from,
+            Some(from) if peers::is_reader(&self.gateway) && !self.is_of_older_era() => from,
             // The changes since this host last asked may be many, or the log may no longer keep
             // them.
             Some(_) | None => return self.read(requested_at).await,
@@ -273,7 +273,7 @@
         let is_due = || match gateway.targets.age() {
             None => true,
             Some(_) if gateway.awaits_targets.get() => last_read.elapsed() >= LIST_INTERVAL_PLACING,
-            Some(age) if peers::is_relay(gateway) => {
+            Some(age) if peers::is_reader(gateway) => {
                 last_read.elapsed() >= bound.mul_f64(LIST_INTERVAL_SHARE)
                     || age > limits.overdue_age
             }
@@ -339,7 +339,7 @@
             let changes = gateway.targets.effective_changes(&read.items);
             gateway.targets.apply(read.items, read.next, requested_at);
             if let Some(from) = from.offset_in(read.next.era())
-                && peers::is_relay(gateway)
+                && peers::is_reader(gateway)
             {
                 peers.send_changes(from, &changes).await;
             }
--- a/crates/anvil_gateway/src/follow/backoff.rs
+++ b/crates/anvil_gateway/src/follow/backoff.rs
@@ -125,7 +125,7 @@
         return peers.has_heard_any().then_some(CUT_OFF_BACKOFF);
     }
     let peer_count = peers.data_centre_live_count(&gateway.settings.data_centre, now);
-    if peer_count == 0 || peers.is_relay(now) {
+    if peer_count == 0 || peers.is_reader(now) {
         return None;
     }
     let share = FAILING_CALL_INTERVAL * u32::try_from(peer_count).unwrap_or(u32::MAX);
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -80,8 +80,9 @@
     pub newer_table_notify: Notify,
     /// States of the prompt parts under which engines ended.
     pub quarantine: RefCell<Quarantine>,
-    /// Notified when evidence of this host changed the state of a part, which peers must know soon.
-    pub quarantine_changed: Notify,
+    /// Notified when this host has observed what peers must know soon: evidence against a request, or
+    /// a lost engine.
+    pub urgent_change: Notify,
     /// When an engine was last asked for its slowdown. `None` before the first query.
     pub last_slowdown_query: Cell<Option<Instant>>,
     /// Whether this host is to place a model and waits for the target list to be complete.
@@ -120,7 +121,7 @@
             metrics: Metrics::new(),
             newer_table_notify: Notify::new(),
             quarantine: RefCell::new(Quarantine::default()),
-            quarantine_changed: Notify::new(),
+            urgent_change: Notify::new(),
             last_slowdown_query: Cell::new(None),
             awaits_targets: Cell::new(false),
             table_questions: Cell::new(0),
--- a/crates/anvil_gateway/src/peers.rs
+++ b/crates/anvil_gateway/src/peers.rs
@@ -181,7 +181,7 @@
             let next_round = Instant::now() + interval;
             tokio::select! {
                 () = sleep_until(next_round) => {}
-                () = self.gateway.quarantine_changed.notified() => {
+                () = self.gateway.urgent_change.notified() => {
                     self.send_urgently().await;
                     sleep_until(next_round).await;
                 }
@@ -221,21 +221,14 @@
     /// Sends target changes to the hosts that report to this relay, without waiting for their next
     /// reports. These digests carry no loads, which leaves room for the changes.
     pub async fn send_changes(&self, from: Offset, changes: &[TargetChange]) {
-        let recipients = self
-            .gateway
-            .peers
-            .borrow()
-            .urgent_recipients(BootTime::now());
+        let members = self.gateway.peers.borrow().members(BootTime::now());
         let mut base = self.own_digest();
         base.target_changes = Some(TargetChangeBatch {
             from,
             changes: changes.to_vec(),
         });
-        for Outgoing { to, kind } in recipients {
-            // The other relay reads the changes itself.
-            if kind == MessageKind::Summary {
-                self.send(&base, kind, &to).await;
-            }
+        for to in members {
+            self.send(&base, MessageKind::Summary, &to).await;
         }
     }
 
@@ -423,6 +416,17 @@
                 gateway.targets.confirm_current(echo.earlier(age));
             }
         }
+        // The hosts that report to a relay hear of it only through the relay.
+        let avoided = &digest.summary.avoided;
+        if digest.kind == MessageKind::Report && !avoided.is_empty() && is_relay(gateway) {
+            let known = gateway.peers_view();
+            if avoided
+                .keys()
+                .any(|target| !known.avoided.contains_key(target))
+            {
+                gateway.urgent_change.notify_one();
+            }
+        }
         let newest_version = digest
             .table_version
             .max(digest.summary.newest_table_version);
@@ -464,7 +468,12 @@
     }
 }
 
-/// Returns whether this host is a relay of its data centre, which also reads the store for it.
+/// Returns whether this host is one of those that read the store for the others.
+pub fn is_reader(gateway: &Gateway) -> bool {
+    gateway.peers.borrow().is_reader(BootTime::now())
+}
+
+/// Returns whether this host is a relay of its data centre.
 pub fn is_relay(gateway: &Gateway) -> bool {
     gateway.peers.borrow().is_relay(BootTime::now())
 }
--- a/crates/anvil_gateway/src/peers/view.rs
+++ b/crates/anvil_gateway/src/peers/view.rs
@@ -175,7 +175,18 @@
         !self.is_empty() && !self.hears_any(now)
     }
 
-    /// Returns whether this host is a relay of its data centre. Relays also read the store for it.
+    /// Returns whether this host is one of those that read the store for the others.
+    pub fn is_reader(&self, now: BootTime) -> bool {
+        self.exchange.is_reader(now.since_boot())
+    }
+
+    /// Returns the hosts that report to this one.
+    pub(super) fn members(&self, now: BootTime) -> Vec<HostId> {
+        let members = self.exchange.members_heard(now.since_boot());
+        members.cloned().collect()
+    }
+
+    /// Returns whether this host is a relay of its data centre.
     pub fn is_relay(&self, now: BootTime) -> bool {
         self.exchange.is_relay(now.since_boot())
     }
--- a/crates/anvil_gateway/src/placer.rs
+++ b/crates/anvil_gateway/src/placer.rs
@@ -118,7 +118,7 @@
         let duration = self.lease_duration();
         sleep(GROUP_JOIN_DELAY).await;
         loop {
-            if !self.lease.borrow().is_held() && !peers::is_relay(&self.gateway) {
+            if !self.lease.borrow().is_held() && !peers::is_reader(&self.gateway) {
                 sleep(PLACEMENT_INTERVAL).await;
                 continue;
             }
--- a/crates/anvil_gateway/src/quarantine.rs
+++ b/crates/anvil_gateway/src/quarantine.rs
@@ -131,7 +131,7 @@
             }
         }
         if !changed.is_empty() {
-            self.quarantine_changed.notify_one();
+            self.urgent_change.notify_one();
         }
     }
 
@@ -155,7 +155,7 @@
             }
         }
         if !refuted.is_empty() {
-            self.quarantine_changed.notify_one();
+            self.urgent_change.notify_one();
         }
     }
 
@@ -180,7 +180,7 @@
             // The hosts that report to a relay hear of it only through the relay.
             let is_relayed = merged.is_newly_quarantined && peers::is_relay(self);
             if merged.adds_answer || merged.is_outdated || is_relayed {
-                self.quarantine_changed.notify_one();
+                self.urgent_change.notify_one();
             }
         }
     }
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -613,7 +613,8 @@
             }
             trace.events += events;
             is_first = false;
-            stall_timer = StallTimer::start(now);
+            let longest_pause = Duration::from_millis(trace.longest_pause_ms);
+            stall_timer = StallTimer::start_at_event(now, chosen, longest_pause);
             self.last_sent_at = now;
             if caller.write_all(&out).await.is_err() {
                 return AttemptResult::CallerDisconnected;
--- a/crates/anvil_gateway/src/stream/repair.rs
+++ b/crates/anvil_gateway/src/stream/repair.rs
@@ -6,11 +6,15 @@
     time::Duration, //
 };
 
-use anvil_core::entry::RequestSemantics;
+use anvil_core::{
+    entry::RequestSemantics,
+    stall, //
+};
 use tokio::time::Instant;
 
 use crate::{
     exchange::RequestTrace,
+    faults,
     paths::{
         self,
         ChosenPath, //
@@ -31,8 +35,8 @@
 mod tests;
 
 /// Time without events after which the first engine is asked what the stream waits for, unless all
-/// engines of its path make progress with some request.
-const STALL_CHECK_DELAY: Duration = Duration::from_millis(450);
+/// engines of its path make progress with some request. Its report tells of a stall after 300 ms.
+const STALL_CHECK_DELAY: Duration = Duration::from_millis(320);
 /// Time between two such queries. A report of an engine is a few hundred ms old, so that asking
 /// more often tells little.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -53,6 +57,8 @@
 pub(super) struct StallTimer {
     /// When the period began: the last event, or the send.
     pub(super) started_at: Instant,
+    /// When to probe the engines of the path; `None` if they are not to be probed, or were.
+    probe_at: Option<Instant>,
     /// When the first engine was last asked for the cause; `None` before the first query.
     checked_at: Option<Instant>,
     /// When the stream was last repaired; `None` without a repair in this period.
@@ -64,17 +70,33 @@
     pub(super) fn start(started_at: Instant) -> Self {
         Self {
             started_at,
+            probe_at: None,
             checked_at: None,
             repaired_at: None,
         }
     }
 
-    /// Returns when to ask for the cause next.
+    /// Starts a timer at an event of a stream. `longest_pause` is that of the stream so far.
+    pub(super) fn start_at_event(
+        event_at: Instant,
+        chosen: &ChosenPath,
+        longest_pause: Duration,
+    ) -> Self {
+        let predicted_pause = Duration::from_secs_f64(chosen.path.pause_ms.max(0.0) / 1e3);
+        let delay = stall::probe_delay(predicted_pause, longest_pause);
+        Self {
+            probe_at: delay.map(|delay| event_at + delay),
+            ..Self::start(event_at)
+        }
+    }
+
+    /// Returns when to look for the cause next.
     fn next_check_at(&self) -> Instant {
-        match self.checked_at {
+        let report_at = match self.checked_at {
             None => self.started_at + STALL_CHECK_DELAY,
             Some(checked_at) => checked_at + STALL_CHECK_INTERVAL,
-        }
+        };
+        self.probe_at.map_or(report_at, |at| at.min(report_at))
     }
 
     /// Returns when to give up waiting and send the request again.
@@ -98,6 +120,9 @@
         let mut check_at = stall_timer.next_check_at();
         loop {
             tokio::time::sleep_until(check_at.min(stall_timer.resend_at())).await;
+            if stall_timer.probe_at.is_some() {
+                return;
+            }
             // If all engines make progress, they are slow and none is lost.
             if !chosen.are_all_live() || Instant::now() >= stall_timer.resend_at() {
                 return;
@@ -121,8 +146,24 @@
         if is_resumable && Instant::now() >= stall_timer.resend_at() {
             return StallAction::Resend;
         }
-        stall_timer.checked_at = Some(Instant::now());
-        let result = tokio::time::timeout(REPAIR_TIMEOUT, self.order_repair(chosen)).await;
+        let is_probe = stall_timer.probe_at.take().is_some();
+        let result = match is_probe {
+            true => match self.probe(chosen, stall_timer.started_at).await {
+                Some(lost)
+                    if is_resumable && lost.iter().any(|lost| Rc::ptr_eq(lost, chosen.first())) =>
+                {
+                    return StallAction::Resend;
+                }
+                Some(lost) => {
+                    tokio::time::timeout(REPAIR_TIMEOUT, self.order_path(chosen, lost)).await
+                }
+                None => return StallAction::KeepWaiting,
+            },
+            false => {
+                stall_timer.checked_at = Some(Instant::now());
+                tokio::time::timeout(REPAIR_TIMEOUT, self.order_repair(chosen)).await
+            }
+        };
         let outcome = match result {
             Ok(Ok(Some(repaired))) => {
                 trace
@@ -145,12 +186,38 @@
             request = self.request.metadata.id.as_str(),
             first = chosen.first().id.as_str(),
             silent_ms = stall_timer.started_at.elapsed().as_millis() as u64,
+            evidence = if is_probe { "probe" } else { "report" },
             outcome,
         });
         self.gateway.metrics.record_repair(outcome);
         StallAction::KeepWaiting
     }
 
+    /// Probes the engines of a path whose stream is silent. Returns those that are lost, or `None` if
+    /// none is.
+    async fn probe(&self, chosen: &ChosenPath, silent_since: Instant) -> Option<Vec<Rc<Target>>> {
+        let evidence = faults::probe_path(self.gateway, chosen, silent_since).await;
+        let lost: Vec<Rc<Target>> = stall::lost_engines(&evidence)
+            .into_iter()
+            .map(|index| Rc::clone(&chosen.hops[index].target))
+            .collect();
+        let now = Instant::now();
+        let is_new = |target: &&Rc<Target>| !target.is_avoided(now);
+        if lost.iter().any(|target| is_new(&target)) {
+            // The streams of the other hosts wait for the same engines.
+            self.gateway.urgent_change.notify_one();
+        }
+        for target in lost.iter().filter(is_new) {
+            spdlog::info!("target.lost", kv: {
+                target = target.id.as_str(),
+                request = self.request.metadata.id.as_str(),
+                silent_ms = now.duration_since(silent_since).as_millis() as u64,
+            });
+            target.record_unresponsive(now);
+        }
+        (!lost.is_empty()).then_some(lost)
+    }
+
     /// Asks the first engine what the stream waits for, and orders a path without that engine.
     /// Returns the new path, or `None` if the stream waits for no engine of its path.
     ///
@@ -179,9 +246,24 @@
                 lost.push(target);
             }
         }
-        if lost.is_empty() {
-            return Ok(None);
+        match lost.is_empty() {
+            true => Ok(None),
+            false => self.order_path(chosen, lost).await,
         }
+    }
+
+    /// Orders a path without the lost engines.
+    ///
+    /// # Errors
+    ///
+    /// Returns a text for the log and the metrics if no path could be ordered.
+    async fn order_path(
+        &self,
+        chosen: &ChosenPath,
+        mut lost: Vec<Rc<Target>>,
+    ) -> Result<Option<ChosenPath>, &'static str> {
+        let orders = &self.gateway.platform.orders;
+        let first = chosen.first();
         for _ in 0..REPAIR_ORDERS_MAX {
             for target in &lost {
                 target.record_unresponsive(Instant::now());
--- a/crates/anvil_observe/src/events.rs
+++ b/crates/anvil_observe/src/events.rs
@@ -142,6 +142,7 @@
     "target.lapsed": "The entry of a target was removed right after the store had been away. The target stays in use for the time in which live targets register again.",
     "target.limit_stated": "A target stated another limit of the requests a second that it takes from all hosts together than before, or none any more, to this host (own) or to the peer that is named.",
     "target.listed": "The entry of a target appeared, or its state or layers changed.",
+    "target.lost": "An engine that a silent stream passes through does not accept connections. The stream goes on without it, and peers are told.",
     "target.reached": "A target that had been unreachable answered a load report. A request may be tried on it now.",
     "target.says_leaving": "A target stated in an answer that it is shutting down. It gets nothing new until another run of it registers.",
     "target.closed": "A target refused a request and stated for how long it wants no other. It gets none until that time, and a little more, is over.",
