Avoid engines that answer streams with errors of their own

Cause: an engine with a failing service answers each request at once with a sealed 500. It has the fewest requests in flight, so that it is chosen for most of them, and hosts passed its errors on to callers.

Ruled out: retries by callers, who don't repeat a 500 of their own accord fast enough; health checks, which say that it is healthy.

Change: two errors in a row without an answer begun show that the engine is at fault; it is avoided as one that refuses, and peers are told at once. A stream that may be resumed is sent to another engine, within the route's attempts and the fleet's budget.

--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -82,6 +82,8 @@
 const PATH_RETRY_DELAY: Duration = Duration::from_millis(60);
 /// Longest time without a path before a stream that waits to be resumed is given up.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Status with which an engine answers a request that failed there.
+const INTERNAL_ERROR_STATUS: u16 = 500;
 /// Refusals without execution after which a request is given up.
 const REFUSALS_MAX: u32 = 4;
 
@@ -218,7 +220,21 @@
                     return self.give_up(ErrorReason::Stale, may_have_run, "keys may be outdated");
                 }
                 AttemptResult::ErrorStatus(head, body) => {
-                    return self.relay_error_status(caller, &head, &body).await;
+                    if chosen.first().record_error(Instant::now()) {
+                        // Each other host would find out by requests of its own.
+                        self.gateway.urgent_change.notify_one();
+                    }
+                    let may_retry = is_resumable
+                        && !self.is_head_sent
+                        && head.status == INTERNAL_ERROR_STATUS
+                        && self.first_engines.len() < self.request.route.attempts_max as usize;
+                    if !may_retry || !self.gateway.try_retry(self.request.service_id) {
+                        return self.relay_error_status(caller, &head, &body).await;
+                    }
+                    may_have_run = true;
+                    trace.record_failure(format!("{}: error status", chosen.first().id));
+                    self.failed.push(Rc::clone(chosen.first()));
+                    continue;
                 }
                 AttemptResult::NotRun(failure, at_fault) => {
                     self.gateway.release_trial(&self.admission);
@@ -601,6 +617,9 @@
                 continue;
             }
             chosen.record_progress(now, stall_timer.started_at, is_first);
+            if is_first {
+                chosen.first().record_begun();
+            }
             if !is_first {
                 let pause = now.duration_since(stall_timer.started_at);
                 faults::query_slow_engine(self.gateway, chosen, pause);
--- a/crates/anvil_gateway/src/stream/tests.rs
+++ b/crates/anvil_gateway/src/stream/tests.rs
@@ -251,3 +251,25 @@
         expect_that!(start.elapsed(), lt(Duration::from_secs(20)));
     });
 }
+
+/// Guards against an engine that fails each request at once, and gets most of them because it has the
+/// fewest in flight.
+#[gtest]
+fn serve_sends_few_streams_to_engine_that_fails_at_once() {
+    run(async {
+        let fleet = Fleet::start(64, 4).await;
+        let hosts = [fleet.start_host(0).await, fleet.start_host(1).await];
+        wait_for_peers(&[&hosts[0], &hosts[1]]).await;
+        fleet.engines[0].behaviour.set(Behaviour::Fails);
+        let mut complete = 0;
+        for _ in 0..40 {
+            for host in &hosts {
+                let result = host.call(&["part"]).await;
+                complete += usize::from(result == CallerResult::Complete);
+            }
+        }
+        // Two errors at each host show that the engine fails.
+        expect_that!(fleet.engines[0].request_count.get(), le(4));
+        expect_that!(complete, ge(76));
+    });
+}
--- a/crates/anvil_gateway/src/target.rs
+++ b/crates/anvil_gateway/src/target.rs
@@ -42,6 +42,8 @@
 /// Time for which a target without capacity is avoided. It covers a few events of a stream, each of
 /// which may be the last and free capacity.
 const AVOID_NO_CAPACITY: Duration = Duration::from_millis(120);
+/// Errors in a row after which a target, and not the requests, is taken to be at fault.
+const CONSECUTIVE_ERRORS_MIN: u32 = 2;
 /// Longest time for which a target is avoided, because a crashed one may be back within seconds.
 const AVOID_MAX: Duration = Duration::from_secs(4);
 /// Weight of a new sample in the moving average of the slowdown.
@@ -88,6 +90,8 @@
     /// Why the target was last avoided.
     pub(crate) avoid_reason: Cell<AvoidReason>,
     consecutive_failures: Cell<u32>,
+    /// Requests that the target answered with an error of its own, since it last began an answer.
+    consecutive_errors: Cell<u32>,
     slowdown: Cell<f64>,
     /// When the target last reported a slowdown, and that slowdown.
     reported: Cell<Option<(Instant, f64)>>,
@@ -119,6 +123,7 @@
             avoided_until: Cell::new(None),
             avoid_reason: Cell::new(AvoidReason::Failure),
             consecutive_failures: Cell::new(0),
+            consecutive_errors: Cell::new(0),
             slowdown: Cell::new(1.0),
             reported: Cell::new(None),
             says_leaving: Cell::new(false),
@@ -256,6 +261,26 @@
         self.avoid(now, AVOID_UNRESPONSIVE_MIN, AvoidReason::Refusing);
     }
 
+    /// Records that the target answered a request with an error of its own. One that does so for
+    /// several requests in a row is avoided. Returns whether it is.
+    ///
+    /// Load that it answers: a target that fails at once has the fewest requests in flight, and would
+    /// be chosen for most requests.
+    pub fn record_error(&self, now: Instant) -> bool {
+        let errors = self.consecutive_errors.get().saturating_add(1);
+        self.consecutive_errors.set(errors);
+        let is_failing = errors >= CONSECUTIVE_ERRORS_MIN;
+        if is_failing {
+            self.record_refusing(now);
+        }
+        is_failing
+    }
+
+    /// Records that the target, as the first of a path, began an answer.
+    pub fn record_begun(&self) {
+        self.consecutive_errors.set(0);
+    }
+
     fn avoid(&self, now: Instant, min: Duration, reason: AvoidReason) {
         if self.is_avoided(now) {
             // Requests that are in flight together fail together and count once.
--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -165,6 +165,8 @@
     AnswersTwiceLate(Duration),
     /// The same, with the second copy as the answer to the next request on the connection.
     AnswersTwiceNext,
+    /// At once, with an error of its own.
+    Fails,
     /// After a delay.
     Late(Duration),
     /// A stream of some events, each after a pause.
@@ -282,7 +284,10 @@
                         sleep(delay).await;
                         written.push_str(&answer);
                     }
-                    Behaviour::Sound | Behaviour::Slow { .. } | Behaviour::Stalled { .. } => {
+                    Behaviour::Sound
+                    | Behaviour::Fails
+                    | Behaviour::Slow { .. }
+                    | Behaviour::Stalled { .. } => {
                         written.push_str(&answer);
                     }
                 }
@@ -297,6 +302,15 @@
                 }
                 continue;
             }
+            if self.behaviour.get() == Behaviour::Fails {
+                let answer = format!(
+                    "HTTP/1.1 500 Error\r\nid: {id}\r\nsealed: 1\r\nContent-Length: 0\r\n\r\n"
+                );
+                if connection.write_all(answer.as_bytes()).await.is_err() {
+                    return;
+                }
+                continue;
+            }
             let limit = self.limit_per_s.get();
             let limit = limit.map_or_else(String::new, |limit| format!("limit: {limit}\r\n"));
             let begun = format!(
@@ -340,6 +354,7 @@
         | Behaviour::AnswersTwice
         | Behaviour::AnswersTwiceLate(_)
         | Behaviour::AnswersTwiceNext
+        | Behaviour::Fails
         | Behaviour::Late(_) => {
             connection
                 .write_all(b"f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n")
