Let requests wait for the first table of a host that has just started

In between 574 requests were refused as "unconfigured", with the advice to try another host; there they were refused again and given up.

Ruled out: the store, which answered the first host after 20 ms.

Change: for 1.5 s from the start of its process a host lets requests wait for the first table and target list. Later it refuses at once, as before: then no table is expected.

Tests: a request before the first table is answered (refused before); a host without a table still refuses, at once after the start.

--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -21,7 +21,10 @@
 use bytes::Bytes;
 use tokio::{
     net::TcpStream,
-    time::Instant, //
+    time::{
+        Instant,
+        sleep, //
+    },
 };
 
 use crate::{
@@ -57,6 +60,11 @@
 /// Share of the revocation bound (`bounds.revoke_ms`) that the table may age without confirmation
 /// from the store before its keys count as stale.
 const STALE_AGE_RATIO: f64 = 0.9;
+/// Time from the start of the process within which requests wait for the first table. It covers the
+/// reads from the store, and the decoding of a large table on a small host.
+const START_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time between two checks whether the first table has come.
+const START_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// `Retry-After` of a host that stops or has no current configuration: the retry is expected to
 /// reach another host.
 const OTHER_HOST_RETRY_AFTER: Duration = Duration::from_millis(50);
@@ -281,6 +289,22 @@
     }
 }
 
+/// Returns the table in force. A host that has just started waits for its first table and target list
+/// until [`START_TIMEOUT`].
+///
+/// Load that it answers: after a restart of all hosts, callers find no host that is ready, and one
+/// that was refused would be refused again elsewhere.
+async fn wait_for_first_table(gateway: &Gateway) -> Option<Rc<Table>> {
+    loop {
+        let table = gateway.table_cache.table();
+        let is_complete = table.is_some() && gateway.targets.age().is_some();
+        if is_complete || gateway.uptime() >= START_TIMEOUT {
+            return table;
+        }
+        sleep(START_POLL_INTERVAL).await;
+    }
+}
+
 /// Checks a request and serves it. Returns the metadata of its head, its outcome, and whether its
 /// body was read.
 async fn process_request(
@@ -321,7 +345,7 @@
         return (metadata, RequestOutcome::Error(error_response), true);
     }
     // The table is fetched after the body was read, so that the newest one decides.
-    let Some(table) = gateway.table_cache.table() else {
+    let Some(table) = wait_for_first_table(gateway).await else {
         let error_response =
             ErrorResponse::not_run(ErrorReason::Unconfigured, Some(OTHER_HOST_RETRY_AFTER));
         return (metadata, RequestOutcome::Error(error_response), true);
--- a/crates/anvil_gateway/src/exchange/tests.rs
+++ b/crates/anvil_gateway/src/exchange/tests.rs
@@ -3,6 +3,7 @@
 use googletest::prelude::*;
 use tokio::time::sleep;
 
+use super::START_TIMEOUT;
 use crate::tests::fleet::{
     CallerResult,
     Fleet,
@@ -36,3 +37,33 @@
         expect_that!(answered, eq(CallerResult::Complete));
     });
 }
+
+/// Guards against callers that are refused by one host after the other while all of them start.
+#[gtest]
+fn serve_answers_request_that_arrives_before_first_table() {
+    run(async {
+        let fleet = Fleet::start_plain(32, 1, None).await;
+        let delay = Duration::from_millis(300);
+        let host = fleet.start_host_configured_after(0, delay).await;
+        let (id, answer) = host.answer_of(SAFE_PATH).await;
+        expect_that!(answer, some(eq(id.as_str())));
+    });
+}
+
+/// Guards against callers that wait at a host that gets no table.
+#[gtest]
+fn serve_refuses_at_once_when_no_table_came_at_start() {
+    run(async {
+        let fleet = Fleet::start_plain(33, 1, None).await;
+        let never = Duration::from_secs(3600);
+        let host = fleet.start_host_configured_after(0, never).await;
+        for _ in 0..2 {
+            expect_that!(
+                host.call_plain(SAFE_PATH, SOUND_KEY, "").await,
+                eq(CallerResult::Status(503))
+            );
+            expect_that!(host.gateway.uptime(), ge(START_TIMEOUT));
+        }
+        expect_that!(fleet.run_count(&host.last_id()), eq(0));
+    });
+}
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -141,6 +141,11 @@
         *self.phase.borrow()
     }
 
+    /// Returns the time since the process started.
+    pub fn uptime(&self) -> Duration {
+        self.started.elapsed()
+    }
+
     /// Sets a later phase and wakes the tasks that wait for it.
     pub fn set_phase(&self, phase: Phase) {
         self.phase.send_replace(phase);
--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -793,6 +793,12 @@
 
     /// Starts a host, which knows all engines at once and finds its peers through the store.
     pub(crate) async fn start_host(&self, index: u8) -> Host {
+        self.start_host_configured_after(index, Duration::ZERO)
+            .await
+    }
+
+    /// Starts a host that has its first table and target list after a delay.
+    pub(crate) async fn start_host_configured_after(&self, index: u8, delay: Duration) -> Host {
         let address = IpAddr::from([127, self.network, 2, 1 + index]);
         let text = format!(
             "host_id = \"host-{index}\"\ndata_centre = \"a\"\nprocessor_share = 0.1\n\
@@ -806,8 +812,6 @@
         };
         let settings = settings::read("test", &text).unwrap();
         let gateway = Rc::new(Gateway::new(settings, platform));
-        let now = BootTime::now();
-        gateway.table_cache.update(Some(table()), now, Source::Read);
         let put = |engine: &Rc<Engine>| {
             let entry = match self.is_plain {
                 true => plain_entry(engine.address),
@@ -816,7 +820,20 @@
             TargetChange::Put(engine.id.clone(), entry)
         };
         let listed = self.engines.iter().map(put).collect();
-        gateway.targets.replace(listed, Position::new(0, 1), now);
+        let configured = Rc::clone(&gateway);
+        let configure = async move {
+            sleep(delay).await;
+            let now = BootTime::now();
+            let cache = &configured.table_cache;
+            cache.update(Some(table()), now, Source::Read);
+            configured.targets.replace(listed, Position::new(0, 1), now);
+        };
+        match delay.is_zero() {
+            true => configure.await,
+            false => {
+                spawn_local(configure);
+            }
+        }
         let listener = TcpListener::bind((address, 0)).await.unwrap();
         let callers = listener.local_addr().unwrap();
         let peers = Rc::new(Peers::open(Rc::clone(&gateway)).await.unwrap());
