--- a/crates/anvil_gateway/src/plain/tests.rs
+++ b/crates/anvil_gateway/src/plain/tests.rs
@@ -237,3 +237,22 @@
         });
     }
 }
+
+/// Guards against work that is run again, or said not to have run, after its answer was lost.
+#[gtest]
+fn serve_does_not_repeat_or_deny_unsafe_request_whose_answer_was_lost() {
+    run(async {
+        let fleet = Fleet::start_plain(69, 3, None).await;
+        let host = fleet.start_host(0).await;
+        for target in &fleet.engines {
+            target.behaviour.set(Behaviour::LosesAnswer);
+        }
+        for index in 0..10 {
+            let body = format!("body {index}");
+            let result = host.call_plain(UNSAFE_PATH, SOUND_KEY, &body).await;
+            // 429 and 503 would say that it has not run.
+            expect_that!(result, eq(CallerResult::Status(502)));
+            expect_that!(fleet.run_count(&host.last_id()), eq(1));
+        }
+    });
+}
--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -167,6 +167,8 @@
     AnswersTwiceNext,
     /// At once, with an error of its own.
     Fails,
+    /// Not at all: it runs the request and closes the connection.
+    LosesAnswer,
     /// After a delay.
     Late(Duration),
     /// A stream of some events, each after a pause.
@@ -271,6 +273,7 @@
                 let mut written = late_copy.take().unwrap_or_default();
                 let mut later = None;
                 match self.behaviour.get() {
+                    Behaviour::LosesAnswer => return,
                     Behaviour::AnswersTwice => written = answer.repeat(2),
                     Behaviour::AnswersTwiceLate(delay) => {
                         written.push_str(&answer);
@@ -355,6 +358,7 @@
         | Behaviour::AnswersTwiceLate(_)
         | Behaviour::AnswersTwiceNext
         | Behaviour::Fails
+        | Behaviour::LosesAnswer
         | Behaviour::Late(_) => {
             connection
                 .write_all(b"f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n")
