--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -19,8 +19,7 @@
         TcpListener,
         TcpStream, //
     },
-    task::spawn_local,
-    time::sleep, //
+    task::spawn_local, //
 };
 
 use crate::{
@@ -32,9 +31,9 @@
     http1::Connection,
     peers,
     run::{
-        ACCEPT_RETRY_DELAY,
         READINESS_HEAD_LIMIT_BYTES,
-        READINESS_TIMEOUT, //
+        READINESS_TIMEOUT,
+        accept, //
     },
 };
 
@@ -307,15 +306,8 @@
 /// Accepts connections on the metrics address and serves them; never returns.
 pub async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                spawn_local(serve_connection(Rc::clone(&gateway), stream));
-            }
-            Err(error) => {
-                spdlog::warn!("listener.accept_failed", kv: { error: });
-                sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
+        let stream = accept(&listener).await;
+        spawn_local(serve_connection(Rc::clone(&gateway), stream));
     }
 }
 
--- a/crates/anvil_gateway/src/peers/table.rs
+++ b/crates/anvil_gateway/src/peers/table.rs
@@ -55,7 +55,7 @@
     },
     knowledge::Source,
     port::Era,
-    run::ACCEPT_RETRY_DELAY,
+    run,
 };
 
 use super::DatagramKey;
@@ -108,15 +108,8 @@
 /// Serves this host's table to its peers. Never returns.
 pub async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                spawn_local(serve_connection(Rc::clone(&gateway), stream));
-            }
-            Err(error) => {
-                spdlog::warn!("listener.accept_failed", kv: { error: });
-                sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
+        let stream = run::accept(&listener).await;
+        spawn_local(serve_connection(Rc::clone(&gateway), stream));
     }
 }
 
--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -48,7 +48,7 @@
 /// Most connections that wait to be accepted, per listener.
 const BACKLOG_CONNECTIONS: u32 = 1024;
 /// Pause after a connection could not be accepted, for example because descriptors ran out.
-pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Time from the signal to stop until the load balancer sends no more connections: it checks
 /// readiness once a second, needs two checks, and each takes a round trip.
 const READINESS_PROPAGATION_DELAY: Duration = Duration::from_millis(2600);
@@ -177,7 +177,8 @@
     }
 }
 
-async fn accept(listener: &TcpListener) -> TcpStream {
+/// Accepts the next connection. A failure is logged, and accepting is tried again.
+pub(crate) async fn accept(listener: &TcpListener) -> TcpStream {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => return stream,
