Send target changes again to hosts that missed them

A relay pushed each read of the list to its members once; a host whose datagram was lost could not apply the next one and waited until its own read was overdue, and with one reader a data centre nobody else pushed.

Change: relays keep their last eight reads, and answer a report that shows that its sender is behind with what it missed. Both relays of a data centre read the target list again; the table stays with one.

The test covers what is kept and sent.

--- a/crates/anvil_gateway/src/follow.rs
+++ b/crates/anvil_gateway/src/follow.rs
@@ -273,7 +273,7 @@
         let is_due = || match gateway.targets.age() {
             None => true,
             Some(_) if gateway.awaits_targets.get() => last_read.elapsed() >= LIST_INTERVAL_PLACING,
-            Some(age) if peers::is_reader(gateway) => {
+            Some(age) if peers::is_relay(gateway) => {
                 last_read.elapsed() >= bound.mul_f64(LIST_INTERVAL_SHARE)
                     || age > limits.overdue_age
             }
@@ -337,9 +337,10 @@
         }
         Changes::Listed(read) => {
             let changes = gateway.targets.effective_changes(&read.items);
+            gateway.targets.keep_changes(from, read.next, &changes);
             gateway.targets.apply(read.items, read.next, requested_at);
             if let Some(from) = from.offset_in(read.next.era())
-                && peers::is_reader(gateway)
+                && peers::is_relay(gateway)
             {
                 peers.send_changes(from, &changes).await;
             }
--- a/crates/anvil_gateway/src/peers.rs
+++ b/crates/anvil_gateway/src/peers.rs
@@ -49,6 +49,7 @@
     port::{
         Era,
         HostEntry,
+        Position,
         TargetChange, //
     },
     target::AvoidReason,
@@ -78,6 +79,14 @@
 /// Delay before registering is tried again after a failed call to the store.
 const REGISTER_RETRY_DELAY: Duration = Duration::from_millis(700);
 
+/// A digest to answer a peer with.
+struct Answer {
+    to: HostId,
+    kind: MessageKind,
+    /// Position up to which the peer has read the target list.
+    targets_next: Position,
+}
+
 /// Sends digests to the other gateways and receives theirs.
 pub struct Peers {
     gateway: Rc<Gateway>,
@@ -232,6 +241,15 @@
         }
     }
 
+    /// Returns the target changes that a peer lacks that has read up to `targets_next`: the datagram
+    /// with them may have been lost.
+    fn missed_changes(&self, targets_next: Position) -> Option<TargetChangeBatch> {
+        let targets = &self.gateway.targets;
+        let changes = targets.changes_since(targets_next)?;
+        let from = targets_next.offset_in(targets.next().era())?;
+        Some(TargetChangeBatch { from, changes })
+    }
+
     /// Returns a digest that carries the observations of this host.
     fn own_digest(&self) -> Digest {
         let gateway = &self.gateway;
@@ -288,7 +306,8 @@
             digest.sent = BootTime::now();
             digest.echo = registry.echo_for(to);
             digest.summary = registry.summary(kind, to, &base.summary, digest.sent);
-            if digest.target_changes.is_some() {
+            let changes = digest.target_changes.as_ref();
+            if changes.is_some_and(|batch| !batch.changes.is_empty()) {
                 digest.summary.loads.clear();
                 digest.is_cut = true;
             }
@@ -343,8 +362,15 @@
             match self.socket.recv_from(&mut buffer).await {
                 Ok((length, _)) => {
                     let answer = self.handle_datagram(&buffer[..length]);
-                    if let Some(Outgoing { to, kind }) = answer {
-                        self.send(&self.own_digest(), kind, &to).await;
+                    if let Some(Answer {
+                        to,
+                        kind,
+                        targets_next,
+                    }) = answer
+                    {
+                        let mut base = self.own_digest();
+                        base.target_changes = self.missed_changes(targets_next);
+                        self.send(&base, kind, &to).await;
                     }
                 }
                 Err(error) => {
@@ -356,7 +382,7 @@
     }
 
     /// Applies a datagram, and returns the digest to answer with, or `None`.
-    fn handle_datagram(&self, datagram: &[u8]) -> Option<Outgoing> {
+    fn handle_datagram(&self, datagram: &[u8]) -> Option<Answer> {
         let Some(sender) = datagram::claimed_sender(datagram) else {
             spdlog::warn!("peers.forged", kv: { reason = "malformed" });
             return None;
@@ -375,8 +401,13 @@
         self.gateway
             .metrics
             .record_digest_received(kind_label(digest.kind), datagram.len());
+        let targets_next = digest.targets_next;
         let kind = self.apply_digest(&sender, digest)?;
-        Some(Outgoing { to: sender, kind })
+        Some(Answer {
+            to: sender,
+            kind,
+            targets_next,
+        })
     }
 
     fn apply_digest(&self, sender: &HostId, digest: Digest) -> Option<MessageKind> {
--- a/crates/anvil_gateway/src/targets.rs
+++ b/crates/anvil_gateway/src/targets.rs
@@ -8,7 +8,8 @@
     collections::{
         BTreeMap,
         HashMap,
-        HashSet, //
+        HashSet,
+        VecDeque, //
     },
     net::SocketAddr,
     rc::Rc,
@@ -60,6 +61,17 @@
 /// don't come back together.
 const CLOSED_SPREAD: f64 = 0.25;
 
+/// Most reads of changes that are kept for peers.
+const KEPT_READS_MAX: usize = 8;
+
+/// A read of changes, without those that changed nothing.
+#[derive(Debug)]
+struct KeptRead {
+    from: Position,
+    next: Position,
+    changes: Vec<TargetChange>,
+}
+
 /// All listed targets.
 #[derive(Debug)]
 pub struct Targets {
@@ -68,6 +80,8 @@
     current_as_of: Cell<Option<BootTime>>,
     /// Position of the next change of the store's list; the default before the first read.
     next: Cell<Position>,
+    /// Last reads of changes by this host or its peers. Invariant: each begins where the one before ends.
+    kept_changes: RefCell<VecDeque<KeptRead>>,
     /// Targets whose entries may only have lapsed. Invariant: all are in `by_id`.
     relisting: Relisting,
     /// Runs of targets that stated that they are shutting down, by the start of the run. They are
@@ -82,6 +96,7 @@
             by_id: RefCell::new(HashMap::new()),
             current_as_of: Cell::new(None),
             next: Cell::new(Position::default()),
+            kept_changes: RefCell::new(VecDeque::new()),
             relisting: Relisting::new(heartbeat),
             leaving_runs: RefCell::new(HashMap::new()),
         }
@@ -199,12 +214,49 @@
             return;
         };
         if known_offset >= from && known_offset < next_offset {
+            self.keep_changes(self.next.get(), next, changes);
             self.apply(changes.to_vec(), next, as_of);
         } else if known_offset == next_offset {
             self.confirm_current(as_of);
         }
     }
 
+    /// Keeps changes that this host or a peer read, from `from` up to `next`, for peers that miss
+    /// them.
+    pub fn keep_changes(&self, from: Position, next: Position, changes: &[TargetChange]) {
+        let mut kept = self.kept_changes.borrow_mut();
+        let is_continued = kept.back().is_some_and(|last| last.next == from);
+        if !is_continued {
+            kept.clear();
+        }
+        if kept.len() >= KEPT_READS_MAX {
+            kept.pop_front();
+        }
+        kept.push_back(KeptRead {
+            from,
+            next,
+            changes: changes.to_vec(),
+        });
+    }
+
+    /// Returns the kept changes that a peer lacks that has read up to `position`, oldest first. Returns
+    /// `None` if it lacks none, or older ones than are kept.
+    pub fn changes_since(&self, position: Position) -> Option<Vec<TargetChange>> {
+        let kept = self.kept_changes.borrow();
+        let oldest = kept.front()?.from;
+        let newest = kept.back()?.next;
+        let era = newest.era();
+        let offset = position.offset_in(era)?;
+        let is_current = newest == self.next.get();
+        if !is_current || offset < oldest.offset_in(era)? || offset >= newest.offset_in(era)? {
+            return None;
+        }
+        let missed = kept
+            .iter()
+            .filter(|read| read.next.offset_in(era).is_some_and(|next| next > offset));
+        Some(missed.flat_map(|read| read.changes.clone()).collect())
+    }
+
     /// Returns the changes that differ from what is known. Most writes of a target's entry are only
     /// heartbeats.
     pub fn effective_changes(&self, changes: &[TargetChange]) -> Vec<TargetChange> {
--- a/crates/anvil_gateway/src/targets/tests.rs
+++ b/crates/anvil_gateway/src/targets/tests.rs
@@ -311,3 +311,36 @@
     target.record_limit(without_limit(50));
     expect_that!(target.limit_statement(now).is_none(), eq(true));
 }
+
+/// Guards against a peer that stays behind because one datagram with changes was lost.
+#[gtest]
+fn changes_since_returns_what_peer_missed() {
+    let targets = Targets::new(Duration::from_secs(1));
+    let change = |id: &str| TargetChange::Removed(id.into());
+    let at = |offset| Position::new(2, offset);
+    let now = BootTime::now();
+    targets.replace(Vec::new(), at(10), now);
+    targets.keep_changes(at(10), at(20), &[change("one")]);
+    targets.apply(vec![change("one")], at(20), now);
+    targets.apply_peer_changes(20, &[], at(30), now);
+    targets.apply_peer_changes(25, &[change("two")], at(40), now);
+    for (position, expected) in [
+        (at(9), None),
+        (at(10), Some(vec!["one", "two"])),
+        (at(20), Some(vec!["two"])),
+        (at(35), Some(vec!["two"])),
+        (at(40), None),
+        (Position::new(1, 20), None),
+    ] {
+        let missed = targets.changes_since(position);
+        let expected = expected.map(|ids| ids.into_iter().map(change).collect::<Vec<_>>());
+        expect_that!(missed, eq(&expected), "{position}");
+    }
+    // What was read up to the newest position is not kept.
+    targets.replace(Vec::new(), at(50), now);
+    expect_that!(targets.changes_since(at(30)), none());
+    // After a gap only the later reads are complete.
+    targets.apply_peer_changes(50, &[], at(60), now);
+    expect_that!(targets.changes_since(at(30)), none());
+    expect_that!(targets.changes_since(at(50)), some(is_empty()));
+}
