--- a/crates/anvil_gateway/src/stream/repair.rs
+++ b/crates/anvil_gateway/src/stream/repair.rs
@@ -131,7 +131,8 @@
         }
     }
 
-    /// Finds the engine that a stalled stream waits for, and moves the stream to a path without it.
+    /// Finds the engine that a stalled stream waits for, by a probe of its path first and by the first
+    /// engine's report later, and moves the stream to a path without it.
     /// The engines that still work keep the memory of the stream, and the request isn't sent again.
     /// Returns [`StallAction::Resend`] without a check if a resumable stream has stalled so long
     /// that its request must be sent again.
