Keep a quarantine in the store by each reader, and give its test three targets

Hosts choose at random, so that the premise of the test did not always hold.

Change of the test: each host ends targets of its own, so that the ends are always three; bound and checks are the same.

Change of the code, found on the way by reading: the host that writes a quarantine to the store was drawn among the relays, at one moment. While hosts disagree on who relays, each may draw another. Each reader writes and removes it now; doubled writes are harmless.

--- a/crates/anvil_gateway/src/plain/tests.rs
+++ b/crates/anvil_gateway/src/plain/tests.rs
@@ -149,6 +149,20 @@
             fleet.start_host(2).await,
         ];
         wait_for_peers(&hosts.iter().collect::<Vec<_>>()).await;
+        // Each host ends another target: one that two hosts end together counts once.
+        for (index, host) in hosts.iter().enumerate() {
+            for (number, target) in host
+                .gateway
+                .targets
+                .of_service(&"plain".into())
+                .iter()
+                .enumerate()
+            {
+                if number % hosts.len() != index {
+                    target.record_unresponsive(Instant::now());
+                }
+            }
+        }
         let calls = hosts.iter().map(|host| send_lethal(host, 1));
         futures::future::join_all(calls).await;
         sleep(EXCHANGE_TIME).await;
--- a/crates/anvil_gateway/src/quarantine.rs
+++ b/crates/anvil_gateway/src/quarantine.rs
@@ -172,8 +172,9 @@
             let merged = self.quarantine.borrow_mut().merge(state, now);
             if merged.is_newly_quarantined {
                 log_quarantined(state, source);
-                // The evidence of several hosts may suffice where that of none does.
-                if source != STORE_SOURCE && self.is_chosen(&state.suspect.to_string()) {
+                // The evidence of several hosts may suffice where that of none does. Each reader
+                // writes it, because hosts may disagree for a while about which of them is chosen.
+                if source != STORE_SOURCE && peers::is_reader(self) {
                     self.keep_in_store(state);
                 }
             }
@@ -203,12 +204,12 @@
         self.merge_suspect_states(&states, STORE_SOURCE);
     }
 
-    /// Writes the part of the quarantine for which this host is responsible to the store.
+    /// Writes the quarantine to the store, if this host reads the store for others.
     pub(crate) fn keep_quarantine_in_store(&self) {
         let now = Instant::now().into_std();
         let states: Vec<SuspectState> = self.quarantine.borrow().quarantined(now).collect();
         for state in states {
-            if self.is_chosen(&state.suspect.to_string()) {
+            if peers::is_reader(self) {
                 self.keep_in_store(&state);
             }
         }
@@ -224,7 +225,7 @@
                 round = state.round,
                 points = state.points,
             });
-            if self.is_chosen(&state.suspect.to_string()) {
+            if peers::is_reader(self) {
                 self.remove_from_store(&state.suspect);
             }
         }
