Log the group that elects the placer, late timers and withheld orders

Cause: nothing told whether the lease moved because renewals came late or because the store gave it to another member, and a layout that found no lease at the end of its search was dropped without a line.

Change: placer.membership, placer.orders_withheld, host.timer_late, the longest turn of the search in placer.layout, and the metric anvil_timer_delay_seconds.

--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -1,7 +1,10 @@
 //! Counters, gauges and latency histograms, served in the Prometheus text format on the metrics
 //! address.
 
-use std::rc::Rc;
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
 
 use prometheus::{
     Encoder,
@@ -56,6 +59,7 @@
     duration: Histogram,
     first_event: Histogram,
     longest_pause: Histogram,
+    timer_delay: Histogram,
     open_requests: IntGauge,
     table_version: IntGauge,
     table_age_ms: IntGauge,
@@ -149,6 +153,10 @@
                 "anvil_longest_pause_seconds",
                 "Longest pause between two events of a stream",
             ),
+            timer_delay: histogram(
+                "anvil_timer_delay_seconds",
+                "Time by which a periodic timer fired late, because other tasks occupied the host",
+            ),
             open_requests: gauge("anvil_open_requests", "Requests open now"),
             table_version: gauge("anvil_table_version", "Version of the table in force"),
             table_age_ms: gauge(
@@ -242,6 +250,11 @@
         self.lost_requests.with_label_values(&[target_state]).inc();
     }
 
+    /// Records the time by which a periodic timer of this host fired late.
+    pub fn record_timer_delay(&self, delay: Duration) {
+        self.timer_delay.observe(delay.as_secs_f64());
+    }
+
     /// Counts a request that ended, and records its times.
     pub fn record_outcome(
         &self,
@@ -264,7 +277,7 @@
     }
 
     fn render(&self, gateway: &Gateway) -> Vec<u8> {
-        let age_ms = |age: Option<std::time::Duration>| {
+        let age_ms = |age: Option<Duration>| {
             age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX))
         };
         let version = gateway.table_cache.version();
--- a/crates/anvil_gateway/src/placer.rs
+++ b/crates/anvil_gateway/src/placer.rs
@@ -30,7 +30,10 @@
 
 use crate::{
     clock::BootTime,
-    gateway::Gateway,
+    gateway::{
+        Gateway,
+        Phase, //
+    },
     peers,
     port::{
         GroupMembership,
@@ -52,6 +55,9 @@
 const LEASE_RENEW_SHARE: f64 = 0.35;
 /// Interval between two checks of the placement.
 const PLACEMENT_INTERVAL: Duration = Duration::from_millis(200);
+/// Delay of a timer from which it is logged. A host that sends no reports for as long is taken to be
+/// silent by its peers.
+const TIMER_DELAY_LOGGED_MIN: Duration = Duration::from_millis(300);
 /// Time without a change in the number of targets after which the target list counts as complete at
 /// the start. It is longer than the interval between two reads of the list.
 const LIST_SETTLE_TIME: Duration = Duration::from_millis(1100);
@@ -136,7 +142,19 @@
                 }
             }
             let pause = duration.mul_f64(LEASE_RENEW_SHARE);
-            sleep(self.gateway.random_duration(pause.mul_f64(0.8), pause)).await;
+            let pause = self.gateway.random_duration(pause.mul_f64(0.8), pause);
+            let renew_at = Instant::now() + pause;
+            sleep(pause).await;
+            self.record_timer_delay(renew_at.elapsed());
+        }
+    }
+
+    /// Records how late a timer of this host fired: other tasks occupied its thread, or it had no
+    /// processor time.
+    fn record_timer_delay(&self, delay: Duration) {
+        self.gateway.metrics.record_timer_delay(delay);
+        if delay >= TIMER_DELAY_LOGGED_MIN {
+            spdlog::warn!("host.timer_late", kv: { late_ms = delay.as_millis() as u64 });
         }
     }
 
@@ -153,6 +171,16 @@
             generation,
             is_placer,
         } = membership;
+        if !lease.is_same(membership) {
+            spdlog::info!("placer.membership", kv: {
+                era,
+                generation,
+                is_placer,
+                is_reader = peers::is_reader(&self.gateway),
+                is_stopping = self.gateway.phase() != Phase::Serving,
+                answered_after_ms = requested_at.elapsed().as_millis() as u64,
+            });
+        }
         if is_placer && !was_placer {
             spdlog::info!("placer.began", kv: { era, generation });
             self.sent_orders.borrow_mut().clear();
@@ -245,12 +273,15 @@
             return;
         }
         let mut search = HillClimb::new(engine, &accelerators);
+        let mut longest_turn = now.elapsed();
         let mut steps = 0;
         while steps < SEARCH_LIMIT_STEP_ACCELERATORS / accelerators.len()
             && now.elapsed() < SEARCH_TIME_MAX
         {
             steps += 1;
+            let began_at = Instant::now();
             search.step(&mut *self.gateway.rng());
+            longest_turn = longest_turn.max(began_at.elapsed());
             // Lets requests and lease renewals run between two steps.
             tokio::task::yield_now().await;
         }
@@ -260,8 +291,16 @@
             steps,
             rate_per_s = search.rate_per_s(),
             took_ms = now.elapsed().as_millis() as u64,
+            longest_turn_ms = longest_turn.as_millis() as u64,
         });
         let layout = search.into_layout();
+        if self.token().is_none() {
+            spdlog::warn!("placer.orders_withheld", kv: {
+                service = service_id.as_str(),
+                orders = layout.len(),
+                reason = "this host lost the lease during the search",
+            });
+        }
         for target in targets {
             if let Some(layers) = layout.get(&target.id)
                 && target.entry.borrow().layers.is_none()
--- a/crates/anvil_gateway/src/placer/lease.rs
+++ b/crates/anvil_gateway/src/placer/lease.rs
@@ -68,6 +68,11 @@
             .map_or(0, |membership| membership.generation)
     }
 
+    /// Returns whether `membership` is the last one that was recorded.
+    pub(super) fn is_same(&self, membership: GroupMembership) -> bool {
+        self.membership == Some(membership)
+    }
+
     /// Records the store's answer to a call that was sent at `requested_at`.
     pub(super) fn renew(&mut self, membership: GroupMembership, requested_at: BootTime) {
         self.membership = Some(membership);
