--- a/crates/anvil_gateway/src/placer.rs
+++ b/crates/anvil_gateway/src/placer.rs
@@ -48,6 +48,9 @@
 
 mod lease;
 
+#[cfg(test)]
+mod tests;
+
 /// Duration of the lease. It is longer than a slow answer of the store, and short enough that
 /// engines that come back empty are filled again soon after the placer is lost.
 const LEASE_DURATION: Duration = Duration::from_secs(3);
--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -444,9 +444,10 @@
     })
 }
 
-/// A store that keeps what hosts register and refuses all other calls.
+/// A store that keeps what hosts register and the group of hosts, and refuses all other calls.
 #[derive(Default)]
 pub(crate) struct SharedStore {
+    pub(crate) group: Group,
     hosts: RefCell<BTreeMap<HostId, HostEntry>>,
     quarantined: RefCell<BTreeMap<Suspect, QuarantineEntry>>,
 }
@@ -523,21 +524,62 @@
 
     fn join_group<'a>(
         &'a self,
-        _host: &'a HostId,
+        host: &'a HostId,
         _lease: Duration,
         _generation: u64,
     ) -> PlatformResult<'a, GroupMembership> {
-        Box::pin(async { not_executed() })
+        let membership = self.group.join(host);
+        Box::pin(async move { Ok(membership) })
     }
 
-    fn leave_group<'a>(&'a self, _host: &'a HostId) -> PlatformResult<'a, ()> {
-        Box::pin(async { not_executed() })
+    fn leave_group<'a>(&'a self, host: &'a HostId) -> PlatformResult<'a, ()> {
+        self.group.leave(host);
+        Box::pin(async { Ok(()) })
+    }
+}
+
+/// The group that elects the placer. Its first member is the placer, and no membership lapses.
+#[derive(Default)]
+pub(crate) struct Group {
+    members: RefCell<Vec<HostId>>,
+    generation: Cell<u64>,
+    /// Whether the placer is a host that takes no part in the test.
+    pub(crate) has_other_placer: Cell<bool>,
+}
+
+impl Group {
+    /// Returns whether a host is a member.
+    pub(crate) fn has_member(&self, host: &HostId) -> bool {
+        self.members.borrow().contains(host)
+    }
+
+    fn join(&self, host: &HostId) -> GroupMembership {
+        let mut members = self.members.borrow_mut();
+        if !members.contains(host) {
+            members.push(host.clone());
+            self.generation.set(self.generation.get() + 1);
+        }
+        GroupMembership {
+            era: 0,
+            generation: self.generation.get(),
+            is_placer: !self.has_other_placer.get() && members.first() == Some(host),
+        }
+    }
+
+    fn leave(&self, host: &HostId) {
+        self.members.borrow_mut().retain(|member| member != host);
+        self.generation.set(self.generation.get() + 1);
     }
 }
 
-struct NoOrders;
+/// Accepts all orders to hold layers, and refuses all other calls.
+#[derive(Default)]
+pub(crate) struct RecordedOrders {
+    /// Orders to hold layers, in the order in which they came.
+    pub(crate) placed: RefCell<Vec<PlaceOrder>>,
+}
 
-impl Orders for NoOrders {
+impl Orders for RecordedOrders {
     fn report<'a>(
         &'a self,
         _target: &'a TargetId,
@@ -546,8 +588,9 @@
         Box::pin(async { not_executed() })
     }
 
-    fn place<'a>(&'a self, _order: &'a PlaceOrder) -> PlatformResult<'a, OrderResponse> {
-        Box::pin(async { not_executed() })
+    fn place<'a>(&'a self, order: &'a PlaceOrder) -> PlatformResult<'a, OrderResponse> {
+        self.placed.borrow_mut().push(order.clone());
+        Box::pin(async { Ok(OrderResponse::Begun) })
     }
 
     fn repath<'a>(&'a self, _order: &'a RepathOrder<'a>) -> PlatformResult<'a, RepathResponse> {
@@ -561,7 +604,7 @@
         step_factor: 1.0,
         prefill_factor: 1.0,
     };
-    let engine = EngineProfile {
+    table_of(EngineProfile {
         model: "model".into(),
         layer_count: LAYER_COUNT,
         layer_megabytes: 1.0,
@@ -579,7 +622,11 @@
         activation_bytes: 1000.0,
         pipe_megabits_per_s: 0.0,
         kinds: [("kind".into(), kind)].into(),
-    };
+    })
+}
+
+/// Returns a table with a model that runs on engines of a profile.
+pub(crate) fn table_of(engine: EngineProfile) -> Table {
     let service = |engine| Service {
         health_path: "/health".into(),
         connection_limit: 100,
@@ -735,7 +782,8 @@
 pub(crate) struct Fleet {
     /// Second byte of all loopback addresses, different in each test.
     network: u8,
-    store: Rc<SharedStore>,
+    pub(crate) store: Rc<SharedStore>,
+    pub(crate) orders: Rc<RecordedOrders>,
     /// The engines, or the targets of the plain service.
     pub(crate) engines: Vec<Rc<Engine>>,
     is_plain: bool,
@@ -771,6 +819,7 @@
         Self {
             network,
             store: Rc::default(),
+            orders: Rc::default(),
             engines,
             is_plain,
         }
@@ -812,7 +861,7 @@
         let platform = Platform {
             header_codec: Rc::new(TestHeaders),
             store: Rc::clone(&self.store) as Rc<dyn Store>,
-            orders: Rc::new(NoOrders),
+            orders: Rc::clone(&self.orders) as Rc<dyn Orders>,
         };
         let settings = settings::read("test", &text).unwrap();
         let gateway = Rc::new(Gateway::new(settings, platform));
@@ -873,7 +922,7 @@
     }
 }
 
-fn entry(address: SocketAddr) -> TargetEntry {
+pub(crate) fn entry(address: SocketAddr) -> TargetEntry {
     TargetEntry {
         service: "model".into(),
         address,
