Search for a layout in short turns

Callers on the large fleet were refused all streams: no engine held layers.

Cause: the search for a layout computed the rates of whole candidates between two turns of the runtime, the greedy ones without any pause. The time of a candidate grows with the square of the fleet: at 190 engines, on half of a core, the longest turn was 405 ms. Peers took the host for silent, others became readers and joined the group, and the store moved the lease away before the search ended.

Change: HillClimb advances by one path of one simulated rate. The placer does at most 1000 part-accelerators in a turn, so that a turn takes the same time on any fleet. Random draws and results are as before. A search that has not simulated anything when its time is over returns the first greedy layout.

--- a/crates/anvil_core/src/layout/capacity.rs
+++ b/crates/anvil_core/src/layout/capacity.rs
@@ -33,69 +33,123 @@
     layout: &Layout,
     lost: &[usize],
 ) -> f64 {
-    let requests_per_bundle = bundle_requests(engine, accelerators);
-    let mut data_centres: BTreeMap<&DataCentreId, usize> = BTreeMap::new();
-    for accelerator in accelerators {
-        let next_index = data_centres.len();
-        data_centres
-            .entry(&accelerator.data_centre)
-            .or_insert(next_index);
+    let mut simulation = Simulation::new(engine, accelerators, layout, lost);
+    loop {
+        if let Some(rate_per_s) = simulation.advance() {
+            return rate_per_s;
+        }
     }
-    let mut workers: Vec<Worker> = accelerators
-        .iter()
-        .enumerate()
-        .filter(|(index, _)| !lost.contains(index))
-        .filter_map(|(_, accelerator)| {
-            Some(Worker {
-                target: accelerator.target.clone(),
-                data_centre: data_centres[&accelerator.data_centre],
-                kind: accelerator.kind,
-                layers: *layout.get(&accelerator.target)?,
-                sequences: 0.0,
-                used_token_layers: 0.0,
-                first_requests: 0.0,
-                slowdown: 1.0,
-                open: true,
-                may_be_first: true,
+}
+
+/// Computes the rate of a layout, one path at a time, so that a caller with other work can pause.
+#[derive(Debug)]
+pub struct Simulation<'a> {
+    engine: &'a EngineProfile,
+    /// Accelerators that hold layers, with the load of the bundles so far.
+    workers: Vec<Worker>,
+    data_centre_count: usize,
+    requests_per_bundle: f64,
+    total_time_ms: f64,
+    bundle_count: usize,
+    /// Bundles for which there was no path. The simulation ends when there was none for as many as
+    /// there are data centres.
+    refused_count: usize,
+}
+
+impl<'a> Simulation<'a> {
+    /// Starts with accelerators that serve no requests. `lost` holds the indices of those that are
+    /// excluded.
+    pub fn new(
+        engine: &'a EngineProfile,
+        accelerators: &[Accelerator],
+        layout: &Layout,
+        lost: &[usize],
+    ) -> Self {
+        let mut data_centres: BTreeMap<&DataCentreId, usize> = BTreeMap::new();
+        for accelerator in accelerators {
+            let next_index = data_centres.len();
+            data_centres
+                .entry(&accelerator.data_centre)
+                .or_insert(next_index);
+        }
+        let workers = accelerators
+            .iter()
+            .enumerate()
+            .filter(|(index, _)| !lost.contains(index))
+            .filter_map(|(_, accelerator)| {
+                Some(Worker {
+                    target: accelerator.target.clone(),
+                    data_centre: data_centres[&accelerator.data_centre],
+                    kind: accelerator.kind,
+                    layers: *layout.get(&accelerator.target)?,
+                    sequences: 0.0,
+                    used_token_layers: 0.0,
+                    first_requests: 0.0,
+                    slowdown: 1.0,
+                    open: true,
+                    may_be_first: true,
+                })
             })
-        })
-        .collect();
-    let data_centre_count = data_centres.len().max(1);
-    let mut total_time_ms = 0.0;
-    let mut bundle_count = 0;
-    let mut refused_count = 0;
-    while refused_count < data_centre_count && bundle_count < BUNDLE_COUNT_MAX {
+            .collect();
+        Self {
+            engine,
+            workers,
+            data_centre_count: data_centres.len().max(1),
+            requests_per_bundle: bundle_requests(engine, accelerators),
+            total_time_ms: 0.0,
+            bundle_count: 0,
+            refused_count: 0,
+        }
+    }
+
+    /// Computes the path of one more bundle of requests. Returns the requests per second once no
+    /// further bundle fits.
+    pub fn advance(&mut self) -> Option<f64> {
+        if self.refused_count >= self.data_centre_count || self.bundle_count >= BUNDLE_COUNT_MAX {
+            return Some(self.rate_per_s());
+        }
+        let engine = self.engine;
         let demand = Demand {
             prompt_tokens: engine.mean_prompt_tokens,
             answer_tokens: engine.mean_answer_tokens,
-            data_centre: (bundle_count + refused_count) % data_centre_count,
+            data_centre: (self.bundle_count + self.refused_count) % self.data_centre_count,
             // Layers that a data centre lacks could be run in others, but only at the expense of
             // the pipe that all requests share.
             may_cross: false,
         };
-        let Ok(path) = engine_driven::choose(engine, &workers, &demand, data_centre_count, || 1.0)
-        else {
-            refused_count += 1;
-            continue;
+        let path = engine_driven::choose(
+            engine,
+            &self.workers,
+            &demand,
+            self.data_centre_count,
+            || 1.0,
+        );
+        let Ok(path) = path else {
+            self.refused_count += 1;
+            return None;
         };
-        bundle_count += 1;
+        self.bundle_count += 1;
         let events = demand.answer_tokens / f64::from(engine.steps_per_event.max(1));
-        total_time_ms += path.first_event_ms + events * path.pause_ms;
+        self.total_time_ms += path.first_event_ms + events * path.pause_ms;
         for (index, hop) in path.hops.iter().enumerate() {
-            let worker = &mut workers[hop.worker];
-            worker.sequences += requests_per_bundle;
+            let worker = &mut self.workers[hop.worker];
+            worker.sequences += self.requests_per_bundle;
             worker.used_token_layers +=
-                requests_per_bundle * demand.memory_tokens() * f64::from(hop.layers.count());
+                self.requests_per_bundle * demand.memory_tokens() * f64::from(hop.layers.count());
             if index == 0 {
-                worker.first_requests += requests_per_bundle;
+                worker.first_requests += self.requests_per_bundle;
             }
         }
+        None
     }
-    if bundle_count == 0 {
-        return 0.0;
+
+    fn rate_per_s(&self) -> f64 {
+        if self.bundle_count == 0 {
+            return 0.0;
+        }
+        let mean_time_s = self.total_time_ms / 1e3 / self.bundle_count as f64;
+        self.requests_per_bundle * self.bundle_count as f64 / mean_time_s
     }
-    let mean_time_s = total_time_ms / 1e3 / bundle_count as f64;
-    requests_per_bundle * bundle_count as f64 / mean_time_s
 }
 
 /// Returns the number of requests in one bundle: half of those that would fit if all memory were
--- a/crates/anvil_core/src/layout/hill_climb.rs
+++ b/crates/anvil_core/src/layout/hill_climb.rs
@@ -6,7 +6,10 @@
 //! is meant for the heaviest load, where request memory is the bottleneck, and for crashes under
 //! it.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::BTreeMap,
+    slice, //
+};
 
 use rand::{
     Rng,
@@ -28,7 +31,7 @@
     LOSS_WEIGHTS,
     Layout,
     LossWeights,
-    capacity,
+    capacity::Simulation,
     choose_with, //
 };
 
@@ -50,12 +53,19 @@
 /// simulating losses.
 const PRUNE_RATE_SHARE: f64 = 0.97;
 
-/// A search for a layout by hill climbing. Each step computes a few hundred paths.
+/// A search for a layout by hill climbing, in parts that are short enough for a host with one thread.
 pub struct HillClimb<'a> {
     engine: &'a EngineProfile,
     accelerators: &'a [Accelerator],
     /// Simulated losses, each with the indices of the accelerators that are lost together.
     losses: Vec<Vec<usize>>,
+    /// Greedy layouts that are still to be considered, by their weights.
+    starts: slice::Iter<'static, LossWeights>,
+    /// The candidate that is being considered.
+    evaluation: Option<Evaluation<'a>>,
+    /// Candidates considered so far, without the greedy layouts.
+    step_count: usize,
+    /// Invariant: not empty once a greedy layout was chosen, even before it has a score.
     best: Layout,
     /// Rate of the best layout with all accelerators.
     best_rate_all_per_s: f64,
@@ -63,33 +73,94 @@
     best_score_per_s: f64,
 }
 
+/// A candidate whose rates are being simulated.
+struct Evaluation<'a> {
+    candidate: Layout,
+    is_start: bool,
+    simulation: Simulation<'a>,
+    /// Rate with all accelerators; `None` while it is being simulated.
+    rate_all_per_s: Option<f64>,
+    /// Number of losses simulated so far.
+    loss_count: usize,
+    /// Sum of the rates after these losses.
+    sum_after_loss_per_s: f64,
+}
+
 impl<'a> HillClimb<'a> {
-    /// Starts from the best of several greedy layouts.
+    /// Prepares a search that starts from the best of several greedy layouts.
     pub fn new(engine: &'a EngineProfile, accelerators: &'a [Accelerator]) -> Self {
-        let mut search = Self {
+        Self {
             engine,
             accelerators,
             losses: losses(accelerators),
+            starts: START_WEIGHTS.iter(),
+            evaluation: None,
+            step_count: 0,
             best: Layout::new(),
             best_rate_all_per_s: 0.0,
             best_score_per_s: -1.0,
+        }
+    }
+
+    /// Does the next part of the search: chooses a candidate, or simulates one path of the present
+    /// one. The greedy layouts come first. Then each candidate has a random layer range for one
+    /// random accelerator, and is kept if the score rises.
+    pub fn advance(&mut self, rng: &mut impl Rng) {
+        let Some(mut evaluation) = self.evaluation.take() else {
+            self.begin_candidate(rng);
+            return;
         };
-        for weights in START_WEIGHTS {
-            search.consider(choose_with(engine, accelerators, weights, |_| true));
+        match evaluation.simulation.advance() {
+            None => self.evaluation = Some(evaluation),
+            Some(rate_per_s) => self.apply_rate(evaluation, rate_per_s),
         }
-        search
     }
 
-    /// Tries a random layer range for one random accelerator, and keeps it if the score rises.
+    /// Considers one random candidate completely, and before the first one the greedy layouts.
     pub fn step(&mut self, rng: &mut impl Rng) {
-        if self.accelerators.is_empty() {
+        let step_count = self.step_count;
+        while self.step_count == step_count {
+            self.advance(rng);
+        }
+    }
+
+    fn begin_candidate(&mut self, rng: &mut impl Rng) {
+        if let Some(weights) = self.starts.next() {
+            let candidate = choose_with(self.engine, self.accelerators, *weights, |_| true);
+            if self.best.is_empty() {
+                self.best = candidate.clone();
+            }
+            self.begin_evaluation(candidate, true);
             return;
         }
+        match self.random_neighbour(rng) {
+            Some(candidate) => self.begin_evaluation(candidate, false),
+            None => self.step_count += 1,
+        }
+    }
+
+    fn begin_evaluation(&mut self, candidate: Layout, is_start: bool) {
+        self.evaluation = Some(Evaluation {
+            simulation: Simulation::new(self.engine, self.accelerators, &candidate, &[]),
+            candidate,
+            is_start,
+            rate_all_per_s: None,
+            loss_count: 0,
+            sum_after_loss_per_s: 0.0,
+        });
+    }
+
+    /// Returns the best layout with another layer range for one accelerator, or `None` if the range
+    /// that was drawn is not possible.
+    fn random_neighbour(&self, rng: &mut impl Rng) -> Option<Layout> {
+        if self.accelerators.is_empty() {
+            return None;
+        }
         let accelerator = &self.accelerators[rng.random_range(0..self.accelerators.len())];
         let block_layers = usize::from(self.engine.layer_count) / BLOCK_COUNT;
         let limit = usize::from(self.engine.layers_max(accelerator.kind)) / block_layers.max(1);
         if limit == 0 {
-            return;
+            return None;
         }
         let blocks = rng.random_range(1..=limit.min(BLOCK_COUNT));
         let first = rng.random_range(0..=BLOCK_COUNT - blocks);
@@ -97,38 +168,56 @@
             let layer = usize::from(self.engine.layer_count) * block / BLOCK_COUNT;
             Layer::try_from(layer).unwrap_or(Layer::MAX)
         };
-        let Some(range) = LayerRange::new(boundary(first), boundary(first + blocks)) else {
-            return;
-        };
+        let range = LayerRange::new(boundary(first), boundary(first + blocks))?;
         let mut candidate = self.best.clone();
         candidate.insert(accelerator.target.clone(), range);
-        self.consider(candidate);
+        Some(candidate)
     }
 
-    /// Replaces the best layout by a candidate if the candidate has a higher score.
-    fn consider(&mut self, candidate: Layout) {
-        let rate =
-            |lost: &[usize]| capacity::rate_per_s(self.engine, self.accelerators, &candidate, lost);
-        let rate_all_per_s = rate(&[]);
-        if rate_all_per_s < PRUNE_RATE_SHARE * self.best_rate_all_per_s {
+    /// Records a simulated rate of a candidate, and begins the simulation of its next loss. After the
+    /// last one, replaces the best layout by the candidate if the candidate has a higher score.
+    fn apply_rate(&mut self, mut evaluation: Evaluation<'a>, rate_per_s: f64) {
+        let is_pruned = match evaluation.rate_all_per_s {
+            Some(_) => {
+                evaluation.sum_after_loss_per_s += rate_per_s;
+                evaluation.loss_count += 1;
+                false
+            }
+            None => {
+                evaluation.rate_all_per_s = Some(rate_per_s);
+                rate_per_s < PRUNE_RATE_SHARE * self.best_rate_all_per_s
+            }
+        };
+        if !is_pruned && let Some(lost) = self.losses.get(evaluation.loss_count) {
+            evaluation.simulation =
+                Simulation::new(self.engine, self.accelerators, &evaluation.candidate, lost);
+            self.evaluation = Some(evaluation);
             return;
         }
-        let sum_after_loss_per_s: f64 = self.losses.iter().map(|lost| rate(lost)).sum();
-        let score_per_s =
-            rate_all_per_s + LOSS_WEIGHT * sum_after_loss_per_s / self.losses.len().max(1) as f64;
-        if score_per_s > self.best_score_per_s {
-            self.best = candidate;
+        self.step_count += usize::from(!evaluation.is_start);
+        let rate_all_per_s = evaluation.rate_all_per_s.unwrap_or(0.0);
+        let mean_after_loss_per_s =
+            evaluation.sum_after_loss_per_s / self.losses.len().max(1) as f64;
+        let score_per_s = rate_all_per_s + LOSS_WEIGHT * mean_after_loss_per_s;
+        if !is_pruned && score_per_s > self.best_score_per_s {
+            self.best = evaluation.candidate;
             self.best_rate_all_per_s = rate_all_per_s;
             self.best_score_per_s = score_per_s;
         }
     }
 
-    /// Returns the requests per second that the best layout sustains with all accelerators.
+    /// Returns the number of random candidates considered so far.
+    pub fn step_count(&self) -> usize {
+        self.step_count
+    }
+
+    /// Returns the requests per second that the best layout sustains with all accelerators, or 0 if
+    /// no layout was simulated completely.
     pub fn rate_per_s(&self) -> f64 {
         self.best_rate_all_per_s
     }
 
-    /// Returns the best layout found.
+    /// Returns the best layout found; empty before the first part of the search.
     pub fn into_layout(self) -> Layout {
         self.best
     }
--- a/crates/anvil_gateway/src/placer.rs
+++ b/crates/anvil_gateway/src/placer.rs
@@ -67,6 +67,9 @@
 /// Largest product of the steps of the layout search and the number of accelerators. The time of a
 /// step grows with the accelerators, and loads must begin some seconds after the start.
 const SEARCH_LIMIT_STEP_ACCELERATORS: usize = 8000;
+/// Largest product of the parts of the layout search between two turns of other tasks and the number
+/// of accelerators, to which the time of a part is proportional.
+const TURN_LIMIT_PART_ACCELERATORS: usize = 1000;
 /// Longest duration of the layout search on a slow host.
 const SEARCH_TIME_MAX: Duration = Duration::from_millis(2500);
 /// Delay after the start before a host may join the group that elects the placer. By then, hosts
@@ -276,22 +279,22 @@
             return;
         }
         let mut search = HillClimb::new(engine, &accelerators);
-        let mut longest_turn = now.elapsed();
-        let mut steps = 0;
-        while steps < SEARCH_LIMIT_STEP_ACCELERATORS / accelerators.len()
-            && now.elapsed() < SEARCH_TIME_MAX
-        {
-            steps += 1;
+        let mut longest_turn = Duration::ZERO;
+        let steps_max = SEARCH_LIMIT_STEP_ACCELERATORS / accelerators.len();
+        let parts_per_turn = (TURN_LIMIT_PART_ACCELERATORS / accelerators.len()).max(1);
+        while search.step_count() < steps_max && now.elapsed() < SEARCH_TIME_MAX {
             let began_at = Instant::now();
-            search.step(&mut *self.gateway.rng());
+            for _ in 0..parts_per_turn {
+                search.advance(&mut *self.gateway.rng());
+            }
             longest_turn = longest_turn.max(began_at.elapsed());
-            // Lets requests and lease renewals run between two steps.
+            // Lets requests, reports to peers and lease renewals run.
             tokio::task::yield_now().await;
         }
         spdlog::info!("placer.layout", kv: {
             service = service_id.as_str(),
             cards = accelerators.len(),
-            steps,
+            steps = search.step_count(),
             rate_per_s = search.rate_per_s(),
             took_ms = now.elapsed().as_millis() as u64,
             longest_turn_ms = longest_turn.as_millis() as u64,
