Keep a layout whose search outlasted the lease

Cause: a layout that was found without the lease was dropped, and the next term of the host began the search anew, which could outlast the lease again.

Change: the placer keeps it and orders it when it holds the lease again, if the same engines are still empty. Otherwise it searches.

--- a/crates/anvil_gateway/src/placer.rs
+++ b/crates/anvil_gateway/src/placer.rs
@@ -20,7 +20,8 @@
     layout::{
         self,
         Accelerator,
-        HillClimb, //
+        HillClimb,
+        Layout, //
     },
 };
 use tokio::time::{
@@ -98,6 +99,14 @@
     blocked_until: Instant,
 }
 
+/// A layout for engines that hold no layers, which is ordered when this host holds the lease.
+#[derive(Debug)]
+struct PlannedLayout {
+    /// Engines that the layout is for.
+    accelerators: Vec<Accelerator>,
+    layout: Layout,
+}
+
 /// Places models on engines while this host holds the lease.
 pub struct Placer {
     gateway: Rc<Gateway>,
@@ -107,6 +116,9 @@
     /// was first seen there, an accelerator was last moved, or a target was last seen empty or with
     /// a pending order.
     shortage_since: RefCell<HashMap<DataCentreId, Instant>>,
+    /// Layouts that were found and not ordered yet. They outlive the lease, because a search may
+    /// outlast it.
+    planned: RefCell<HashMap<ServiceId, PlannedLayout>>,
     /// Orders that each run of a target has accepted, as far as this host knows.
     order_counts: RefCell<HashMap<(TargetId, u64), u64>>,
 }
@@ -119,6 +131,7 @@
             lease: RefCell::new(Lease::default()),
             sent_orders: RefCell::new(HashMap::new()),
             shortage_since: RefCell::new(HashMap::new()),
+            planned: RefCell::new(HashMap::new()),
             order_counts: RefCell::new(HashMap::new()),
         }
     }
@@ -262,22 +275,52 @@
         }
     }
 
-    /// Places a model on engines that all hold no layers.
+    /// Places a model on engines that all hold no layers. If this host loses the lease during the
+    /// search, the layout is kept until it holds the lease again.
     async fn place_all(
         self: &Rc<Self>,
         service_id: &ServiceId,
         engine: &EngineProfile,
         targets: &[Rc<Target>],
     ) {
-        let now = Instant::now();
-        let accelerators: Vec<Accelerator> = self
-            .accelerators(engine, targets, now)
-            .into_iter()
-            .filter(|accelerator| accelerator.holds.is_none())
-            .collect();
+        let mut accelerators = self.accelerators(engine, targets, Instant::now());
+        accelerators.retain(|accelerator| accelerator.holds.is_none());
         if accelerators.is_empty() {
             return;
         }
+        let planned = self.planned.borrow_mut().remove(service_id);
+        let planned = match planned {
+            Some(planned) if planned.accelerators == accelerators => planned,
+            _ => self.search_layout(service_id, engine, accelerators).await,
+        };
+        if self.token().is_none() {
+            spdlog::warn!("placer.orders_withheld", kv: {
+                service = service_id.as_str(),
+                orders = planned.layout.len(),
+                reason = "this host lost the lease during the search",
+            });
+            self.planned
+                .borrow_mut()
+                .insert(service_id.clone(), planned);
+            return;
+        }
+        for target in targets {
+            if let Some(layers) = planned.layout.get(&target.id)
+                && target.entry.borrow().layers.is_none()
+                && self.pending_layers(target, Instant::now()).is_none()
+            {
+                self.send_order(service_id, engine, target, *layers);
+            }
+        }
+    }
+
+    async fn search_layout(
+        &self,
+        service_id: &ServiceId,
+        engine: &EngineProfile,
+        accelerators: Vec<Accelerator>,
+    ) -> PlannedLayout {
+        let now = Instant::now();
         let mut search = HillClimb::new(engine, &accelerators);
         let mut longest_turn = Duration::ZERO;
         let steps_max = SEARCH_LIMIT_STEP_ACCELERATORS / accelerators.len();
@@ -300,20 +343,9 @@
             longest_turn_ms = longest_turn.as_millis() as u64,
         });
         let layout = search.into_layout();
-        if self.token().is_none() {
-            spdlog::warn!("placer.orders_withheld", kv: {
-                service = service_id.as_str(),
-                orders = layout.len(),
-                reason = "this host lost the lease during the search",
-            });
-        }
-        for target in targets {
-            if let Some(layers) = layout.get(&target.id)
-                && target.entry.borrow().layers.is_none()
-                && self.pending_layers(target, Instant::now()).is_none()
-            {
-                self.send_order(service_id, engine, target, *layers);
-            }
+        PlannedLayout {
+            accelerators,
+            layout,
         }
     }
 
--- a/crates/anvil_gateway/src/placer/tests.rs
+++ b/crates/anvil_gateway/src/placer/tests.rs
@@ -81,7 +81,7 @@
     gateway.targets.replace(changes, Position::new(ERA, 2), now);
     gateway
         .table_cache
-        .update(Some(table_of(engine())), now, Source::Read);
+        .update(Some(table_of(2, engine())), now, Source::Read);
 }
 
 fn set_placer(placer: &Placer, generation: u64, is_placer: bool) {
@@ -132,8 +132,11 @@
             wait_for_check(gateway).await;
             set_placer(&placer, generation + 1, true);
             wait_for_check(gateway).await;
+            sleep(POLL_INTERVAL).await;
+            if !fleet.orders.placed.borrow().is_empty() {
+                break;
+            }
         }
-        sleep(PLACEMENT_INTERVAL).await;
         expect_that!(fleet.orders.placed.borrow().len(), eq(24));
     });
 }
--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -604,29 +604,32 @@
         step_factor: 1.0,
         prefill_factor: 1.0,
     };
-    table_of(EngineProfile {
-        model: "model".into(),
-        layer_count: LAYER_COUNT,
-        layer_megabytes: 1.0,
-        kv_token_bytes: 1000.0,
-        slot_limit_requests: 64,
-        step_ms: 1.0,
-        step_ms_per_sequence: 0.01,
-        step_ms_per_context_unit: 0.01,
-        prefill_tokens_per_s: 1e5,
-        steps_per_event: 1,
-        load_time: Duration::from_secs(10),
-        loads_at_once: 4,
-        mean_prompt_tokens: 10.0,
-        mean_answer_tokens: 10.0,
-        activation_bytes: 1000.0,
-        pipe_megabits_per_s: 0.0,
-        kinds: [("kind".into(), kind)].into(),
-    })
+    table_of(
+        1,
+        EngineProfile {
+            model: "model".into(),
+            layer_count: LAYER_COUNT,
+            layer_megabytes: 1.0,
+            kv_token_bytes: 1000.0,
+            slot_limit_requests: 64,
+            step_ms: 1.0,
+            step_ms_per_sequence: 0.01,
+            step_ms_per_context_unit: 0.01,
+            prefill_tokens_per_s: 1e5,
+            steps_per_event: 1,
+            load_time: Duration::from_secs(10),
+            loads_at_once: 4,
+            mean_prompt_tokens: 10.0,
+            mean_answer_tokens: 10.0,
+            activation_bytes: 1000.0,
+            pipe_megabits_per_s: 0.0,
+            kinds: [("kind".into(), kind)].into(),
+        },
+    )
 }
 
 /// Returns a table with a model that runs on engines of a profile.
-pub(crate) fn table_of(engine: EngineProfile) -> Table {
+pub(crate) fn table_of(version: Version, engine: EngineProfile) -> Table {
     let service = |engine| Service {
         health_path: "/health".into(),
         connection_limit: 100,
@@ -656,7 +659,7 @@
         (KeyDigest::of(key), team)
     };
     Table::new(
-        1,
+        version,
         [
             route(MODEL_PATH, RequestSemantics::ResumableStream, "model"),
             route("/safe/", RequestSemantics::Safe, "plain"),
