Leave the group that elects the placer when a host stops reading or stops

Cause: a host joined the group while it read the store for others, and never left it otherwise than by a lapse of 3 s. The store may grant the lease to each member. One that had joined once, while another host was silent for a second, held it without asking again: 190 engines were without orders for 3 s at a time, and at full size without processor time there was no placer from 27.8 to 31.4 s and from 32.4 to 38.9 s of a rolling restart.

Change: only hosts that serve, and read or hold the lease, are members. All others leave, at once when they are told to stop, and again if the store did not answer.

--- a/crates/anvil_gateway/src/placer.rs
+++ b/crates/anvil_gateway/src/placer.rs
@@ -2,7 +2,10 @@
 //! orders.
 
 use std::{
-    cell::RefCell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
     collections::HashMap,
     rc::Rc,
     time::Duration, //
@@ -111,6 +114,9 @@
 pub struct Placer {
     gateway: Rc<Gateway>,
     lease: RefCell<Lease>,
+    /// When the store was last asked to make this host a member of the group, or to keep it one. `None`
+    /// after this host has left the group.
+    joined_at: Cell<Option<BootTime>>,
     sent_orders: RefCell<HashMap<TargetId, SentOrder>>,
     /// Start of the wait before a move, by data centre: when a shortage that a move would reduce
     /// was first seen there, an accelerator was last moved, or a target was last seen empty or with
@@ -129,6 +135,7 @@
         Self {
             gateway,
             lease: RefCell::new(Lease::default()),
+            joined_at: Cell::new(None),
             sent_orders: RefCell::new(HashMap::new()),
             shortage_since: RefCell::new(HashMap::new()),
             planned: RefCell::new(HashMap::new()),
@@ -138,33 +145,84 @@
 
     /// Keeps this host in the group that elects the placer while it reads the store for its peers,
     /// because the placer must know the target list early. A host that holds the lease stays in the
-    /// group. Never returns.
+    /// group. Any other host leaves it: the store may grant the lease to each member, also to one that
+    /// would not ask again. Never returns.
     pub async fn maintain_lease(self: Rc<Self>) {
         let duration = self.lease_duration();
         sleep(GROUP_JOIN_DELAY).await;
         loop {
-            if !self.lease.borrow().is_held() && !peers::is_reader(&self.gateway) {
-                sleep(PLACEMENT_INTERVAL).await;
-                continue;
-            }
-            let requested_at = BootTime::now();
-            let store = &self.gateway.platform.store;
-            let generation = self.lease.borrow().generation(store.era());
-            let joined = store
-                .join_group(&self.gateway.settings.host_id, duration, generation)
-                .await;
-            match joined {
-                Ok(membership) => self.apply_membership(membership, requested_at),
-                Err(error) => {
-                    spdlog::warn!("placer.lease_not_renewed", kv: { error: });
-                    self.drop_expired_lease();
+            let mut pause = PLACEMENT_INTERVAL;
+            if self.stands_for_election() {
+                self.join_group(duration).await;
+                // A host that was told to stop meanwhile leaves the group without a pause.
+                if self.stands_for_election() {
+                    pause = self.renewal_pause();
                 }
+            } else if self.is_member() && !self.leave_group().await {
+                pause = self.renewal_pause();
             }
-            let pause = duration.mul_f64(LEASE_RENEW_SHARE);
-            let pause = self.gateway.random_duration(pause.mul_f64(0.8), pause);
-            let renew_at = Instant::now() + pause;
+            let wake_at = Instant::now() + pause;
             sleep(pause).await;
-            self.record_timer_delay(renew_at.elapsed());
+            self.record_timer_delay(wake_at.elapsed());
+        }
+    }
+
+    /// Returns whether this host is to be a member of the group.
+    fn stands_for_election(&self) -> bool {
+        self.gateway.phase() == Phase::Serving
+            && (self.lease.borrow().is_held() || peers::is_reader(&self.gateway))
+    }
+
+    /// Returns whether the store may count this host as a member of the group.
+    fn is_member(&self) -> bool {
+        let duration = self.lease_duration();
+        self.joined_at
+            .get()
+            .is_some_and(|joined_at| joined_at.elapsed() <= duration)
+    }
+
+    fn renewal_pause(&self) -> Duration {
+        let pause = self.lease_duration().mul_f64(LEASE_RENEW_SHARE);
+        self.gateway.random_duration(pause.mul_f64(0.8), pause)
+    }
+
+    async fn join_group(&self, duration: Duration) {
+        let requested_at = BootTime::now();
+        let store = &self.gateway.platform.store;
+        let generation = self.lease.borrow().generation(store.era());
+        let joined = store
+            .join_group(&self.gateway.settings.host_id, duration, generation)
+            .await;
+        // An answer that was lost may still have made this host a member.
+        self.joined_at.set(Some(BootTime::now()));
+        match joined {
+            Ok(membership) if self.gateway.phase() == Phase::Serving => {
+                self.apply_membership(membership, requested_at);
+            }
+            Ok(_) => {}
+            Err(error) => {
+                spdlog::warn!("placer.lease_not_renewed", kv: { error: });
+                self.drop_expired_lease();
+            }
+        }
+    }
+
+    /// Leaves the group. Returns whether the store confirmed it.
+    async fn leave_group(&self) -> bool {
+        let host_id = &self.gateway.settings.host_id;
+        match self.gateway.platform.store.leave_group(host_id).await {
+            Ok(()) => {
+                self.joined_at.set(None);
+                spdlog::info!("placer.left", kv: {
+                    is_reader = peers::is_reader(&self.gateway),
+                    is_stopping = self.gateway.phase() != Phase::Serving,
+                });
+                true
+            }
+            Err(error) => {
+                spdlog::warn!("placer.leave_failed", kv: { error: });
+                false
+            }
         }
     }
 
@@ -229,12 +287,12 @@
         self.lease.borrow().token(self.lease_duration(), era)
     }
 
-    /// Gives up the lease and leaves the group that elects the placer, at a planned stop.
+    /// Gives up the lease and leaves the group that elects the placer, at a planned stop. A failure to
+    /// leave is logged, and tried again by [`Self::maintain_lease`].
     pub async fn close(&self) {
         self.lease.borrow_mut().give_up();
-        let host_id = &self.gateway.settings.host_id;
-        if let Err(error) = self.gateway.platform.store.leave_group(host_id).await {
-            spdlog::warn!("placer.leave_failed", kv: { error: });
+        if self.is_member() {
+            self.leave_group().await;
         }
     }
 
