Check moves of accelerators in short turns, and only when one is due

On the large fleet with processor time it went on losing the lease for 2 of each 3 s after the layout was ordered (host.timer_late 763 ms at -3.6 s; 8 terms of nbg-b-1 until 11.5 s).

Change: moves are found by their price alone. The rates of the 8 best of a data centre are simulated once its shortage has lasted, in short turns, and again after the same time if none raises the rate. Empty engines get their orders before that.

Tests: check_moves_lets_other_tasks_run_on_large_fleet; the function before could not be interrupted, so that no test of turns could run on it. The tests of moves are as before.

--- a/crates/anvil_core/src/layout.rs
+++ b/crates/anvil_core/src/layout.rs
@@ -26,8 +26,13 @@
 
 pub mod capacity;
 mod hill_climb;
+mod rate_check;
 
 pub use hill_climb::HillClimb;
+pub use rate_check::{
+    CheckState,
+    RateCheck, //
+};
 
 #[cfg(test)]
 mod tests;
@@ -72,10 +77,6 @@
     pub holds: Option<LayerRange>,
 }
 
-/// Smallest ratio of the rate after a move to the rate before it. A lower ratio does not justify
-/// the time for which the moved accelerator serves no requests.
-const MOVE_RATE_RATIO_MIN: f64 = 1.06;
-
 /// Layer range that each target holds; empty targets are absent.
 pub type Layout = BTreeMap<TargetId, LayerRange>;
 
@@ -115,21 +116,22 @@
     pub price_share: f64,
 }
 
-/// Finds in each data centre the one move that lowers the price of shortage most. Moves that leave
-/// `price_share_max` or more of the price are not returned.
+/// Finds in each data centre the moves that lower the price of shortage, the one that lowers it most
+/// first. Moves that leave `price_share_max` or more of the price are not returned. Whether a move
+/// raises the rate is for a [`RateCheck`] to find out.
 ///
 /// This handles the permanent loss of accelerators, after which the layers of the others no longer
 /// fit together.
-pub fn rebalance(
+pub fn moves(
     engine: &EngineProfile,
     accelerators: &[Accelerator],
     price_share_max: f64,
-) -> Vec<Move> {
-    let mut moves = Vec::new();
-    for pool in pools(accelerators).values() {
-        let mut search = Search::new(engine, pool, LOSS_WEIGHTS, |_| false);
+) -> BTreeMap<DataCentreId, Vec<Move>> {
+    let mut moves = BTreeMap::new();
+    for (data_centre, pool) in pools(accelerators) {
+        let mut search = Search::new(engine, &pool, LOSS_WEIGHTS, |_| false);
         let before_price = search.price();
-        let mut best: Option<Move> = None;
+        let mut found: Vec<Move> = Vec::new();
         for (index, accelerator) in pool.iter().enumerate() {
             let Some(current_blocks) = search.assigned[index] else {
                 continue;
@@ -137,15 +139,11 @@
             let (blocks, price) = search.best_blocks(index);
             search.set(index, Some(current_blocks));
             let price_share = price / before_price;
-            let limit = best
-                .as_ref()
-                .map_or(price_share_max, |best| best.price_share);
             if let Some(blocks) = blocks
                 && blocks != current_blocks
-                && price_share < limit
-                && raises_rate(engine, accelerators, accelerator, search.layers_of(blocks))
+                && price_share < price_share_max
             {
-                best = Some(Move {
+                found.push(Move {
                     target: accelerator.target.clone(),
                     data_centre: accelerator.data_centre.clone(),
                     layers: search.layers_of(blocks),
@@ -153,30 +151,14 @@
                 });
             }
         }
-        moves.extend(best);
+        if !found.is_empty() {
+            found.sort_by(|left, right| left.price_share.total_cmp(&right.price_share));
+            moves.insert(data_centre.clone(), found);
+        }
     }
     moves
 }
 
-/// Returns whether the rate that all accelerators together sustain after a move is more than
-/// [`MOVE_RATE_RATIO_MIN`] times the rate before it, or the rate before it is 0.
-fn raises_rate(
-    engine: &EngineProfile,
-    accelerators: &[Accelerator],
-    moved: &Accelerator,
-    layers: LayerRange,
-) -> bool {
-    let mut layout: Layout = accelerators
-        .iter()
-        .filter_map(|accelerator| Some((accelerator.target.clone(), accelerator.holds?)))
-        .collect();
-    let before_per_s = capacity::rate_per_s(engine, accelerators, &layout, &[]);
-    layout.insert(moved.target.clone(), layers);
-    let after_per_s = capacity::rate_per_s(engine, accelerators, &layout, &[]);
-    // If no requests can be served, several moves may be needed before the rate rises above 0.
-    before_per_s == 0.0 || after_per_s > MOVE_RATE_RATIO_MIN * before_per_s
-}
-
 /// Returns the accelerators of each data centre, ordered by memory, largest first. Layers are
 /// assigned in this order, since the longer ranges of large accelerators have fewer possible
 /// positions.
--- a/crates/anvil_core/src/layout/tests.rs
+++ b/crates/anvil_core/src/layout/tests.rs
@@ -23,6 +23,26 @@
     accelerators
 }
 
+/// Returns the first move of each data centre that raises the rate.
+fn rebalance(
+    engine: &EngineProfile,
+    accelerators: &[Accelerator],
+    price_share_max: f64,
+) -> Vec<Move> {
+    let first_raising = |moves| {
+        let mut check = RateCheck::new(engine, accelerators, moves);
+        loop {
+            if let CheckState::Done(found) = check.advance() {
+                return found;
+            }
+        }
+    };
+    moves(engine, accelerators, price_share_max)
+        .into_values()
+        .filter_map(first_raising)
+        .collect()
+}
+
 /// Returns the number of accelerators in a data centre that hold each layer.
 fn copies_per_layer(
     layout: &Layout,
--- a/crates/anvil_gateway/src/placer.rs
+++ b/crates/anvil_gateway/src/placer.rs
@@ -23,8 +23,11 @@
     layout::{
         self,
         Accelerator,
+        CheckState,
         HillClimb,
-        Layout, //
+        Layout,
+        Move,
+        RateCheck, //
     },
 };
 use tokio::time::{
@@ -71,8 +74,8 @@
 /// Largest product of the steps of the layout search and the number of accelerators. The time of a
 /// step grows with the accelerators, and loads must begin some seconds after the start.
 const SEARCH_LIMIT_STEP_ACCELERATORS: usize = 8000;
-/// Largest product of the parts of the layout search between two turns of other tasks and the number
-/// of accelerators, to which the time of a part is proportional.
+/// Largest product of the parts of a computation between two turns of other tasks and the number of
+/// accelerators, to which the time of a part is proportional.
 const TURN_LIMIT_PART_ACCELERATORS: usize = 1000;
 /// Longest duration of the layout search on a slow host.
 const SEARCH_TIME_MAX: Duration = Duration::from_millis(2500);
@@ -92,6 +95,10 @@
 /// come back.
 const REBALANCE_DELAY: Duration = Duration::from_millis(1500);
 
+/// Most moves of a data centre whose rates are computed in one check, those that reduce the shortage
+/// most first.
+const REBALANCE_CHECKS_MAX: usize = 8;
+
 /// An order that was sent to a target.
 #[derive(Clone, Copy, Debug)]
 struct SentOrder {
@@ -323,7 +330,7 @@
                     .iter()
                     .all(|target| target.entry.borrow().layers.is_none());
                 if !is_unplaced {
-                    self.place_service(service_id, engine, &targets);
+                    self.place_service(service_id, engine, &targets).await;
                 } else if settled_since.elapsed() >= LIST_SETTLE_TIME {
                     self.place_all(service_id, engine, &targets).await;
                 } else {
@@ -382,7 +389,7 @@
         let mut search = HillClimb::new(engine, &accelerators);
         let mut longest_turn = Duration::ZERO;
         let steps_max = SEARCH_LIMIT_STEP_ACCELERATORS / accelerators.len();
-        let parts_per_turn = (TURN_LIMIT_PART_ACCELERATORS / accelerators.len()).max(1);
+        let parts_per_turn = parts_per_turn(&accelerators);
         while search.step_count() < steps_max && now.elapsed() < SEARCH_TIME_MAX {
             let began_at = Instant::now();
             for _ in 0..parts_per_turn {
@@ -437,7 +444,7 @@
     }
 
     /// Places layers on empty engines, and moves an accelerator where layers are short.
-    fn place_service(
+    async fn place_service(
         self: &Rc<Self>,
         service_id: &ServiceId,
         engine: &EngineProfile,
@@ -448,7 +455,6 @@
         let layout = layout::choose(engine, &accelerators, |accelerator| {
             accelerator.holds.is_none()
         });
-        self.rebalance(service_id, engine, targets, &accelerators, now);
         for target in targets {
             let Some(layers) = layout.get(&target.id).copied() else {
                 continue;
@@ -459,56 +465,60 @@
             }
             self.send_order(service_id, engine, target, layers);
         }
+        self.rebalance(service_id, engine, targets, &accelerators)
+            .await;
     }
 
-    /// Moves one accelerator in each data centre where this reduces a shortage, unless a target
-    /// there is still empty or has a pending order.
-    fn rebalance(
+    /// Moves one accelerator in each data centre where this reduces a shortage that has lasted, unless
+    /// a target there is still empty or has a pending order.
+    async fn rebalance(
         self: &Rc<Self>,
         service_id: &ServiceId,
         engine: &EngineProfile,
         targets: &[Rc<Target>],
         accelerators: &[Accelerator],
-        now: Instant,
     ) {
-        for proposed_move in layout::rebalance(engine, accelerators, REBALANCE_SHORTAGE_RATIO_MAX) {
-            let is_unsettled = targets.iter().any(|target| {
-                let entry = target.entry.borrow();
-                entry.data_centre == proposed_move.data_centre
-                    && target.is_listed_ready()
-                    && (entry.layers.is_none() || self.pending_layers(target, now).is_some())
-            });
-            let recorded_since = self
-                .shortage_since
-                .borrow()
-                .get(&proposed_move.data_centre)
-                .copied();
-            let since = match recorded_since {
-                Some(since) if !is_unsettled => since,
-                _ => {
-                    self.shortage_since
-                        .borrow_mut()
-                        .insert(proposed_move.data_centre.clone(), now);
-                    continue;
-                }
-            };
-            if now.duration_since(since) < REBALANCE_DELAY {
+        let moves = layout::moves(engine, accelerators, REBALANCE_SHORTAGE_RATIO_MAX);
+        for (data_centre, mut moves) in moves {
+            if !self.is_rebalance_due(&data_centre, targets) {
                 continue;
             }
-            if let Some(target) = targets
-                .iter()
-                .find(|target| target.id == proposed_move.target)
-            {
+            moves.truncate(REBALANCE_CHECKS_MAX);
+            let found = check_moves(engine, accelerators, moves).await;
+            self.shortage_since
+                .borrow_mut()
+                .insert(data_centre, Instant::now());
+            let Some(found) = found else {
+                continue;
+            };
+            if let Some(target) = targets.iter().find(|target| target.id == found.target) {
                 spdlog::info!("placer.rebalance", kv: {
                     target = target.id.as_str(),
-                    data_centre = proposed_move.data_centre.as_str(),
-                    layers: = proposed_move.layers,
-                    price_share = proposed_move.price_share,
+                    data_centre = found.data_centre.as_str(),
+                    layers: = found.layers,
+                    price_share = found.price_share,
                 });
-                self.send_order(service_id, engine, target, proposed_move.layers);
-                self.shortage_since
-                    .borrow_mut()
-                    .insert(proposed_move.data_centre.clone(), now);
+                self.send_order(service_id, engine, target, found.layers);
+            }
+        }
+    }
+
+    /// Returns whether a shortage of a data centre has lasted for long enough that an accelerator is
+    /// moved. Starts the wait anew while a target there is empty or has a pending order.
+    fn is_rebalance_due(&self, data_centre: &DataCentreId, targets: &[Rc<Target>]) -> bool {
+        let now = Instant::now();
+        let is_unsettled = targets.iter().any(|target| {
+            let entry = target.entry.borrow();
+            entry.data_centre == *data_centre
+                && target.is_listed_ready()
+                && (entry.layers.is_none() || self.pending_layers(target, now).is_some())
+        });
+        let mut shortage_since = self.shortage_since.borrow_mut();
+        match shortage_since.get(data_centre) {
+            Some(since) if !is_unsettled => now.duration_since(*since) >= REBALANCE_DELAY,
+            _ => {
+                shortage_since.insert(data_centre.clone(), now);
+                false
             }
         }
     }
@@ -640,3 +650,25 @@
         });
     }
 }
+
+/// Returns the number of parts of a computation over accelerators between two turns of other tasks.
+fn parts_per_turn(accelerators: &[Accelerator]) -> usize {
+    (TURN_LIMIT_PART_ACCELERATORS / accelerators.len().max(1)).max(1)
+}
+
+/// Returns the first of some moves that raises the rate, if one does.
+async fn check_moves(
+    engine: &EngineProfile,
+    accelerators: &[Accelerator],
+    moves: Vec<Move>,
+) -> Option<Move> {
+    let mut check = RateCheck::new(engine, accelerators, moves);
+    loop {
+        for _ in 0..parts_per_turn(accelerators) {
+            if let CheckState::Done(found) = check.advance() {
+                return found;
+            }
+        }
+        tokio::task::yield_now().await;
+    }
+}
--- a/crates/anvil_gateway/src/placer/tests.rs
+++ b/crates/anvil_gateway/src/placer/tests.rs
@@ -170,6 +170,52 @@
     });
 }
 
+/// Guards against a placer that is silent to its peers while it looks for a move on a large fleet.
+#[gtest]
+fn check_moves_lets_other_tasks_run_on_large_fleet() {
+    run(async {
+        let fleet = Fleet::start(77, 1).await;
+        let host = fleet.start_host(0).await;
+        let gateway = &host.gateway;
+        list_empty_engines(gateway, &LARGE_FLEET, &DATA_CENTRES);
+        let targets = gateway.targets.of_service(&"model".into());
+        let placer = Placer::new(Rc::clone(gateway));
+        let engine = engine();
+        let mut accelerators = placer.accelerators(&engine, &targets, Instant::now());
+        let chosen = layout::choose(&engine, &accelerators, |_| true);
+        let mut shown: Vec<Move> = Vec::new();
+        for accelerator in &mut accelerators {
+            accelerator.holds = chosen.get(&accelerator.target).copied();
+            // A move that changes nothing doesn't raise the rate, so that all are looked at.
+            shown.extend(accelerator.holds.map(|layers| Move {
+                target: accelerator.target.clone(),
+                data_centre: accelerator.data_centre.clone(),
+                layers,
+                price_share: 0.5,
+            }));
+        }
+        shown.truncate(REBALANCE_CHECKS_MAX);
+        let simulated_paths = {
+            let mut simulation =
+                layout::capacity::Simulation::new(&engine, &accelerators, &chosen, &[]);
+            let mut paths = 1;
+            while simulation.advance().is_none() {
+                paths += 1;
+            }
+            paths
+        };
+        let check = spawn_local(async move { check_moves(&engine, &accelerators, shown).await });
+        let mut turns = 0;
+        while !check.is_finished() {
+            turns += 1;
+            yield_now().await;
+        }
+        let parts = simulated_paths * (1 + REBALANCE_CHECKS_MAX);
+        expect_that!(turns * TURN_LIMIT_PART_ACCELERATORS, ge(parts * 190 / 2));
+        expect_that!(check.await.unwrap(), none());
+    });
+}
+
 /// Returns the one of three hosts that does not read the store for the others, and the other two.
 fn split_by_reader(hosts: [Host; 3]) -> (Host, Vec<Host>) {
     let mut others: Vec<Host> = hosts.into();
