Count the target list as complete only after the placer has read it often

Cause: the time without a change in the list counted from before the host held the lease, while it read the list rarely.

Change: the time begins when the host takes the lease.

Test: place_waits_for_engines_listed_after_lease_was_taken (4 orders of 24 before, 24 after).

--- a/crates/anvil_gateway/src/placer.rs
+++ b/crates/anvil_gateway/src/placer.rs
@@ -69,7 +69,8 @@
 /// silent by its peers.
 const TIMER_DELAY_LOGGED_MIN: Duration = Duration::from_millis(300);
 /// Time without a change in the number of targets after which the target list counts as complete at
-/// the start. It is longer than the interval between two reads of the list.
+/// the start. It is longer than the interval between two reads of the list by a host that holds the
+/// lease.
 const LIST_SETTLE_TIME: Duration = Duration::from_millis(1100);
 /// Largest product of the steps of the layout search and the number of accelerators. The time of a
 /// step grows with the accelerators, and loads must begin some seconds after the start.
@@ -307,6 +308,7 @@
     pub async fn place(self: Rc<Self>) {
         let mut known_count = 0;
         let mut settled_since = Instant::now();
+        let mut had_token = false;
         loop {
             sleep(PLACEMENT_INTERVAL).await;
             let count = self.gateway.targets.all().len();
@@ -319,8 +321,14 @@
             };
             self.gateway.awaits_targets.set(false);
             if self.token().is_none() {
+                had_token = false;
                 continue;
             }
+            if !had_token {
+                // Only now the list is read often enough.
+                settled_since = Instant::now();
+                had_token = true;
+            }
             for (service_id, service) in table.services() {
                 let Some(engine) = &service.engine else {
                     continue;
--- a/crates/anvil_gateway/src/placer/tests.rs
+++ b/crates/anvil_gateway/src/placer/tests.rs
@@ -141,6 +141,32 @@
     });
 }
 
+/// Guards against a layout for the part of the engines that was listed before the placer began to read
+/// the list often.
+#[gtest]
+fn place_waits_for_engines_listed_after_lease_was_taken() {
+    run(async {
+        let fleet = Fleet::start(78, 1).await;
+        let host = fleet.start_host(0).await;
+        let gateway = &host.gateway;
+        list_empty_engines(gateway, &[("large", 4)], &["a"]);
+        let placer = Rc::new(Placer::new(Rc::clone(gateway)));
+        spawn_local(Rc::clone(&placer).place());
+        sleep(LIST_SETTLE_TIME + PLACEMENT_INTERVAL).await;
+        set_placer(&placer, 1, true);
+        sleep(PLACEMENT_INTERVAL * 2).await;
+        let kinds = [("large", 4), ("middle", 8), ("small", 12)];
+        list_empty_engines(gateway, &kinds, &["a"]);
+        wait_until(|| {
+            set_placer(&placer, 1, true);
+            !fleet.orders.placed.borrow().is_empty()
+        })
+        .await;
+        sleep(POLL_INTERVAL).await;
+        expect_that!(fleet.orders.placed.borrow().len(), eq(24));
+    });
+}
+
 /// Guards against a placer that is silent to its peers while it searches for the layout of a large
 /// fleet.
 #[gtest]
