Log when a host can't open connections to any target

Cause: nothing in the output of a host that is cut off from all targets tells that it, and not the targets, lost its links.

Change: connections to targets are opened in one place (link), which counts outcomes. After failures at two targets without a success the host probes three others; if these fail as well it logs link.cut_off, and probes until link.restored. Nothing is decided by it yet.

--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod polling;
 pub mod prefix;
 pub mod quarantine;
+pub mod reachability;
 pub mod recovery;
 pub mod rendezvous;
 pub mod request_digest;
--- a/crates/anvil_gateway/src/faults.rs
+++ b/crates/anvil_gateway/src/faults.rs
@@ -15,6 +15,7 @@
 use crate::{
     gateway::Gateway,
     http1::ConnectError,
+    link,
     paths::{
         ChosenPath,
         LIVENESS_WINDOW, //
@@ -173,8 +174,8 @@
 
 /// Finds out by a new connection whether a target to which one was lost is still running. The new one
 /// is kept for the next request.
-pub async fn check_state(target: &Target) -> ProcessState {
-    check_state_within(target, STATE_CHECK_TIMEOUT).await
+pub async fn check_state(gateway: &Gateway, target: &Target) -> ProcessState {
+    check_state_within(gateway, target, STATE_CHECK_TIMEOUT).await
 }
 
 /// Returns what is known of each engine of a path whose stream has been silent since `silent_since`:
@@ -199,7 +200,7 @@
             if is_avoided || target.is_removed.get() {
                 return Evidence::Lost;
             }
-            match check_state_within(target, PROBE_TIMEOUT).await {
+            match check_state_within(gateway, target, PROBE_TIMEOUT).await {
                 ProcessState::Alive => Evidence::Alive,
                 ProcessState::Ended | ProcessState::Unreachable => Evidence::Lost,
             }
@@ -208,8 +209,8 @@
     futures::future::join_all(probes).await
 }
 
-async fn check_state_within(target: &Target, limit: Duration) -> ProcessState {
-    let opened = target.pool.open(target.address(), limit).await;
+async fn check_state_within(gateway: &Gateway, target: &Target, limit: Duration) -> ProcessState {
+    let opened = link::open(gateway, target, limit).await;
     match opened {
         Ok(acquired) => {
             target.pool.release(acquired.connection, None);
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -40,6 +40,7 @@
     clock::BootTime,
     http1::ResponseHead,
     knowledge::TableCache,
+    link::Link,
     metrics::Metrics,
     peers::PeerRegistry,
     port::{
@@ -72,6 +73,8 @@
     pub table_cache: TableCache,
     /// Target list, with this host's load at each target.
     pub targets: Targets,
+    /// Links of this host to targets.
+    pub link: Link,
     /// Counters and histograms that the metrics address serves.
     pub metrics: Metrics,
     /// The other gateways, and what they observe.
@@ -118,6 +121,7 @@
             targets: Targets::new(settings.heartbeat),
             settings,
             platform,
+            link: Link::default(),
             metrics: Metrics::new(),
             newer_table_notify: Notify::new(),
             quarantine: RefCell::new(Quarantine::default()),
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod http1;
 pub mod knowledge;
 pub mod limits;
+pub mod link;
 pub mod metrics;
 pub mod paths;
 pub mod peers;
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -60,6 +60,7 @@
     first_event: Histogram,
     longest_pause: Histogram,
     timer_delay: Histogram,
+    connections: IntCounterVec,
     open_requests: IntGauge,
     table_version: IntGauge,
     table_age_ms: IntGauge,
@@ -157,6 +158,11 @@
                 "anvil_timer_delay_seconds",
                 "Time by which a periodic timer fired late, because other tasks occupied the host",
             ),
+            connections: counters(
+                "anvil_target_connections_total",
+                "New connections to targets, opened or not",
+                &["outcome"],
+            ),
             open_requests: gauge("anvil_open_requests", "Requests open now"),
             table_version: gauge("anvil_table_version", "Version of the table in force"),
             table_age_ms: gauge(
@@ -255,6 +261,11 @@
         self.timer_delay.observe(delay.as_secs_f64());
     }
 
+    /// Counts a connection to a target that was opened or could not be, by its outcome.
+    pub fn record_connection(&self, outcome: &str) {
+        self.connections.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts a request that ended, and records its times.
     pub fn record_outcome(
         &self,
--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -39,6 +39,7 @@
         Connection,
         ResponseHead, //
     },
+    link,
     port::{
         Forwarding,
         ResponseMetadata, //
@@ -242,7 +243,7 @@
     target: &Target,
     failure: &'static str,
 ) {
-    let state = faults::check_state(target).await;
+    let state = faults::check_state(gateway, target).await;
     gateway.metrics.record_lost_request(state.as_str());
     spdlog::info!("request.connection_lost", kv: {
         request = request.metadata.id.as_str(),
@@ -326,7 +327,7 @@
 ) -> AttemptResult {
     let connect_timeout =
         CONNECT_TIMEOUT.min(attempt_deadline.saturating_duration_since(Instant::now()));
-    let acquired = target.pool.acquire(target.address(), connect_timeout).await;
+    let acquired = link::acquire(gateway, target, connect_timeout).await;
     let mut acquired = match acquired {
         Ok(acquired) => acquired,
         Err(error) => {
--- a/crates/anvil_gateway/src/pool.rs
+++ b/crates/anvil_gateway/src/pool.rs
@@ -3,17 +3,13 @@
 use std::{
     cell::RefCell,
     collections::VecDeque,
-    net::SocketAddr,
     time::Duration, //
 };
 
 use anvil_core::id::TargetId;
 use tokio::time::Instant;
 
-use crate::http1::{
-    ConnectError,
-    Connection, //
-};
+use crate::http1::Connection;
 
 /// Largest number of idle connections kept to one target. A host has few requests open with each.
 const IDLE_LIMIT_CONNECTIONS: usize = 16;
@@ -46,47 +42,8 @@
 }
 
 impl ConnectionPool {
-    /// Takes an idle connection, or opens one within `timeout`.
-    ///
-    /// # Errors
-    ///
-    /// Returns a [`ConnectError`] if no connection can be opened within `timeout`.
-    pub async fn acquire(
-        &self,
-        address: SocketAddr,
-        timeout: Duration,
-    ) -> Result<PooledConnection, ConnectError> {
-        if let Some(connection) = self.take_idle() {
-            return Ok(PooledConnection {
-                connection,
-                is_reused: true,
-            });
-        }
-        let connection = Connection::open(address, timeout).await?;
-        Ok(PooledConnection {
-            connection,
-            is_reused: false,
-        })
-    }
-
-    /// Opens a new connection within `timeout`.
-    ///
-    /// # Errors
-    ///
-    /// Returns a [`ConnectError`] if no connection can be opened within `timeout`.
-    pub async fn open(
-        &self,
-        address: SocketAddr,
-        timeout: Duration,
-    ) -> Result<PooledConnection, ConnectError> {
-        let connection = Connection::open(address, timeout).await?;
-        Ok(PooledConnection {
-            connection,
-            is_reused: false,
-        })
-    }
-
-    fn take_idle(&self) -> Option<Connection> {
+    /// Takes an idle connection, if there is one.
+    pub(crate) fn take_idle(&self) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         while let Some(mut candidate) = idle.pop_back() {
--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -32,6 +32,7 @@
         Phase, //
     },
     http1::Connection,
+    link,
     metrics,
     peers::{
         Peers,
@@ -114,6 +115,7 @@
     spawn_local(Rc::clone(&peers).receive());
     spawn_local(Rc::clone(&placer).maintain_lease());
     spawn_local(Rc::clone(&placer).place());
+    spawn_local(link::watch(Rc::clone(&gateway)));
     spawn_local(expire(Rc::clone(&gateway)));
     loop {
         tokio::select! {
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -49,6 +49,7 @@
         Framing,
         ResponseHead, //
     },
+    link,
     paths::{
         self,
         ChosenPath,
@@ -283,7 +284,7 @@
         let progress = self.progress.name();
         let mut state = "not checked";
         if let Some(early) = self.progress.early() {
-            let process_state = faults::check_state(engine).await;
+            let process_state = faults::check_state(self.gateway, engine).await;
             state = process_state.as_str();
             let (request, admission) = (self.request, &self.admission);
             self.gateway
@@ -372,7 +373,7 @@
         let first = &Rc::clone(chosen.first());
         let mut in_flight = chosen.begin_requests(self.engine, self.request);
         let connect_timeout = CONNECT_TIMEOUT.min(self.time_left());
-        let mut acquired = match first.pool.acquire(first.address(), connect_timeout).await {
+        let mut acquired = match link::acquire(gateway, first, connect_timeout).await {
             Ok(acquired) => acquired,
             Err(error) => {
                 first.record_unresponsive(Instant::now());
--- a/crates/anvil_observe/src/events.rs
+++ b/crates/anvil_observe/src/events.rs
@@ -71,6 +71,8 @@
     "limits.homes_changed": "The set of live hosts changed, and with it the teams whose shares this host grants.",
     "limits.refused": "A request was refused because a limit of its team was reached. The line gives this host's share of the limit.",
     "limits.share_changed": "This host's share of a team's limits changed.",
+    "link.cut_off": "This host can't open a connection to any of the targets that it tried. It, and not the targets, is taken to be cut off.",
+    "link.restored": "A host that was cut off from the targets opened a connection to one again.",
     "listener.accept_failed": "A connection could not be accepted.",
     "listener.failed": "A listener stopped because of an error.",
     "listing.ask_failed": "A reader of the platform's list did not return it, or returned a stale one. The next reader, or this host, takes its place.",
