--- a/crates/anvil_gateway/src/link.rs
+++ b/crates/anvil_gateway/src/link.rs
@@ -29,6 +29,9 @@
     target::Target, //
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Targets that are probed at once when this host may be cut off.
 const PROBED_TARGETS: usize = 3;
 /// Longest time of a probe: a few round trips and the time to accept.
--- /dev/null
+++ b/crates/anvil_gateway/src/link/tests.rs
@@ -0,0 +1,136 @@
+use std::time::Duration;
+
+use anvil_core::reachability::Belief;
+use googletest::prelude::*;
+use tokio::time::{
+    Instant,
+    sleep, //
+};
+
+use crate::tests::fleet::{
+    CallerResult,
+    Fleet,
+    Host,
+    SAFE_PATH,
+    UNSAFE_PATH,
+    run,
+    wait_for_peers, //
+};
+
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time from the beginning of a cut after which a host is to serve again.
+const STABLE_TIME: Duration = Duration::from_secs(3);
+const CALLS: usize = 20;
+
+/// Sends requests to a host for as long as it may take to notice a cut.
+async fn call_until_stable(host: &Host, path: &str) {
+    let cut_at = Instant::now();
+    while cut_at.elapsed() < STABLE_TIME {
+        host.answer_of(path).await;
+        sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Guards against callers that get nothing at a host which has lost its links to all targets.
+#[gtest]
+fn open_reaches_engines_through_peer_when_cut_off() {
+    run(async {
+        let fleet = Fleet::start(81, 6).await;
+        let host = fleet.start_host_cut_off(0).await;
+        let other = fleet.start_host(1).await;
+        wait_for_peers(&[&host, &other]).await;
+        let cut_at = Instant::now();
+        while cut_at.elapsed() < STABLE_TIME {
+            host.call(&["a"]).await;
+            sleep(POLL_INTERVAL).await;
+        }
+        let mut complete = 0;
+        for _ in 0..CALLS {
+            complete += usize::from(host.call(&["a"]).await == CallerResult::Complete);
+        }
+        expect_that!(complete, eq(CALLS));
+    });
+}
+
+/// Guards against the same for plain services, and against a request that runs twice on its way through
+/// another host.
+#[gtest]
+fn open_runs_unsafe_request_once_through_peer() {
+    run(async {
+        let fleet = Fleet::start_plain(82, 6, None).await;
+        let host = fleet.start_host_cut_off(0).await;
+        let other = fleet.start_host(1).await;
+        wait_for_peers(&[&host, &other]).await;
+        call_until_stable(&host, SAFE_PATH).await;
+        for path in [SAFE_PATH, UNSAFE_PATH].repeat(CALLS / 2) {
+            let (id, body) = host.answer_of(path).await;
+            expect_that!(body.as_deref(), some(eq(id.as_str())));
+            expect_that!(fleet.run_count(&id), eq(1));
+        }
+    });
+}
+
+/// Guards against sound targets that all hosts avoid because one host can't reach them.
+#[gtest]
+fn cut_off_host_does_not_make_peers_avoid_targets() {
+    run(async {
+        let fleet = Fleet::start(83, 6).await;
+        let host = fleet.start_host_cut_off(0).await;
+        let other = fleet.start_host(1).await;
+        wait_for_peers(&[&host, &other]).await;
+        let cut_at = Instant::now();
+        let mut avoided = 0;
+        while cut_at.elapsed() < STABLE_TIME {
+            host.call(&["a"]).await;
+            sleep(POLL_INTERVAL).await;
+            avoided = avoided.max(other.gateway.peers_view().avoided.len());
+        }
+        // One target that fails is no sign of a cut yet.
+        expect_that!(avoided, le(1));
+    });
+}
+
+/// Guards against requests that wait, or go from host to host, where no host reaches a target.
+#[gtest]
+fn open_fails_when_all_hosts_are_cut_off() {
+    run(async {
+        let fleet = Fleet::start_plain(84, 6, None).await;
+        let hosts = [
+            fleet.start_host_cut_off(0).await,
+            fleet.start_host_cut_off(1).await,
+            fleet.start_host_cut_off(2).await,
+        ];
+        wait_for_peers(&hosts.each_ref()).await;
+        for host in &hosts {
+            call_until_stable(host, SAFE_PATH).await;
+            for path in [SAFE_PATH, UNSAFE_PATH] {
+                let result = host.call_plain(path, "key-b", "").await;
+                expect_that!(result, eq(CallerResult::Status(503)));
+            }
+            expect_that!(host.gateway.link.belief(), eq(Belief::CutOff));
+        }
+        for engine in &fleet.engines {
+            expect_that!(engine.request_count.get(), eq(0));
+        }
+    });
+}
+
+/// Guards against a host that goes on sending through others after its links are back.
+#[gtest]
+fn open_uses_own_links_after_cut_ends() {
+    run(async {
+        let fleet = Fleet::start_plain(85, 6, None).await;
+        let host = fleet.start_host_cut_off(0).await;
+        let other = fleet.start_host(1).await;
+        wait_for_peers(&[&host, &other]).await;
+        call_until_stable(&host, SAFE_PATH).await;
+        fleet.reconnect(&host);
+        sleep(STABLE_TIME / 3).await;
+        expect_that!(host.gateway.link.belief(), eq(Belief::Connected));
+        other.kill().await;
+        for path in [SAFE_PATH, UNSAFE_PATH].repeat(CALLS / 2) {
+            let (id, body) = host.answer_of(path).await;
+            expect_that!(body.as_deref(), some(eq(id.as_str())));
+        }
+    });
+}
--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -75,7 +75,11 @@
         ResponseHead, //
     },
     knowledge::Source,
-    peers::Peers,
+    link,
+    peers::{
+        Peers,
+        table, //
+    },
     port::{
         Changes,
         EngineReport,
@@ -853,6 +857,38 @@
             .await
     }
 
+    /// Starts a host that is cut off from all targets: nothing listens at the addresses that it knows.
+    pub(crate) async fn start_host_cut_off(&self, index: u8) -> Host {
+        let host = self.start_host(index).await;
+        self.cut_off(&host);
+        host
+    }
+
+    /// Cuts a host off from all targets.
+    pub(crate) fn cut_off(&self, host: &Host) {
+        const CLOSED_PORT: u16 = 9;
+        let address = |engine: &Engine| SocketAddr::new(engine.address.ip(), CLOSED_PORT);
+        self.list_at(host, address);
+    }
+
+    /// Ends the cut of a host.
+    pub(crate) fn reconnect(&self, host: &Host) {
+        self.list_at(host, |engine| engine.address);
+    }
+
+    fn list_at(&self, host: &Host, address: impl Fn(&Engine) -> SocketAddr) {
+        let put = |engine: &Rc<Engine>| {
+            let entry = match self.is_plain {
+                true => plain_entry(address(engine)),
+                false => entry(address(engine)),
+            };
+            TargetChange::Put(engine.id.clone(), entry)
+        };
+        let changes = self.engines.iter().map(put).collect();
+        let targets = &host.gateway.targets;
+        targets.replace(changes, Position::new(0, 2), BootTime::now());
+    }
+
     /// Starts a host that has its first table and target list after a delay.
     pub(crate) async fn start_host_configured_after(&self, index: u8, delay: Duration) -> Host {
         let address = IpAddr::from([127, self.network, 2, 1 + index]);
@@ -899,6 +935,9 @@
         tasks.spawn_local(Rc::clone(&peers).receive());
         tasks.spawn_local(accept(Rc::clone(&gateway), listener));
         tasks.spawn_local(confirm_table(Rc::clone(&gateway)));
+        tasks.spawn_local(link::watch(Rc::clone(&gateway)));
+        let tables = TcpListener::bind((address, PEERS_PORT)).await.unwrap();
+        tasks.spawn_local(table::serve(Rc::clone(&gateway), tables));
         Host {
             gateway,
             address: callers,
