Reach targets through other hosts while this one is cut off from them

Cause: a request could only go over the links of the host that took it. Each attempt waited for a connection to one more target, and what the host could not reach it avoided, and told its peers to avoid.

Change: a host that can't open a connection to two targets of a service probes three others. If these fail too, it takes itself for cut off from that service, forgives the targets, tells peers nothing of what it avoids there, leaves the election of the placer, and opens connections through another host (peers::tunnel): that one opens a connection of its own to the named target and passes the bytes on. All decisions stay with the host that took the request. The end of a tunnel completes no body, a tunnel carries one request and is not kept, and a host that is cut off itself refuses at once, so that there is never a third host. A probe each 0.3 s ends the cut.

--- a/crates/anvil_core/src/exchange.rs
+++ b/crates/anvil_core/src/exchange.rs
@@ -519,6 +519,12 @@
         &self.own.id
     }
 
+    /// Returns the other hosts that the host list names, with their data centres.
+    pub fn listed_hosts(&self) -> impl Iterator<Item = (&HostId, &DataCentreId)> {
+        let listed = self.peers.iter().filter(|(_, peer)| peer.is_listed);
+        listed.map(|(id, peer)| (id, &peer.data_centre))
+    }
+
     /// Returns the number of other hosts that were ever listed.
     pub fn known_hosts(&self) -> usize {
         self.peers.len()
--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod reachability;
 pub mod recovery;
 pub mod rendezvous;
+pub mod replay;
 pub mod request_digest;
 pub mod retry;
 pub mod route;
--- a/crates/anvil_gateway/src/faults.rs
+++ b/crates/anvil_gateway/src/faults.rs
@@ -8,6 +8,7 @@
 
 use anvil_core::{
     engine_model::EngineProfile,
+    reachability::Belief,
     stall::Evidence, //
 };
 use tokio::time::Instant;
@@ -217,7 +218,8 @@
             ProcessState::Alive
         }
         Err(ConnectError::Failed { source, .. })
-            if source.kind() == std::io::ErrorKind::ConnectionRefused =>
+            if source.kind() == std::io::ErrorKind::ConnectionRefused
+                && gateway.link.belief(&target.entry.borrow().service) != Belief::Suspect =>
         {
             ProcessState::Ended
         }
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -42,7 +42,10 @@
     knowledge::TableCache,
     link::Link,
     metrics::Metrics,
-    peers::PeerRegistry,
+    peers::{
+        PeerRegistry,
+        tunnel::Tunnels, //
+    },
     port::{
         Platform,
         ResponseMetadata, //
@@ -90,6 +93,10 @@
     pub last_slowdown_query: Cell<Option<Instant>>,
     /// Whether this host is to place a model and waits for the target list to be complete.
     pub awaits_targets: Cell<bool>,
+    /// What this host knows of tunnels to targets through other hosts.
+    pub tunnels: RefCell<Tunnels>,
+    /// Number of tunnels that this host serves to others now.
+    pub open_tunnels: Cell<u32>,
     /// Number of peers' questions for the table that are being answered.
     pub table_questions: Cell<u32>,
     /// Number of requests that are open now.
@@ -128,6 +135,8 @@
             urgent_change: Notify::new(),
             last_slowdown_query: Cell::new(None),
             awaits_targets: Cell::new(false),
+            tunnels: RefCell::default(),
+            open_tunnels: Cell::new(0),
             table_questions: Cell::new(0),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
--- a/crates/anvil_gateway/src/http1/connection.rs
+++ b/crates/anvil_gateway/src/http1/connection.rs
@@ -65,6 +65,12 @@
         /// Error of the operating system.
         source: io::Error,
     },
+    /// This host is cut off from all targets, and no other host opened a connection for it.
+    #[display("cut off from all targets; {asked_hosts} hosts were asked for a tunnel")]
+    CutOff {
+        /// Number of other hosts that were asked.
+        asked_hosts: usize,
+    },
     /// The connection was not established in time.
     #[display("connect to {address}: no answer within {timeout:?}")]
     Timeout {
@@ -97,6 +103,8 @@
 pub struct Connection {
     stream: TcpStream,
     buffer: BytesMut,
+    /// Whether another host passes the bytes on. Its end can't be told from the end of the peer.
+    is_tunnel: bool,
 }
 
 impl Connection {
@@ -109,9 +117,29 @@
         Self {
             stream,
             buffer: BytesMut::new(),
+            is_tunnel: false,
+        }
+    }
+
+    /// Returns the connection as one whose bytes another host passes on. It carries one request, and
+    /// its end completes no body.
+    pub fn into_tunnel(self) -> Self {
+        Self {
+            is_tunnel: true,
+            ..self
         }
     }
 
+    /// Returns the stream. Bytes that were received but not consumed are dropped.
+    pub fn into_stream(self) -> TcpStream {
+        self.stream
+    }
+
+    /// Returns whether another host passes the bytes on.
+    pub fn is_tunnel(&self) -> bool {
+        self.is_tunnel
+    }
+
     /// Opens a connection within `limit`.
     ///
     /// # Errors
@@ -209,6 +237,9 @@
                 Piece::NeedMore => {}
             }
             if self.fill().await.map_err(ReadError::Io)? == 0 {
+                if self.is_tunnel {
+                    return Err(ReadError::Closed);
+                }
                 decoder.end_of_connection().map_err(ReadError::Body)?;
             }
         }
--- a/crates/anvil_gateway/src/link.rs
+++ b/crates/anvil_gateway/src/link.rs
@@ -2,13 +2,17 @@
 
 use std::{
     cell::RefCell,
+    collections::HashMap,
     rc::Rc,
     time::Duration, //
 };
 
-use anvil_core::reachability::{
-    Belief,
-    Reachability, //
+use anvil_core::{
+    id::ServiceId,
+    reachability::{
+        Belief,
+        Reachability, //
+    },
 };
 use futures::future;
 use tokio::{
@@ -16,7 +20,7 @@
         Notify,
         watch, //
     },
-    time::sleep,
+    time::timeout,
 };
 
 use crate::{
@@ -25,8 +29,10 @@
         ConnectError,
         Connection, //
     },
+    peers::tunnel,
     pool::PooledConnection,
-    target::Target, //
+    target::Target,
+    targets::Targets, //
 };
 
 #[cfg(test)]
@@ -36,16 +42,19 @@
 const PROBED_TARGETS: usize = 3;
 /// Longest time of a probe: a few round trips and the time to accept.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+/// Longest wait for the end of the probes.
+const SETTLE_TIMEOUT: Duration = PROBE_TIMEOUT.saturating_add(Duration::from_millis(50));
 /// Time between two probes of a host that is cut off.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 
-/// This host's links to targets.
+/// This host's links to the targets of each service.
 #[derive(Debug)]
 pub struct Link {
-    reachability: RefCell<Reachability>,
+    reachability: RefCell<HashMap<ServiceId, Reachability>>,
     /// Notified when this host begins to suspect that it is cut off.
     suspected: Notify,
-    belief: watch::Sender<Belief>,
+    /// Incremented when a suspicion ends.
+    settled: watch::Sender<u64>,
 }
 
 impl Default for Link {
@@ -53,50 +62,104 @@
         Self {
             reachability: RefCell::default(),
             suspected: Notify::new(),
-            belief: watch::Sender::new(Belief::default()),
+            settled: watch::Sender::new(0),
         }
     }
 }
 
 impl Link {
-    /// Returns what this host believes of its links.
-    pub fn belief(&self) -> Belief {
-        self.reachability.borrow().belief()
+    /// Returns what this host believes of its links to the targets of a service.
+    pub fn belief(&self, service: &ServiceId) -> Belief {
+        let reachability = self.reachability.borrow();
+        reachability
+            .get(service)
+            .map_or(Belief::Connected, Reachability::belief)
+    }
+
+    /// Returns whether this host is cut off from the targets of any service.
+    pub fn is_cut_off(&self) -> bool {
+        let reachability = self.reachability.borrow();
+        reachability
+            .values()
+            .any(|reachability| reachability.belief() == Belief::CutOff)
+    }
+
+    /// Returns the services to which this host may have no links, with its beliefs.
+    fn doubtful(&self) -> Vec<(ServiceId, Belief)> {
+        let reachability = self.reachability.borrow();
+        reachability
+            .iter()
+            .map(|(service, reachability)| (service.clone(), reachability.belief()))
+            .filter(|(_, belief)| *belief != Belief::Connected)
+            .collect()
+    }
+
+    fn has_failed(&self, target: &Target) -> bool {
+        let reachability = self.reachability.borrow();
+        reachability
+            .get(&target.entry.borrow().service)
+            .is_some_and(|reachability| reachability.has_failed(&target.id))
     }
 
     fn record_success(&self, target: &Target) {
-        let before = self.reachability.borrow_mut().record_success();
+        let service = &target.entry.borrow().service;
+        let mut reachability = self.reachability.borrow_mut();
+        let Some(before) = reachability
+            .get_mut(service)
+            .map(Reachability::record_success)
+        else {
+            return;
+        };
         if before == Belief::CutOff {
-            spdlog::info!("link.restored", kv: { target = target.id.as_str() });
+            spdlog::info!("link.restored", kv: {
+                service = service.as_str(),
+                target = target.id.as_str(),
+            });
+        }
+        if before != Belief::Connected {
+            self.settled.send_modify(|count| *count += 1);
         }
-        self.publish();
     }
 
     fn record_failure(&self, gateway: &Gateway, target: &Target) {
+        let service = target.entry.borrow().service.clone();
         let mut reachability = self.reachability.borrow_mut();
+        let reachability = reachability.entry(service).or_default();
         let before = reachability.belief();
         let after = reachability.record_failure(&target.id, gateway.uptime());
-        drop(reachability);
         if before == Belief::Connected && after == Belief::Suspect {
             self.suspected.notify_one();
         }
-        self.publish();
     }
 
-    fn record_failed_probes(&self) {
+    /// Records that the probes failed too. If this host is cut off, nothing that it saw of the targets
+    /// counts against them.
+    fn record_failed_probes(&self, service: &ServiceId, targets: &Targets) {
         let mut reachability = self.reachability.borrow_mut();
+        let Some(reachability) = reachability.get_mut(service) else {
+            return;
+        };
         reachability.record_failed_probes();
         if reachability.belief() == Belief::CutOff {
-            spdlog::warn!("link.cut_off", kv: { unreached_targets = reachability.unreached_count() });
+            spdlog::warn!("link.cut_off", kv: {
+                service = service.as_str(),
+                unreached_targets = reachability.unreached_count(),
+            });
+            for target in targets.of_service(service) {
+                target.end_avoidance();
+                target.pool.clear();
+            }
         }
-        drop(reachability);
-        self.publish();
+        self.settled.send_modify(|count| *count += 1);
     }
 
-    fn publish(&self) {
-        let belief = self.belief();
-        self.belief
-            .send_if_modified(|known| std::mem::replace(known, belief) != belief);
+    /// Returns the belief, once the probes that a suspicion began have ended.
+    async fn settled_belief(&self, service: &ServiceId) -> Belief {
+        let mut settled = self.settled.subscribe();
+        let wait = settled.wait_for(|_| self.belief(service) != Belief::Suspect);
+        // A wait that is not over by then leaves the suspicion as it is.
+        let _in_time = timeout(SETTLE_TIMEOUT, wait).await.is_ok();
+        self.belief(service)
     }
 }
 
@@ -129,14 +192,32 @@
     target: &Target,
     limit: Duration,
 ) -> Result<PooledConnection, ConnectError> {
-    let connection = open_directly(gateway, target, limit).await?;
+    let service = target.entry.borrow().service.clone();
+    let mut belief = gateway.link.belief(&service);
+    let mut opened = None;
+    if belief != Belief::CutOff {
+        opened = Some(open_directly(gateway, target, limit).await);
+        if matches!(opened, Some(Err(_))) {
+            belief = gateway.link.settled_belief(&service).await;
+        }
+    }
+    let connection = match opened {
+        Some(Ok(connection)) => connection,
+        Some(Err(error)) if belief != Belief::CutOff => return Err(error),
+        Some(Err(_)) | None => tunnel::open(gateway, target, limit).await?,
+    };
     Ok(PooledConnection {
         connection,
         is_reused: false,
     })
 }
 
-async fn open_directly(
+/// Opens a connection to a target over this host's own links.
+///
+/// # Errors
+///
+/// Returns a [`ConnectError`] if the connection can't be opened within `limit`.
+pub(crate) async fn open_directly(
     gateway: &Gateway,
     target: &Target,
     limit: Duration,
@@ -145,7 +226,7 @@
     let outcome = match &opened {
         Ok(_) => "opened",
         Err(ConnectError::Failed { .. }) => "failed",
-        Err(ConnectError::Timeout { .. }) => "timeout",
+        Err(ConnectError::Timeout { .. } | ConnectError::CutOff { .. }) => "timeout",
     };
     gateway.metrics.record_connection(outcome);
     match &opened {
@@ -158,26 +239,37 @@
 /// Probes targets while this host may be cut off from them. Never returns.
 pub async fn watch(gateway: Rc<Gateway>) {
     loop {
-        gateway.link.suspected.notified().await;
-        if !probe(&gateway, PROBED_TARGETS).await {
-            gateway.link.record_failed_probes();
+        let suspected = gateway.link.suspected.notified();
+        match gateway.link.is_cut_off() {
+            // A time-out is the end of the interval.
+            true => drop(timeout(PROBE_INTERVAL, suspected).await),
+            false => suspected.await,
         }
-        while gateway.link.belief() == Belief::CutOff {
-            sleep(PROBE_INTERVAL).await;
-            probe(&gateway, 1).await;
+        let checks = gateway.link.doubtful().into_iter();
+        let checks = checks.map(|(service, belief)| check(&gateway, service, belief));
+        future::join_all(checks).await;
+    }
+}
+
+async fn check(gateway: &Gateway, service: ServiceId, belief: Belief) {
+    let count = match belief {
+        Belief::Connected | Belief::Suspect => PROBED_TARGETS,
+        Belief::CutOff => 1,
+    };
+    if !probe(gateway, &service, count).await {
+        let link = &gateway.link;
+        if belief == Belief::Suspect {
+            link.record_failed_probes(&service, &gateway.targets);
         }
     }
 }
 
-/// Opens a connection to each of some random targets. Targets that could be reached until now come
-/// first. Returns whether one was opened.
-async fn probe(gateway: &Gateway, count: usize) -> bool {
-    let mut targets = gateway.targets.all();
+/// Opens a connection to each of some random targets of a service. Targets that could be reached until
+/// now come first. Returns whether one was opened.
+async fn probe(gateway: &Gateway, service: &ServiceId, count: usize) -> bool {
+    let mut targets = gateway.targets.of_service(service);
     targets.retain(|target| target.is_listed_ready());
-    targets.sort_by_cached_key(|target| {
-        let has_failed = gateway.link.reachability.borrow().has_failed(&target.id);
-        (has_failed, gateway.random_u64())
-    });
+    targets.sort_by_cached_key(|target| (gateway.link.has_failed(target), gateway.random_u64()));
     targets.truncate(count);
     let probes = targets.iter().map(|target| async {
         let opened = open_directly(gateway, target, PROBE_TIMEOUT).await;
--- a/crates/anvil_gateway/src/link/tests.rs
+++ b/crates/anvil_gateway/src/link/tests.rs
@@ -107,7 +107,10 @@
                 let result = host.call_plain(path, "key-b", "").await;
                 expect_that!(result, eq(CallerResult::Status(503)));
             }
-            expect_that!(host.gateway.link.belief(), eq(Belief::CutOff));
+            expect_that!(
+                host.gateway.link.belief(&"plain".into()),
+                eq(Belief::CutOff)
+            );
         }
         for engine in &fleet.engines {
             expect_that!(engine.request_count.get(), eq(0));
@@ -126,7 +129,10 @@
         call_until_stable(&host, SAFE_PATH).await;
         fleet.reconnect(&host);
         sleep(STABLE_TIME / 3).await;
-        expect_that!(host.gateway.link.belief(), eq(Belief::Connected));
+        expect_that!(
+            host.gateway.link.belief(&"plain".into()),
+            eq(Belief::Connected)
+        );
         other.kill().await;
         for path in [SAFE_PATH, UNSAFE_PATH].repeat(CALLS / 2) {
             let (id, body) = host.answer_of(path).await;
--- a/crates/anvil_gateway/src/peers.rs
+++ b/crates/anvil_gateway/src/peers.rs
@@ -5,6 +5,7 @@
 mod datagram;
 mod message;
 pub mod table;
+pub mod tunnel;
 mod view;
 
 #[cfg(test)]
@@ -30,8 +31,10 @@
     },
     id::{
         HostId,
-        Offset, //
+        Offset,
+        ServiceId, //
     },
+    reachability::Belief,
 };
 use tokio::{
     net::UdpSocket,
@@ -64,6 +67,10 @@
 };
 pub use view::PeerRegistry;
 
+/// Header with the host that sends a request to a peer.
+const HOST_HEADER: &str = "Anvil-Host";
+/// Header with the authentication tag of a request to a peer, or of its answer.
+const TAG_HEADER: &str = "Anvil-Tag";
 /// Largest datagram. It fits into one packet on any link.
 const DATAGRAM_LIMIT_BYTES: usize = 1400;
 /// Delay between registering this host and reading the host list, so that hosts that start together
@@ -283,11 +290,14 @@
         };
         let counts = |targets: Vec<u32>| targets.into_iter().map(|target| (target, 1)).collect();
         let targets = &gateway.targets;
+        // What a host observes that may be cut off is true of itself alone.
+        let is_connected = |service: &ServiceId| gateway.link.belief(service) == Belief::Connected;
+        let avoided = |reason| counts(targets.own_avoided(reason, now, is_connected));
         Summary {
             hosts: BTreeMap::from([(gateway.settings.data_centre.clone(), presence)]),
             loads: targets.own_loads(),
-            avoided: counts(targets.own_avoided(AvoidReason::Unresponsive, now)),
-            refusing: counts(targets.own_avoided(AvoidReason::Refusing, now)),
+            avoided: avoided(AvoidReason::Unresponsive),
+            refusing: avoided(AvoidReason::Refusing),
             leaving: counts(targets.own_leaving()),
             slow: targets.own_slow(now),
             newest_table_version: gateway.table_cache.version(),
--- a/crates/anvil_gateway/src/peers/table.rs
+++ b/crates/anvil_gateway/src/peers/table.rs
@@ -58,13 +58,16 @@
     run,
 };
 
-use super::DatagramKey;
+use super::{
+    DatagramKey,
+    HOST_HEADER,
+    TAG_HEADER,
+    tunnel, //
+};
 
 /// Path of a question for a newer table, without its query.
 const PATH: &str = "/v1/table";
-const HOST_HEADER: &str = "Anvil-Host";
 const NONCE_HEADER: &str = "Anvil-Nonce";
-const TAG_HEADER: &str = "Anvil-Tag";
 const AGE_HEADER: &str = "Anvil-Age-Ms";
 const ERA_HEADER: &str = "Anvil-Era";
 /// Time within which a question must arrive.
@@ -105,7 +108,7 @@
     },
 }
 
-/// Serves this host's table to its peers. Never returns.
+/// Serves this host's table, and tunnels to targets, to its peers. Never returns.
 pub async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
     loop {
         let stream = run::accept(&listener).await;
@@ -117,7 +120,7 @@
     if gateway.table_questions.get() >= QUESTIONS_MAX {
         return;
     }
-    let _count = CountGuard::begin(&gateway.table_questions);
+    let count = CountGuard::begin(&gateway.table_questions);
     let mut connection = Connection::new(stream);
     let question = connection
         .read_request(QUESTION_LIMIT_BYTES, QUESTION_TIMEOUT, QUESTION_TIMEOUT)
@@ -125,6 +128,10 @@
     let Ok(Some(head)) = question else {
         return;
     };
+    if head.path() == tunnel::PATH {
+        drop(count);
+        return tunnel::serve(&gateway, connection, &head).await;
+    }
     let written = connection.write_all(&answer(&gateway, &head)).await;
     if let Err(error) = written {
         spdlog::debug!("table.answer_failed", kv: { error: });
--- a/crates/anvil_gateway/src/peers/view.rs
+++ b/crates/anvil_gateway/src/peers/view.rs
@@ -201,6 +201,14 @@
         self.exchange.other_relays(now.since_boot())
     }
 
+    /// Returns the other hosts on the host list, with their data centres.
+    pub(super) fn listed_peers(&self) -> Vec<(HostId, DataCentreId)> {
+        let listed = self.exchange.listed_hosts();
+        listed
+            .map(|(id, data_centre)| (id.clone(), data_centre.clone()))
+            .collect()
+    }
+
     pub(super) fn own_key(&self) -> Option<DatagramKey> {
         self.own_key
     }
--- a/crates/anvil_gateway/src/placer.rs
+++ b/crates/anvil_gateway/src/placer.rs
@@ -175,9 +175,11 @@
         }
     }
 
-    /// Returns whether this host is to be a member of the group.
+    /// Returns whether this host is to be a member of the group. One that is cut off is not: its
+    /// orders would reach no target.
     fn stands_for_election(&self) -> bool {
         self.gateway.phase() == Phase::Serving
+            && !self.gateway.link.is_cut_off()
             && (self.lease.borrow().is_held() || peers::is_reader(&self.gateway))
     }
 
@@ -217,6 +219,7 @@
 
     /// Leaves the group. Returns whether the store confirmed it.
     async fn leave_group(&self) -> bool {
+        self.lease.borrow_mut().give_up();
         let host_id = &self.gateway.settings.host_id;
         match self.gateway.platform.store.leave_group(host_id).await {
             Ok(()) => {
@@ -298,7 +301,6 @@
     /// Gives up the lease and leaves the group that elects the placer, at a planned stop. A failure to
     /// leave is logged, and tried again by [`Self::maintain_lease`].
     pub async fn close(&self) {
-        self.lease.borrow_mut().give_up();
         if self.is_member() {
             self.leave_group().await;
         }
--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -36,6 +36,7 @@
     gateway::Gateway,
     http1::{
         BodyDecoder,
+        ConnectError,
         Connection,
         ResponseHead, //
     },
@@ -78,6 +79,8 @@
     Response(ResponseHead, ResponseMetadata, Bytes),
     /// The request was not sent, since it has been quarantined meanwhile.
     Quarantined,
+    /// The request was not sent, since neither this host nor another one reaches a target.
+    CutOff,
     /// The request is known not to have run.
     NotRun(&'static str),
     /// The connection failed after the request may have run.
@@ -183,6 +186,10 @@
                 gateway.release_trial(&admission);
                 continue;
             }
+            AttemptResult::CutOff => {
+                gateway.release_trial(&admission);
+                break;
+            }
             AttemptResult::NotRun(failure) => {
                 gateway.release_trial(&admission);
                 trace.record_failure(format!("{}: {failure}, not run", target.id))
@@ -330,6 +337,10 @@
     let acquired = link::acquire(gateway, target, connect_timeout).await;
     let mut acquired = match acquired {
         Ok(acquired) => acquired,
+        Err(error @ ConnectError::CutOff { .. }) => {
+            trace.record_failure(error.to_string());
+            return AttemptResult::CutOff;
+        }
         Err(error) => {
             target.record_failure(Instant::now());
             trace.record_failure(error.to_string());
--- a/crates/anvil_gateway/src/pool.rs
+++ b/crates/anvil_gateway/src/pool.rs
@@ -55,9 +55,9 @@
     }
 
     /// Returns a connection whose last answer was read completely to the pool. Drops it if bytes
-    /// are left in its buffer.
+    /// are left in its buffer, or if it is a tunnel.
     pub fn release(&self, connection: Connection, idle_timeout: Option<Duration>) {
-        if connection.has_buffered_bytes() {
+        if connection.has_buffered_bytes() || connection.is_tunnel() {
             return;
         }
         let usable_for = idle_timeout
--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -165,7 +165,9 @@
     // Kept connections would bring requests until the end, and too little time is left for these.
     gateway.set_phase(Phase::Closing);
     loop {
-        let is_idle = gateway.open_requests.get() == 0 && gateway.open_connections.get() == 0;
+        let is_idle = gateway.open_requests.get() == 0
+            && gateway.open_connections.get() == 0
+            && gateway.open_tunnels.get() == 0;
         if is_idle || signalled_at.elapsed() >= stop_limit {
             break;
         }
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -45,6 +45,7 @@
     gateway::Gateway,
     http1::{
         BodyDecoder,
+        ConnectError,
         Connection,
         Framing,
         ResponseHead, //
@@ -95,6 +96,8 @@
     /// The request did not run on this path. Holds the reason, and the address of the engine at
     /// fault where it is known.
     NotRun(&'static str, Option<SocketAddr>),
+    /// The request was not sent, since neither this host nor another one reaches a target.
+    CutOff,
     /// The request was not sent, since it or a part of its prompt has been quarantined meanwhile.
     Quarantined,
     /// The request was not sent, since the caller's key may have been revoked meanwhile.
@@ -216,6 +219,10 @@
                     self.gateway.release_trial(&self.admission);
                     continue;
                 }
+                AttemptResult::CutOff => {
+                    self.gateway.release_trial(&self.admission);
+                    return self.give_up(ErrorReason::NoTarget, may_have_run, "cut off");
+                }
                 AttemptResult::KeysStale => {
                     self.gateway.release_trial(&self.admission);
                     return self.give_up(ErrorReason::Stale, may_have_run, "keys may be outdated");
@@ -375,6 +382,10 @@
         let connect_timeout = CONNECT_TIMEOUT.min(self.time_left());
         let mut acquired = match link::acquire(gateway, first, connect_timeout).await {
             Ok(acquired) => acquired,
+            Err(error @ ConnectError::CutOff { .. }) => {
+                trace.record_failure(error.to_string());
+                return AttemptResult::CutOff;
+            }
             Err(error) => {
                 first.record_unresponsive(Instant::now());
                 trace.record_failure(error.to_string());
--- a/crates/anvil_gateway/src/target.rs
+++ b/crates/anvil_gateway/src/target.rs
@@ -294,6 +294,12 @@
             .set(Some(now + (min * factor).min(AVOID_MAX)));
     }
 
+    /// Ends the avoidance of the target, because not the target was at fault.
+    pub fn end_avoidance(&self) {
+        self.avoided_until.set(None);
+        self.consecutive_failures.set(0);
+    }
+
     /// Records that a request made progress at the target.
     pub fn record_progress(&self, now: Instant) {
         self.last_progress.set(Some(now));
--- a/crates/anvil_gateway/src/targets.rs
+++ b/crates/anvil_gateway/src/targets.rs
@@ -287,12 +287,18 @@
         self.next.get()
     }
 
-    /// Returns the hashes of the targets that this host avoids for `reason`.
-    pub fn own_avoided(&self, reason: AvoidReason, now: Instant) -> Vec<u32> {
+    /// Returns the hashes of the targets of some services that this host avoids for `reason`.
+    pub fn own_avoided(
+        &self,
+        reason: AvoidReason,
+        now: Instant,
+        is_included: impl Fn(&ServiceId) -> bool,
+    ) -> Vec<u32> {
         self.by_id
             .borrow()
             .values()
             .filter(|target| target.avoid_reason.get() == reason && target.is_avoided(now))
+            .filter(|target| is_included(&target.entry.borrow().service))
             .map(|target| target.id_hash)
             .collect()
     }
@@ -408,6 +414,11 @@
             .cloned()
     }
 
+    /// Returns the target of a name, if it is listed.
+    pub fn by_id(&self, id: &TargetId) -> Option<Rc<Target>> {
+        self.by_id.borrow().get(id).cloned()
+    }
+
     /// Returns the targets of a service, sorted by name.
     pub fn of_service(&self, service: &ServiceId) -> Vec<Rc<Target>> {
         let mut found: Vec<_> = self
--- a/crates/anvil_gateway/src/targets/tests.rs
+++ b/crates/anvil_gateway/src/targets/tests.rs
@@ -39,7 +39,7 @@
 fn own_avoided_distinguishes_reasons() {
     let now = Instant::now();
     let (targets, target) = list_with("target");
-    let avoided_count = |reason| targets.own_avoided(reason, now).len();
+    let avoided_count = |reason| targets.own_avoided(reason, now, |_| true).len();
     target.record_no_capacity(now);
     expect_that!(
         avoided_count(AvoidReason::Unresponsive) + avoided_count(AvoidReason::Refusing),
@@ -48,14 +48,23 @@
     expect_that!(target.is_avoided(now), eq(true));
     let (targets, target) = list_with("target");
     target.record_refusing(now);
-    expect_that!(targets.own_avoided(AvoidReason::Refusing, now).len(), eq(1));
     expect_that!(
-        targets.own_avoided(AvoidReason::Unresponsive, now).len(),
+        targets
+            .own_avoided(AvoidReason::Refusing, now, |_| true)
+            .len(),
+        eq(1)
+    );
+    expect_that!(
+        targets
+            .own_avoided(AvoidReason::Unresponsive, now, |_| true)
+            .len(),
         eq(0)
     );
     let later = now + Duration::from_secs(60);
     expect_that!(
-        targets.own_avoided(AvoidReason::Refusing, later).len(),
+        targets
+            .own_avoided(AvoidReason::Refusing, later, |_| true)
+            .len(),
         eq(0)
     );
 }
--- a/crates/anvil_observe/src/events.rs
+++ b/crates/anvil_observe/src/events.rs
@@ -155,5 +155,7 @@
     "target.speed": "An engine on a path that was slower than predicted reported its own slowdown.",
     "target.speed_unknown": "An engine on a path that was slower than predicted could not be asked for its slowdown.",
     "target.state": "The state of a target changed to leaving, or back to staying.",
+    "tunnel.answer_failed": "A peer's request for a tunnel to a target was refused, and the refusal could not be sent.",
+    "tunnel.refused": "Another host did not open a tunnel to a target for this host, which is cut off. The next host is asked.",
     "target.unreadable": "The entry of a target can't be read, so the target is not used.",
 };
