Let only hosts that have read for a second join the election of the placer

Cause: when a relay is missed, each host that hears no other relay reads for itself for a moment.

Change: a host joins once it has read without a break for a second. At the start this counts from the start of the process, so that the first placer is elected as early as before.

--- a/crates/anvil_gateway/src/placer.rs
+++ b/crates/anvil_gateway/src/placer.rs
@@ -83,6 +83,8 @@
 /// Delay after the start before a host may join the group that elects the placer. By then, hosts
 /// that start together have heard from one another, and those that are not readers stay out.
 const GROUP_JOIN_DELAY: Duration = Duration::from_millis(1200);
+/// Time for which a host must have read the store for others before it may join that group.
+const READING_TIME_MIN: Duration = Duration::from_secs(1);
 /// Time for which an order without a certain answer blocks other orders for its target.
 const UNCERTAIN_ORDER_PAUSE: Duration = Duration::from_millis(1500);
 /// Time after which an order that has begun may be sent again, as a multiple of the time that the
@@ -122,6 +124,8 @@
 pub struct Placer {
     gateway: Rc<Gateway>,
     lease: RefCell<Lease>,
+    /// Since when this host has read the store for others without a break, as checked at intervals.
+    reading_since: Cell<Option<Instant>>,
     /// When the store was last asked to make this host a member of the group, or to keep it one. `None`
     /// after this host has left the group.
     joined_at: Cell<Option<BootTime>>,
@@ -143,6 +147,7 @@
         Self {
             gateway,
             lease: RefCell::new(Lease::default()),
+            reading_since: Cell::new(Some(Instant::now())),
             joined_at: Cell::new(None),
             sent_orders: RefCell::new(HashMap::new()),
             shortage_since: RefCell::new(HashMap::new()),
@@ -176,11 +181,21 @@
     }
 
     /// Returns whether this host is to be a member of the group. One that is cut off is not: its
-    /// orders would reach no target.
+    /// orders would reach no target. Nor is one that has begun to read only now, because many hosts do
+    /// so for a moment when they miss a relay.
     fn stands_for_election(&self) -> bool {
+        if !peers::is_reader(&self.gateway) {
+            self.reading_since.set(None);
+        } else if self.reading_since.get().is_none() {
+            self.reading_since.set(Some(Instant::now()));
+        }
+        let has_read = self
+            .reading_since
+            .get()
+            .is_some_and(|since| since.elapsed() >= READING_TIME_MIN);
         self.gateway.phase() == Phase::Serving
             && !self.gateway.link.is_cut_off()
-            && (self.lease.borrow().is_held() || peers::is_reader(&self.gateway))
+            && (self.lease.borrow().is_held() || has_read)
     }
 
     /// Returns whether the store may count this host as a member of the group.
