Keep connections over a second of silence of a sound target

Cause: a set TCP_USER_TIMEOUT also ends keepalive probing, whatever the number of probes: when the second probe is due and the first is unanswered. Probes were a second apart, and a sound target may be silent for a second.

Change: two seconds between probes.

Test: set_options_outlasts_silence_of_sound_target failed before (interval 1 s, of more than 1 s).

--- a/crates/anvil_gateway/src/http1/connection.rs
+++ b/crates/anvil_gateway/src/http1/connection.rs
@@ -51,8 +51,10 @@
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1800);
 /// Idle time after which TCP keepalive probes begin. A connection may break without a reset.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
-/// Time between two keepalive probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two keepalive probes. With a `TCP_USER_TIMEOUT`, the system gives a connection up when
+/// the second probe is due and the first one was not answered. It is longer than a sound target may
+/// be silent.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
 
 /// The error for a connection that could not be opened. Nothing was sent on it.
 #[derive(Debug, Display, Error)]
@@ -364,7 +366,7 @@
     }
 }
 
-fn set_options(stream: &TcpStream) -> io::Result<()> {
+pub(super) fn set_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
--- a/crates/anvil_gateway/src/http1/tests.rs
+++ b/crates/anvil_gateway/src/http1/tests.rs
@@ -6,6 +6,11 @@
 
 use bytes::BytesMut;
 use googletest::prelude::*;
+use socket2::SockRef;
+use tokio::net::{
+    TcpListener,
+    TcpStream, //
+};
 
 use super::*;
 
@@ -208,3 +213,27 @@
         });
     }
 }
+
+/// Guards against a connection that the system gives up while a sound target is silent for a second:
+/// with a user timeout, one unanswered keepalive probe ends it when the next one is due.
+#[gtest]
+fn set_options_outlasts_silence_of_sound_target() {
+    const SILENCE: Duration = Duration::from_secs(1);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let (user_timeout, interval) = runtime.block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let stream = TcpStream::connect(address).await.unwrap();
+        connection::set_options(&stream).unwrap();
+        let socket = SockRef::from(&stream);
+        (
+            socket.tcp_user_timeout().unwrap(),
+            socket.tcp_keepalive_interval().unwrap(),
+        )
+    });
+    expect_that!(user_timeout, some(gt(SILENCE)));
+    expect_that!(interval, gt(SILENCE));
+}
