Keep a placer while the targets of a plain service are down

Cause: a host that is cut off from any service left the election of the placer. While all targets of a plain service are down each host takes itself for cut off from them, and there would be no placer.

Change: only being cut off from engines counts.

Test: maintain_lease_goes_on_while_plain_service_is_down; it was not run on the code before.

--- a/crates/anvil_gateway/src/link.rs
+++ b/crates/anvil_gateway/src/link.rs
@@ -77,7 +77,7 @@
     }
 
     /// Returns whether this host is cut off from the targets of any service.
-    pub fn is_cut_off(&self) -> bool {
+    fn is_cut_off(&self) -> bool {
         let reachability = self.reachability.borrow();
         reachability
             .values()
--- a/crates/anvil_gateway/src/placer.rs
+++ b/crates/anvil_gateway/src/placer.rs
@@ -29,6 +29,7 @@
         Move,
         RateCheck, //
     },
+    reachability::Belief,
 };
 use tokio::time::{
     Instant,
@@ -180,8 +181,8 @@
         }
     }
 
-    /// Returns whether this host is to be a member of the group. One that is cut off is not: its
-    /// orders would reach no target. Nor is one that has begun to read only now, because many hosts do
+    /// Returns whether this host is to be a member of the group. One that is cut off from
+    /// engines is not: its orders would reach none. Nor is one that has begun to read only now, because many hosts do
     /// so for a moment when they miss a relay.
     fn stands_for_election(&self) -> bool {
         if !peers::is_reader(&self.gateway) {
@@ -194,10 +195,19 @@
             .get()
             .is_some_and(|since| since.elapsed() >= READING_TIME_MIN);
         self.gateway.phase() == Phase::Serving
-            && !self.gateway.link.is_cut_off()
+            && !self.is_cut_off_from_engines()
             && (self.lease.borrow().is_held() || has_read)
     }
 
+    fn is_cut_off_from_engines(&self) -> bool {
+        let table = self.gateway.table_cache.table();
+        table.is_some_and(|table| {
+            table.services().any(|(id, service)| {
+                service.engine.is_some() && self.gateway.link.belief(id) == Belief::CutOff
+            })
+        })
+    }
+
     /// Returns whether the store may count this host as a member of the group.
     fn is_member(&self) -> bool {
         let duration = self.lease_duration();
--- a/crates/anvil_gateway/src/placer/tests.rs
+++ b/crates/anvil_gateway/src/placer/tests.rs
@@ -17,6 +17,7 @@
     tests::fleet::{
         Fleet,
         Host,
+        SAFE_PATH,
         entry,
         run,
         table_of,
@@ -309,3 +310,22 @@
         expect_that!(placer.token(), none());
     });
 }
+
+/// Guards against a fleet without a placer while the targets of a plain service are down.
+#[gtest]
+fn maintain_lease_goes_on_while_plain_service_is_down() {
+    run(async {
+        let fleet = Fleet::start_plain(79, 3, None).await;
+        let host = fleet.start_host_cut_off(0).await;
+        let placer = Rc::new(Placer::new(Rc::clone(&host.gateway)));
+        spawn_local(Rc::clone(&placer).maintain_lease());
+        wait_until(|| placer.token().is_some()).await;
+        for _ in 0..3 {
+            host.answer_of(SAFE_PATH).await;
+        }
+        let link = &host.gateway.link;
+        wait_until(|| link.belief(&"plain".into()) == Belief::CutOff).await;
+        sleep(LEASE_DURATION).await;
+        expect_that!(placer.token(), some(anything()));
+    });
+}
