--- a/crates/anvil_gateway/src/peers/tunnel.rs
+++ b/crates/anvil_gateway/src/peers/tunnel.rs
@@ -53,6 +53,9 @@
     TAG_HEADER, //
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Path of a request for a tunnel, without its query.
 pub(super) const PATH: &str = "/v1/tunnel";
 /// Label of what the tag of a request authenticates.
--- /dev/null
+++ b/crates/anvil_gateway/src/peers/tunnel/tests.rs
@@ -0,0 +1,68 @@
+use googletest::prelude::*;
+
+use super::*;
+use crate::tests::fleet::{
+    Fleet,
+    Host,
+    run,
+    wait_for_peers, //
+};
+
+/// Sends a request for a tunnel from one host to another, and returns the status of the answer.
+async fn status_of(from: &Host, to: &Host, key: DatagramKey, sequence: u64, target: &str) -> u16 {
+    let to_id = &to.gateway.settings.host_id;
+    let query = format_smolstr!("?sequence={sequence}&target={target}");
+    let tag = key.tag(&[LABEL.as_bytes(), to_id.as_bytes(), query.as_bytes()]);
+    let request = format!(
+        "POST {PATH}{query} HTTP/1.1\r\nHost: test\r\n{HOST_HEADER}: {}\r\n{TAG_HEADER}: {tag}\r\n\
+         Content-Length: 0\r\n\r\n",
+        from.gateway.settings.host_id
+    );
+    let limit = Duration::from_secs(5);
+    let mut connection = Connection::open(to.gateway.settings.peers, limit)
+        .await
+        .unwrap();
+    connection.write_all(request.as_bytes()).await.unwrap();
+    connection.read_response().await.unwrap().status
+}
+
+/// Guards against tunnels for anyone who can reach the port for peers, or who sends a request of a
+/// host again.
+#[gtest]
+fn serve_refuses_forged_and_repeated_requests() {
+    run(async {
+        let fleet = Fleet::start(86, 2).await;
+        let host = fleet.start_host(0).await;
+        let other = fleet.start_host(1).await;
+        wait_for_peers(&[&host, &other]).await;
+        let key = host.gateway.peers.borrow().own_key().unwrap();
+        let wrong_key = DatagramKey::generate(&host.gateway);
+        let cases = [
+            ("of a known host", key, 1, "engine-0", 200),
+            ("sent again", key, 1, "engine-0", 403),
+            ("sent again for another target", key, 1, "engine-1", 403),
+            ("with another key", wrong_key, 2, "engine-0", 403),
+            ("next", key, 2, "engine-1", 200),
+            ("for a target that is not listed", key, 3, "engine-9", 503),
+        ];
+        for (case, key, sequence, target, expected) in cases {
+            let status = status_of(&host, &other, key, sequence, target).await;
+            expect_that!(status, eq(expected), "{case}");
+        }
+    });
+}
+
+/// Guards against tunnels through a host that is about to stop.
+#[gtest]
+fn serve_refuses_while_stopping() {
+    run(async {
+        let fleet = Fleet::start(87, 2).await;
+        let host = fleet.start_host(0).await;
+        let other = fleet.start_host(1).await;
+        wait_for_peers(&[&host, &other]).await;
+        let key = host.gateway.peers.borrow().own_key().unwrap();
+        other.gateway.set_phase(Phase::Draining);
+        let status = status_of(&host, &other, key, 1, "engine-0").await;
+        expect_that!(status, eq(503));
+    });
+}
