--- a/crates/anvil_core/src/reachability.rs
+++ b/crates/anvil_core/src/reachability.rs
@@ -74,8 +74,8 @@
         self.belief
     }
 
-    /// Records that the probes of further targets failed as well. Does nothing if a connection was
-    /// opened meanwhile.
+    /// Records that the probes of further targets failed as well. A connection that was opened
+    /// meanwhile outweighs them.
     pub fn record_failed_probes(&mut self) {
         if self.belief == Belief::Suspect {
             self.belief = Belief::CutOff;
--- a/crates/anvil_gateway/src/placer.rs
+++ b/crates/anvil_gateway/src/placer.rs
@@ -181,9 +181,9 @@
         }
     }
 
-    /// Returns whether this host is to be a member of the group. One that is cut off from
-    /// engines is not: its orders would reach none. Nor is one that has begun to read only now, because many hosts do
-    /// so for a moment when they miss a relay.
+    /// Returns whether this host is to be a member of the group. One that is cut off from engines is
+    /// not: its orders would reach none. Nor is one that has only begun to read, because many hosts
+    /// read for a moment when they miss a relay.
     fn stands_for_election(&self) -> bool {
         if !peers::is_reader(&self.gateway) {
             self.reading_since.set(None);
