--- a/crates/anvil_core/src/layout/rate_check.rs
+++ b/crates/anvil_core/src/layout/rate_check.rs
@@ -25,7 +25,7 @@
 }
 
 /// Looks for the first of some moves after which all accelerators together sustain more than
-/// [`MOVE_RATE_RATIO_MIN`] times the rate before it. If the rate before is 0, that is the first move:
+/// `MOVE_RATE_RATIO_MIN` times the rate before it. If the rate before is 0, that is the first move:
 /// several may be needed before the rate rises. Works in parts that are short enough for a host with
 /// one thread.
 #[derive(Debug)]
