Review: share the stand-ins of the store, the workers and the hosts

Cause: the further cases need the same stand-ins. Change: stop by SIGTERM, a second plain service, and a larger accelerator.

--- a/review/lib/harness.rs
+++ b/review/lib/harness.rs
@@ -188,6 +188,15 @@
         Ok(self.buffer.drain(..count).collect())
     }
 
+    /// Reads at least one byte of a body, and at most `limit`.
+    pub fn read_some(&mut self, limit: usize) -> io::Result<Vec<u8>> {
+        if self.buffer.is_empty() && self.fill()? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        let count = limit.min(self.buffer.len());
+        Ok(self.buffer.drain(..count).collect())
+    }
+
     fn read_line(&mut self) -> io::Result<String> {
         loop {
             if let Some(end) = find(&self.buffer, b"\r\n") {
@@ -650,6 +659,24 @@
         }
     }
 
+    /// Sends SIGTERM, and waits until the process has ended or `limit` is over.
+    pub fn stop(&mut self, limit: Duration) -> bool {
+        let Some(child) = self.child.as_mut() else { return true };
+        let signal = format!("kill -TERM {}", child.id());
+        let _ = Command::new("/bin/sh").arg("-c").arg(signal).status();
+        self.record.line(format!("host {} gets SIGTERM", self.name));
+        let deadline = Instant::now() + limit;
+        while Instant::now() < deadline {
+            if matches!(child.try_wait(), Ok(Some(_))) {
+                self.child = None;
+                self.record.line(format!("host {} has ended", self.name));
+                return true;
+            }
+            sleep_ms(5);
+        }
+        false
+    }
+
     /// Returns whether the process runs.
     pub fn is_running(&mut self) -> bool {
         self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
@@ -708,10 +735,13 @@
 pub const TENANTS: &str =
     r#"[{"Name":"hule930","ApiKeys":["n2ctnfzs989anu6wsjnb","anfqasnmgkcuyj8pjbvk"],"Priority":1}]"#;
 /// A service of engines that hold parts of a model of 80 layers.
-pub const DRAFTING: &str = r#"{"Name":"drafting","HealthPath":"/health","MaxConns":2396,"Protocol":"h1","Tls":false,"Engine":{"Slots":192,"KvCapacity":100000,"KvTokenBytes":918000,"LinkMbps":400000.0,"Stride":3,"Models":[{"Name":"daka510000","pace":1.0,"LoadS":14.0,"WarmS":1.0}],"step_ms":1.02,"per_seq_ms":0.00714,"context_per_k":0.00956,"read_per_s":105000.0,"pairs_per_m":0.309,"chunk":512,"report_lag_ms":200.0,"LoadsPerS":0.0,"loads_at_once":5,"delays":[],"usual":{"prompt":774,"answer":200},"Layers":80,"LayerMb":1750.0,"ActBytes":45900,"PipeMbps":26000.0,"Kinds":[{"Name":"a100","Megabytes":72000.0,"pace":2.4,"ReadX":3.2},{"Name":"h200","Megabytes":141000.0,"pace":1.0,"ReadX":1.0}]}}"#;
+pub const DRAFTING: &str = r#"{"Name":"drafting","HealthPath":"/health","MaxConns":2396,"Protocol":"h1","Tls":false,"Engine":{"Slots":192,"KvCapacity":100000,"KvTokenBytes":918000,"LinkMbps":400000.0,"Stride":3,"Models":[{"Name":"daka510000","pace":1.0,"LoadS":14.0,"WarmS":1.0}],"step_ms":1.02,"per_seq_ms":0.00714,"context_per_k":0.00956,"read_per_s":105000.0,"pairs_per_m":0.309,"chunk":512,"report_lag_ms":200.0,"LoadsPerS":0.0,"loads_at_once":5,"delays":[],"usual":{"prompt":774,"answer":200},"Layers":80,"LayerMb":1750.0,"ActBytes":45900,"PipeMbps":26000.0,"Kinds":[{"Name":"a100","Megabytes":72000.0,"pace":2.4,"ReadX":3.2},{"Name":"h200x2","Megabytes":282000.0,"pace":1.0,"ReadX":1.0}]}}"#;
 /// A plain service.
 pub const PERMITS: &str =
     r#"{"Name":"permits","HealthPath":"/health","MaxConns":244,"Protocol":"h1","Tls":false}"#;
+/// Another plain service.
+pub const NOTES: &str =
+    r#"{"Name":"notes","HealthPath":"/health","MaxConns":244,"Protocol":"h1","Tls":false}"#;
 /// The limits of a configuration.
 pub const LIMITS: &str =
     r#"{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}"#;
