--- a/review/lib/harness.rs
+++ b/review/lib/harness.rs
@@ -64,9 +64,7 @@
 
 /// Ends a run with its result: status 1 if `broken` holds a text, or 0.
 pub fn conclude(record: &Record, hosts: Vec<Host>, broken: Option<String>) -> ! {
-    for mut host in hosts {
-        host.kill();
-    }
+    end(hosts);
     match broken {
         Some(text) => {
             record.line(format!("RULE BROKEN: {text}"));
@@ -81,11 +79,19 @@
     }
 }
 
-/// Ends a run that could not be carried out.
-pub fn give_up(record: &Record, hosts: Vec<Host>, text: &str) -> ! {
+/// Ends the processes, and removes their settings and logs unless `KEEP` is set.
+fn end(hosts: Vec<Host>) {
     for mut host in hosts {
         host.kill();
+        if std::env::var_os("KEEP").is_none() {
+            let _ = fs::remove_dir_all(&host.folder);
+        }
     }
+}
+
+/// Ends a run that could not be carried out.
+pub fn give_up(record: &Record, hosts: Vec<Host>, text: &str) -> ! {
+    end(hosts);
     record.line(format!("could not run: {text}"));
     println!("could not run: {text}");
     std::process::exit(COULD_NOT_RUN);
