--- a/review/lib/harness.rs
+++ b/review/lib/harness.rs
@@ -312,6 +312,9 @@
 // ---------------------------------------------------------------------------------------------
 // Store
 
+/// Most bytes of one read: `MaxKb` is 1,024 where a call names none.
+const READ_LIMIT_BYTES: usize = (1024 << 10) - 1024;
+
 #[derive(Clone, Default)]
 struct Topic {
     first: u64,
@@ -473,6 +476,9 @@
                         body.extend(end.to_be_bytes());
                         body.extend(found.first.to_be_bytes());
                         for (key, value) in &found.records[(from - found.first) as usize..] {
+                            if body.len() > READ_LIMIT_BYTES {
+                                break;
+                            }
                             let length = 1 + key.len() + value.len();
                             body.extend((length as u32).to_be_bytes());
                             body.push(key.len() as u8);
