--- a/review/4/case.rs
+++ b/review/4/case.rs
@@ -116,10 +116,9 @@
     let route = r#"{"Name":"r-2yhvz3p","Host":"ficu95.example","PathPrefix":"/lohu930/","Type":"streaming","TimeoutMs":20000,"TargetLatencyMs":500,"Priority":1,"Backends":[{"Service":"drafting","Weight":50},{"Service":"notes","Weight":50}],"MaxAttempts":2,"Public":false,"SessionAffinity":true,"StreamResume":true,"GapAimMs":200}"#;
     store.put_config(&config(7, &[route.to_owned()], &[DRAFTING, NOTES], Some(TENANTS)));
     let folder = temporary_folder();
-    let mut hosts = vec![
-        Host::start(&record, &folder, "front-muc-a-1", "muc-a", &store),
-        Host::start(&record, &folder, "front-muc-a-2", "muc-a", &store),
-    ];
+    let mut hosts: Vec<Host> = (1..=7)
+        .map(|number| Host::start(&record, &folder, &format!("front-muc-a-{number}"), "muc-a", &store))
+        .collect();
     if !hosts.iter().all(|host| host.wait_until_ready(Duration::from_secs(15))) {
         give_up(&record, hosts, "the hosts aren't ready");
     }
