--- a/review/4/case.rs
+++ b/review/4/case.rs
@@ -153,6 +153,9 @@
     if trouble {
         is_killed.store(true, Ordering::SeqCst);
         hosts[0].kill();
+        // The platform starts it again after a short delay.
+        sleep_ms(300);
+        hosts[0].spawn();
     }
     for client in clients {
         let _ = client.join();
--- a/review/lib/harness.rs
+++ b/review/lib/harness.rs
@@ -17,6 +17,9 @@
 /// Exit status of a case that could not run.
 pub const COULD_NOT_RUN: i32 = 2;
 
+/// Longest time of a run.
+const RUN_LIMIT: Duration = Duration::from_secs(100);
+
 /// Sleeps for a number of milliseconds.
 pub fn sleep_ms(ms: u64) {
     thread::sleep(Duration::from_millis(ms));
@@ -47,6 +50,11 @@
             eprintln!("{path}: {error}");
             std::process::exit(COULD_NOT_RUN);
         });
+        thread::spawn(|| {
+            thread::sleep(RUN_LIMIT);
+            println!("could not run: not over in time");
+            std::process::exit(COULD_NOT_RUN);
+        });
         Self { started: Instant::now(), file: Arc::new(Mutex::new(file)) }
     }
 
@@ -653,7 +661,10 @@
             .stdout(log)
             .spawn();
         match child {
-            Ok(child) => self.child = Some(child),
+            Ok(child) => {
+                let _ = fs::write(self.pid_file(), child.id().to_string());
+                self.child = Some(child);
+            }
             Err(error) => {
                 eprintln!("the daemon can't be started: {error}");
                 std::process::exit(COULD_NOT_RUN);
@@ -662,11 +673,17 @@
         self.record.line(format!("host {} starts", self.name));
     }
 
+    /// Returns the file with the id of the running process.
+    fn pid_file(&self) -> PathBuf {
+        self.folder.join(format!("{}.pid", self.name))
+    }
+
     /// Kills the process, and waits for its end.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
+            let _ = fs::remove_file(self.pid_file());
             self.record.line(format!("host {} is killed", self.name));
         }
     }
@@ -681,6 +698,7 @@
         while Instant::now() < deadline {
             if matches!(child.try_wait(), Ok(Some(_))) {
                 self.child = None;
+                let _ = fs::remove_file(self.pid_file());
                 self.record.line(format!("host {} has ended", self.name));
                 return true;
             }
@@ -725,9 +743,11 @@
     }
 }
 
-/// Creates a temporary folder for settings and logs.
+/// Returns the temporary folder for settings, logs and the ids of the processes: the one that `FOLDER`
+/// names, which `run.sh` removes, or a new one.
 pub fn temporary_folder() -> PathBuf {
-    let folder = std::env::temp_dir().join(format!("anvil-review-{}", std::process::id()));
+    let own = || std::env::temp_dir().join(format!("anvil-review-{}", std::process::id()));
+    let folder = std::env::var_os("FOLDER").map_or_else(own, PathBuf::from);
     fs::create_dir_all(&folder).expect("a temporary folder can be created");
     folder
 }
