Log where a cut-off host asks for tunnels, and what the asked one believes

Callers of hosts that were cut off from all targets were served far worse. The log could not tell the three hypotheses apart: tunnel.refused named no data centre, a target that the asked host could not reach was not logged, and link.cut_off did not tell since when connections had failed.

tunnel.refused gains data_centre, asked_hosts and waited_ms and is written for failed targets too; tunnel.target_failed is new; link.cut_off gains since_ms. No decision changes.

--- a/crates/anvil_core/src/reachability.rs
+++ b/crates/anvil_core/src/reachability.rs
@@ -37,6 +37,8 @@
     belief: Belief,
     /// Last failure of each target since a connection was last opened.
     failures: BTreeMap<TargetId, Duration>,
+    /// When the first connection failed since one was last opened.
+    unreached_since: Option<Duration>,
 }
 
 impl Reachability {
@@ -50,6 +52,13 @@
         self.failures.len()
     }
 
+    /// Returns the time since the first connection failed of those that failed since one was last
+    /// opened. Returns zero if none did.
+    pub fn unreached_time(&self, now: Duration) -> Duration {
+        self.unreached_since
+            .map_or(Duration::ZERO, |since| now.saturating_sub(since))
+    }
+
     /// Returns whether a connection to a target failed since one was last opened.
     pub fn has_failed(&self, target: &TargetId) -> bool {
         self.failures.contains_key(target)
@@ -58,6 +67,7 @@
     /// Records that a connection to a target was opened. Returns the belief before.
     pub fn record_success(&mut self) -> Belief {
         self.failures.clear();
+        self.unreached_since = None;
         std::mem::take(&mut self.belief)
     }
 
@@ -66,8 +76,12 @@
         if self.belief == Belief::Connected {
             self.failures
                 .retain(|_, at| now.saturating_sub(*at) <= FAILURE_WINDOW);
+            if self.failures.is_empty() {
+                self.unreached_since = None;
+            }
         }
         self.failures.insert(target.clone(), now);
+        self.unreached_since.get_or_insert(now);
         if self.belief == Belief::Connected && self.failures.len() >= SUSPECT_TARGETS_MIN {
             self.belief = Belief::Suspect;
         }
--- a/crates/anvil_gateway/src/link.rs
+++ b/crates/anvil_gateway/src/link.rs
@@ -134,7 +134,7 @@
 
     /// Records that the probes failed too. If this host is cut off, nothing that it saw of the targets
     /// counts against them.
-    fn record_failed_probes(&self, service: &ServiceId, targets: &Targets) {
+    fn record_failed_probes(&self, service: &ServiceId, targets: &Targets, now: Duration) {
         let mut reachability = self.reachability.borrow_mut();
         let Some(reachability) = reachability.get_mut(service) else {
             return;
@@ -144,6 +144,7 @@
             spdlog::warn!("link.cut_off", kv: {
                 service = service.as_str(),
                 unreached_targets = reachability.unreached_count(),
+                since_ms = reachability.unreached_time(now).as_millis() as u64,
             });
             for target in targets.of_service(service) {
                 target.end_avoidance();
@@ -259,7 +260,7 @@
     if !probe(gateway, &service, count).await {
         let link = &gateway.link;
         if belief == Belief::Suspect {
-            link.record_failed_probes(&service, &gateway.targets);
+            link.record_failed_probes(&service, &gateway.targets, gateway.uptime());
         }
     }
 }
--- a/crates/anvil_gateway/src/peers/tunnel.rs
+++ b/crates/anvil_gateway/src/peers/tunnel.rs
@@ -12,6 +12,7 @@
 
 use anvil_core::{
     id::{
+        DataCentreId,
         HostId,
         ServiceId,
         TargetId, //
@@ -115,11 +116,12 @@
     let service = target.entry.borrow().service.clone();
     let deadline = Instant::now() + limit;
     let mut asked = 0;
-    for peer in hosts_to_ask(gateway, &service) {
+    for (peer, data_centre) in hosts_to_ask(gateway, &service) {
         if Instant::now() >= deadline {
             break;
         }
         asked += 1;
+        let asked_at = Instant::now();
         let refusal = match ask(gateway, &peer, target, deadline).await {
             Ok(connection) => {
                 gateway.metrics.record_connection("through_peer");
@@ -127,6 +129,14 @@
             }
             Err(refusal) => refusal,
         };
+        spdlog::info!("tunnel.refused", kv: {
+            peer = peer.as_str(),
+            data_centre = data_centre.as_str(),
+            target = target.id.as_str(),
+            asked_hosts = asked,
+            waited_ms = asked_at.elapsed().as_millis() as u64,
+            reason: = refusal,
+        });
         let pause = match refusal {
             Refusal::Target(error) => {
                 gateway.metrics.record_connection("failed_through_peer");
@@ -135,11 +145,6 @@
             Refusal::Refused(_) => REFUSED_TIME,
             Refusal::Silent(_) => SILENT_TIME,
         };
-        spdlog::info!("tunnel.refused", kv: {
-            peer = peer.as_str(),
-            target = target.id.as_str(),
-            reason: = refusal,
-        });
         let mut tunnels = gateway.tunnels.borrow_mut();
         let until = Instant::now() + pause;
         tunnels.refused_until.insert((peer, service.clone()), until);
@@ -154,7 +159,7 @@
 }
 
 /// Returns hosts to ask for a tunnel, in random order, those of the own data centre first.
-fn hosts_to_ask(gateway: &Gateway, service: &ServiceId) -> Vec<HostId> {
+fn hosts_to_ask(gateway: &Gateway, service: &ServiceId) -> Vec<(HostId, DataCentreId)> {
     let now = Instant::now();
     let mut tunnels = gateway.tunnels.borrow_mut();
     tunnels.paused_until.retain(|_, until| *until > now);
@@ -172,7 +177,7 @@
         (is_remote, gateway.random_u64())
     });
     peers.truncate(HOSTS_ASKED_MAX);
-    peers.into_iter().map(|(id, _)| id).collect()
+    peers
 }
 
 async fn ask(
@@ -255,18 +260,25 @@
     if gateway.link.belief(&service) == Belief::CutOff {
         return Err("503 Service Unavailable");
     }
-    match link::open_directly(gateway, &target, TARGET_TIMEOUT).await {
-        Ok(connection) => Ok(connection),
+    let error = match link::open_directly(gateway, &target, TARGET_TIMEOUT).await {
+        Ok(connection) => return Ok(connection),
+        Err(error) => error,
+    };
+    let belief = gateway.link.belief(&service);
+    spdlog::info!("tunnel.target_failed", kv: {
+        target = target.id.as_str(),
+        belief:? = belief,
+        error: = error,
+    });
+    match error {
         // This host may be cut off as well.
-        Err(_) if gateway.link.belief(&service) != Belief::Connected => {
-            Err("503 Service Unavailable")
-        }
-        Err(ConnectError::Failed { source, .. })
+        _ if belief != Belief::Connected => Err("503 Service Unavailable"),
+        ConnectError::Failed { source, .. }
             if source.kind() == io::ErrorKind::ConnectionRefused =>
         {
             Err("502 Bad Gateway")
         }
-        Err(_) => Err("504 Gateway Timeout"),
+        _ => Err("504 Gateway Timeout"),
     }
 }
 
