--- a/crates/anvil_gateway/src/link/tests.rs
+++ b/crates/anvil_gateway/src/link/tests.rs
@@ -17,6 +17,8 @@
     wait_for_peers, //
 };
 
+mod data_centre;
+
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time from the beginning of a cut after which a host is to serve again.
 const STABLE_TIME: Duration = Duration::from_secs(3);
--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -50,6 +50,11 @@
     SmolStr,
     format_smolstr, //
 };
+use socket2::{
+    Domain,
+    Socket,
+    Type, //
+};
 use tokio::{
     net::{
         TcpListener,
@@ -131,12 +136,16 @@
 const HEADER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Longest time that a caller's connection is kept open without a request.
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_millis(400);
-const MODEL_PATH: &str = "/m/";
+pub(crate) const MODEL_PATH: &str = "/m/";
 
 /// An engine that holds the whole model, and answers requests to plain services as well.
 pub(crate) struct Engine {
     id: TargetId,
     address: SocketAddr,
+    /// Address at which requests for connections are not answered.
+    unanswered_address: SocketAddr,
+    /// The listener at that address, and the connection that fills its queue.
+    _unanswered: (Socket, TcpStream),
     /// Time after which its process is started again; `None` if never.
     restart_delay: Option<Duration>,
     /// Number of times that its process has ended.
@@ -185,9 +194,14 @@
     /// Starts an engine on a loopback address.
     async fn start(id: TargetId, address: IpAddr, restart_delay: Option<Duration>) -> Rc<Self> {
         let listener = TcpListener::bind((address, 0)).await.unwrap();
+        let unanswered = full_listener(address);
+        let unanswered_address = unanswered.local_addr().unwrap().as_socket().unwrap();
+        let first = TcpStream::connect(unanswered_address).await.unwrap();
         let engine = Rc::new(Self {
             id,
             address: listener.local_addr().unwrap(),
+            unanswered_address,
+            _unanswered: (unanswered, first),
             restart_delay,
             end_count: Cell::new(0),
             ended: Notify::new(),
@@ -339,6 +353,14 @@
     }
 }
 
+/// Opens a listener whose queue is full after one connection, so that it answers no further one.
+fn full_listener(address: IpAddr) -> Socket {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&SocketAddr::new(address, 0).into()).unwrap();
+    socket.listen(0).unwrap();
+    socket
+}
+
 async fn write_stream(connection: &Connection, behaviour: Behaviour) -> io::Result<()> {
     match behaviour {
         Behaviour::Slow { events, pause } => {
@@ -864,13 +886,24 @@
         host
     }
 
-    /// Cuts a host off from all targets.
+    /// Starts a host of a data centre. Hosts of [`Self::start_host`] are in data centre `a`.
+    pub(crate) async fn start_host_in(&self, index: u8, data_centre: &str) -> Host {
+        self.start_host_configured(index, data_centre, Duration::ZERO)
+            .await
+    }
+
+    /// Cuts a host off from all targets: connections are refused.
     pub(crate) fn cut_off(&self, host: &Host) {
         const CLOSED_PORT: u16 = 9;
         let address = |engine: &Engine| SocketAddr::new(engine.address.ip(), CLOSED_PORT);
         self.list_at(host, address);
     }
 
+    /// Cuts a host off from all targets: requests for connections are not answered.
+    pub(crate) fn cut_off_silently(&self, host: &Host) {
+        self.list_at(host, |engine| engine.unanswered_address);
+    }
+
     /// Ends the cut of a host.
     pub(crate) fn reconnect(&self, host: &Host) {
         self.list_at(host, |engine| engine.address);
@@ -891,9 +924,13 @@
 
     /// Starts a host that has its first table and target list after a delay.
     pub(crate) async fn start_host_configured_after(&self, index: u8, delay: Duration) -> Host {
+        self.start_host_configured(index, "a", delay).await
+    }
+
+    async fn start_host_configured(&self, index: u8, data_centre: &str, delay: Duration) -> Host {
         let address = IpAddr::from([127, self.network, 2, 1 + index]);
         let text = format!(
-            "host_id = \"host-{index}\"\ndata_centre = \"a\"\nprocessor_share = 0.1\n\
+            "host_id = \"host-{index}\"\ndata_centre = \"{data_centre}\"\nprocessor_share = 0.1\n\
              [listen]\ncallers = \"{address}:81\"\nreadiness = \"{address}:82\"\n\
              peers = \"{address}:{PEERS_PORT}\"\n[platform]\nstore = \"{address}:83\"\n"
         );
