--- a/crates/anvil_gateway/src/link/tests.rs
+++ b/crates/anvil_gateway/src/link/tests.rs
@@ -92,6 +92,51 @@
     });
 }
 
+/// Guards against a service whose requests must show again what those of another service have shown:
+/// that the host is cut off (RECOVER).
+#[gtest]
+fn cut_off_host_examines_links_to_all_services() {
+    run(async {
+        let fleet = Fleet::start_both(90, 6).await;
+        let host = fleet.start_host(0).await;
+        let other = fleet.start_host(1).await;
+        wait_for_peers(&[&host, &other]).await;
+        fleet.cut_off_silently(&host);
+        call_until_stable(&host, SAFE_PATH).await;
+        for service in ["plain", "model"] {
+            let belief = host.gateway.link.belief(&service.into());
+            expect_that!(belief, eq(Belief::CutOff), "{service}");
+        }
+    });
+}
+
+/// Guards against hosts that learn of a cut by requests of their own alone, each of which is late or
+/// fails, while their neighbours know of it (RECOVER).
+#[gtest]
+fn host_without_requests_examines_links_when_neighbour_is_cut_off() {
+    run(async {
+        let fleet = Fleet::start_both(91, 6).await;
+        let hosts = [
+            fleet.start_host_in(0, "a").await,
+            fleet.start_host_in(1, "a").await,
+            fleet.start_host_in(2, "a").await,
+            fleet.start_host_in(3, "b").await,
+        ];
+        wait_for_peers(&hosts.each_ref()).await;
+        let [host, idle, sound, remote] = &hosts;
+        sleep(STABLE_TIME).await;
+        fleet.cut_off_silently(host);
+        fleet.cut_off_silently(idle);
+        call_until_stable(host, SAFE_PATH).await;
+        for service in ["plain", "model"] {
+            let belief = |host: &Host| host.gateway.link.belief(&service.into());
+            expect_that!(belief(idle), eq(Belief::CutOff), "{service}");
+            expect_that!(belief(sound), eq(Belief::Connected), "{service}");
+            expect_that!(belief(remote), eq(Belief::Connected), "{service}");
+        }
+    });
+}
+
 /// Guards against requests that wait, or go from host to host, where no host reaches a target.
 #[gtest]
 fn open_fails_when_all_hosts_are_cut_off() {
--- a/crates/anvil_gateway/src/link/tests/data_centre.rs
+++ b/crates/anvil_gateway/src/link/tests/data_centre.rs
@@ -6,6 +6,7 @@
     time::Duration, //
 };
 
+use futures::future::join_all;
 use googletest::prelude::*;
 use tokio::{
     task::JoinSet,
@@ -34,10 +35,12 @@
 const FAILED_SHARE: usize = 50;
 
 /// How connections to targets fail at a cut host.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, PartialEq, Eq)]
 enum Cut {
     Refused,
     Unanswered,
+    /// New connections are not answered, and kept ones are silent.
+    KeptSilent,
 }
 
 /// A cut of all hosts of data centre `a`.
@@ -66,12 +69,27 @@
     }
 }
 
+/// Sends requests at the same time, so that the host keeps a connection to each target.
+async fn keep_connections(fleet: &Fleet, host: &Rc<Host>, path: &'static str) {
+    let call = || async { host.call_plain(path, SOUND_KEY, "").await };
+    let calls = fleet.engines.iter().map(|_| call());
+    join_all(calls).await;
+}
+
 /// Cuts hosts off, sends requests to them by turns, and counts those that are served.
 async fn first_tries(fleet: &Fleet, hosts: &[Rc<Host>], case: Case) -> FirstTries {
+    if case.cut == Cut::KeptSilent {
+        for host in hosts {
+            keep_connections(fleet, host, case.path).await;
+        }
+        for engine in &fleet.engines {
+            engine.fall_silent();
+        }
+    }
     for host in hosts {
         match case.cut {
             Cut::Refused => fleet.cut_off(host),
-            Cut::Unanswered => fleet.cut_off_silently(host),
+            Cut::Unanswered | Cut::KeptSilent => fleet.cut_off_silently(host),
         }
     }
     let cut_at = Instant::now();
@@ -198,3 +216,20 @@
         });
     }
 }
+
+/// Guards against a cut that kept connections hide: requests on them are not answered (RECOVER).
+#[gtest]
+fn open_reaches_targets_when_kept_connections_are_silent() {
+    run(async {
+        let tries = play(Case {
+            network: 116,
+            cut_hosts: 30,
+            sound_hosts: 12,
+            cut: Cut::KeptSilent,
+            path: SAFE_PATH,
+            interval: Duration::from_millis(100),
+        })
+        .await;
+        expect_that!(tries.is_within_bound(), eq(true), "{tries:?}");
+    });
+}
--- a/crates/anvil_gateway/src/peers/tunnel/tests.rs
+++ b/crates/anvil_gateway/src/peers/tunnel/tests.rs
@@ -52,6 +52,39 @@
     });
 }
 
+/// Guards against a host that is cut off, and has no requests that show it, but says of a target that it
+/// failed (RECOVER).
+#[gtest]
+fn serve_says_that_it_is_cut_off_when_it_has_no_requests() {
+    run(async {
+        let fleet = Fleet::start(88, 6).await;
+        let host = fleet.start_host(0).await;
+        let other = fleet.start_host(1).await;
+        wait_for_peers(&[&host, &other]).await;
+        let key = host.gateway.peers.borrow().own_key().unwrap();
+        fleet.cut_off_silently(&other);
+        let status = status_of(&host, &other, key, 1, "engine-0").await;
+        expect_that!(status, eq(503));
+    });
+}
+
+/// Guards against a host that takes itself for cut off because one target is down.
+#[gtest]
+fn serve_says_that_target_failed_when_others_are_reached() {
+    run(async {
+        let fleet = Fleet::start(89, 6).await;
+        let host = fleet.start_host(0).await;
+        let other = fleet.start_host(1).await;
+        wait_for_peers(&[&host, &other]).await;
+        let key = host.gateway.peers.borrow().own_key().unwrap();
+        fleet.lose_target(&other, 0);
+        let status = status_of(&host, &other, key, 1, "engine-0").await;
+        expect_that!(status, eq(504));
+        let status = status_of(&host, &other, key, 2, "engine-1").await;
+        expect_that!(status, eq(200));
+    });
+}
+
 /// Guards against tunnels through a host that is about to stop.
 #[gtest]
 fn serve_refuses_while_stopping() {
--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -816,13 +816,27 @@
     pub(crate) orders: Rc<RecordedOrders>,
     /// The engines, or the targets of the plain service.
     pub(crate) engines: Vec<Rc<Engine>>,
-    is_plain: bool,
+    services: Services,
+}
+
+/// Services of which the targets of a fleet are listed as targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Services {
+    Model,
+    Plain,
+    /// Each target is listed for the model, and under another name for the plain service.
+    Both,
 }
 
 impl Fleet {
     /// Starts `engine_count` engines that stay away once they have ended.
     pub(crate) async fn start(network: u8, engine_count: u8) -> Self {
-        Self::start_targets(network, engine_count, None, false).await
+        Self::start_targets(network, engine_count, None, Services::Model).await
+    }
+
+    /// Starts `count` targets of both services.
+    pub(crate) async fn start_both(network: u8, count: u8) -> Self {
+        Self::start_targets(network, count, None, Services::Both).await
     }
 
     /// Starts `target_count` targets of the plain service.
@@ -831,14 +845,14 @@
         target_count: u8,
         restart_delay: Option<Duration>,
     ) -> Self {
-        Self::start_targets(network, target_count, restart_delay, true).await
+        Self::start_targets(network, target_count, restart_delay, Services::Plain).await
     }
 
     async fn start_targets(
         network: u8,
         count: u8,
         restart_delay: Option<Duration>,
-        is_plain: bool,
+        services: Services,
     ) -> Self {
         let mut engines = Vec::new();
         for index in 0..count {
@@ -851,7 +865,7 @@
             store: Rc::default(),
             orders: Rc::default(),
             engines,
-            is_plain,
+            services,
         }
     }
 
@@ -905,24 +919,39 @@
         self.list_at(host, |engine| engine.unanswered_address);
     }
 
+    /// Cuts a host off from one target: its requests for connections are not answered.
+    pub(crate) fn lose_target(&self, host: &Host, index: usize) {
+        self.list_at(host, |engine| match engine.id == self.engines[index].id {
+            true => engine.unanswered_address,
+            false => engine.address,
+        });
+    }
+
     /// Ends the cut of a host.
     pub(crate) fn reconnect(&self, host: &Host) {
         self.list_at(host, |engine| engine.address);
     }
 
     fn list_at(&self, host: &Host, address: impl Fn(&Engine) -> SocketAddr) {
-        let put = |engine: &Rc<Engine>| {
-            let entry = match self.is_plain {
-                true => plain_entry(address(engine)),
-                false => entry(address(engine)),
-            };
-            TargetChange::Put(engine.id.clone(), entry)
-        };
-        let changes = self.engines.iter().map(put).collect();
         let targets = &host.gateway.targets;
+        let changes = self.listed(address);
         targets.replace(changes, Position::new(0, 2), BootTime::now());
     }
 
+    fn listed(&self, address: impl Fn(&Engine) -> SocketAddr) -> Vec<TargetChange> {
+        let put = |engine: &Rc<Engine>| {
+            let address = address(engine);
+            let model = TargetChange::Put(engine.id.clone(), entry(address));
+            let plain = |id| TargetChange::Put(id, plain_entry(address));
+            match self.services {
+                Services::Model => vec![model],
+                Services::Plain => vec![plain(engine.id.clone())],
+                Services::Both => vec![model, plain(format_smolstr!("plain-{}", engine.id))],
+            }
+        };
+        self.engines.iter().flat_map(put).collect()
+    }
+
     /// Starts a host that has its first table and target list after a delay.
     pub(crate) async fn start_host_configured_after(&self, index: u8, delay: Duration) -> Host {
         self.start_host_configured(index, "a", delay).await
@@ -942,14 +971,7 @@
         };
         let settings = settings::read("test", &text).unwrap();
         let gateway = Rc::new(Gateway::new(settings, platform));
-        let put = |engine: &Rc<Engine>| {
-            let entry = match self.is_plain {
-                true => plain_entry(engine.address),
-                false => entry(engine.address),
-            };
-            TargetChange::Put(engine.id.clone(), entry)
-        };
-        let listed = self.engines.iter().map(put).collect();
+        let listed = self.listed(|engine| engine.address);
         let configured = Rc::clone(&gateway);
         let configure = async move {
             sleep(delay).await;
