Examine own links before telling a peer that a target failed

Callers saw: requests at a cut-off host that failed, or avoided a sound target, after another cut-off host had said of that target that it failed.

Cause: a host without requests has seen no failed connection and believes that it is connected. Asked for a tunnel, it held its own cut against the target (504).

Change: if the target has not answered after 50 ms, or failed, the host begins to probe others, and answers with what they show.

A lost target is still told as such when others answer.

--- a/crates/anvil_core/src/reachability.rs
+++ b/crates/anvil_core/src/reachability.rs
@@ -25,7 +25,8 @@
     /// Targets can be reached.
     #[default]
     Connected,
-    /// Connections to several targets failed, and none was opened since. Further targets are probed.
+    /// Connections to several targets failed, and none was opened since, or something else suggests
+    /// that this host is cut off. Targets are probed.
     Suspect,
     /// No target can be reached.
     CutOff,
@@ -88,6 +89,16 @@
         self.belief
     }
 
+    /// Suspects that this host is cut off, for a reason other than connections of its own. Returns
+    /// whether it did not before.
+    pub fn suspect(&mut self) -> bool {
+        let is_new = self.belief == Belief::Connected;
+        if is_new {
+            self.belief = Belief::Suspect;
+        }
+        is_new
+    }
+
     /// Records that the probes of further targets failed as well. A connection that was opened
     /// meanwhile outweighs them.
     pub fn record_failed_probes(&mut self) {
--- a/crates/anvil_core/src/reachability/tests.rs
+++ b/crates/anvil_core/src/reachability/tests.rs
@@ -45,6 +45,19 @@
     expect_that!(reachability.belief(), eq(Belief::Connected));
 }
 
+#[gtest]
+fn suspect_is_new_only_while_connected() {
+    let mut reachability = Reachability::default();
+    expect_that!(reachability.suspect(), eq(true));
+    expect_that!(reachability.belief(), eq(Belief::Suspect));
+    expect_that!(reachability.suspect(), eq(false));
+    reachability.record_failed_probes();
+    expect_that!(reachability.suspect(), eq(false));
+    expect_that!(reachability.belief(), eq(Belief::CutOff));
+    expect_that!(reachability.record_success(), eq(Belief::CutOff));
+    expect_that!(reachability.suspect(), eq(true));
+}
+
 #[gtest]
 fn record_failed_probes_confirms_suspicion() {
     let mut reachability = failed(&["a", "b"], SECOND / 4);
--- a/crates/anvil_gateway/src/link.rs
+++ b/crates/anvil_gateway/src/link.rs
@@ -138,6 +138,14 @@
         }
     }
 
+    /// Suspects that this host is cut off from a service, so that targets are probed.
+    pub(crate) fn suspect(&self, service: &ServiceId) {
+        let mut reachability = self.reachability.borrow_mut();
+        if reachability.entry(service.clone()).or_default().suspect() {
+            self.suspected.notify_one();
+        }
+    }
+
     /// Records that the probes failed too. If this host is cut off, nothing that it saw of the targets
     /// counts against them.
     fn record_failed_probes(&self, gateway: &Gateway, service: &ServiceId) {
@@ -163,7 +171,7 @@
     }
 
     /// Returns the belief, once the probes that a suspicion began have ended.
-    async fn settled_belief(&self, service: &ServiceId) -> Belief {
+    pub(crate) async fn settled_belief(&self, service: &ServiceId) -> Belief {
         let mut settled = self.settled.subscribe();
         let wait = settled.wait_for(|_| self.belief(service) != Belief::Suspect);
         // A wait that is not over by then leaves the suspicion as it is.
--- a/crates/anvil_gateway/src/peers/tunnel.rs
+++ b/crates/anvil_gateway/src/peers/tunnel.rs
@@ -11,6 +11,7 @@
         RefCell, //
     },
     collections::HashMap,
+    pin::pin,
     rc::Rc,
     time::Duration, //
 };
@@ -86,6 +87,8 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for which the other host tries to reach the target.
 const TARGET_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time without an answer of the target after which the other host examines its own links meanwhile.
+const DOUBT_TIME: Duration = Duration::from_millis(50);
 /// Most hosts that are asked in one search.
 const SEARCHED_HOSTS_MAX: usize = 24;
 /// Hosts that are asked at the same time in a search.
@@ -427,11 +430,11 @@
     if gateway.link.belief(&service) == Belief::CutOff {
         return Err("503 Service Unavailable");
     }
-    let error = match link::open_directly(gateway, &target, TARGET_TIMEOUT).await {
+    let error = match open_examined(gateway, &target, &service).await {
         Ok(connection) => return Ok(connection),
         Err(error) => error,
     };
-    let belief = gateway.link.belief(&service);
+    let belief = gateway.link.settled_belief(&service).await;
     spdlog::info!("tunnel.target_failed", kv: {
         target = target.id.as_str(),
         belief:? = belief,
@@ -449,6 +452,24 @@
     }
 }
 
+/// Opens a connection to a target for a peer. If it takes long or fails, this host begins to examine its
+/// own links: it may be cut off as well, without requests that show it.
+async fn open_examined(
+    gateway: &Gateway,
+    target: &Target,
+    service: &ServiceId,
+) -> Result<Connection, ConnectError> {
+    let mut opened = pin!(link::open_directly(gateway, target, TARGET_TIMEOUT));
+    let early = timeout(DOUBT_TIME, opened.as_mut()).await;
+    if !matches!(early, Ok(Ok(_))) {
+        gateway.link.suspect(service);
+    }
+    match early {
+        Ok(opened) => opened,
+        Err(_) => opened.await,
+    }
+}
+
 /// Returns the target that a request for a tunnel names. Returns `None` if the request isn't one of a
 /// known host to this one, or came before.
 fn authenticate(gateway: &Gateway, head: &RequestHead) -> Option<TargetId> {
