Examine links to all services when one is cut off

Callers saw: requests to one service that failed or waited for connections at a host that knew already, from another service, that it was cut off.

Cause: what a host believes of its links was kept by service, and each service had to show the cut by failed requests of its own.

Change: a host that finds itself cut off from a service probes the targets of the others, which decide. One failed target alone no longer shows a cut.

--- a/crates/anvil_core/src/intermediary.rs
+++ b/crates/anvil_core/src/intermediary.rs
@@ -2,8 +2,7 @@
 //!
 //! A fault may cut off all hosts of a data centre, or most of all hosts, so that neither the nearest
 //! hosts nor any fixed number of them need reach a target. Hosts are therefore drawn from the whole
-//! fleet, by how many hosts of their data centre are known to be cut off, and those that opened a
-//! connection are used again.
+//! fleet, and those that opened a connection are used again.
 
 use std::{
     collections::HashMap,
@@ -25,10 +24,9 @@
 const SEARCH_INTERVAL_MIN: Duration = Duration::from_millis(300);
 /// Longest time between two searches.
 const SEARCH_INTERVAL_MAX: Duration = Duration::from_millis(2400);
-/// Smallest weight of a host. What is known of its data centre may be outdated.
-const WEIGHT_MIN: f64 = 0.02;
-/// Factor of the weight of hosts in the own data centre: bytes between data centres are dear.
-const NEAR_WEIGHT_FACTOR: f64 = 2.0;
+/// Weight of a host in the own data centre, where one elsewhere has 1: bytes between data centres are
+/// dear.
+const NEAR_WEIGHT: f64 = 2.0;
 
 /// Why another host opened no connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,23 +38,20 @@
 }
 
 /// A host that may be asked.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Candidate {
     /// Name of the host.
     pub host: HostId,
     /// Whether it is in the data centre of the host that asks.
     pub is_near: bool,
-    /// Share of the live hosts of its data centre that are not cut off, from 0 to 1.
-    pub sound_share: f64,
 }
 
 impl Candidate {
     fn weight(&self) -> f64 {
-        let factor = match self.is_near {
-            true => NEAR_WEIGHT_FACTOR,
+        match self.is_near {
+            true => NEAR_WEIGHT,
             false => 1.0,
-        };
-        factor * self.sound_share.max(WEIGHT_MIN)
+        }
     }
 }
 
--- a/crates/anvil_core/src/intermediary/tests.rs
+++ b/crates/anvil_core/src/intermediary/tests.rs
@@ -9,14 +9,10 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
-fn candidates(near: usize, remote: usize, near_sound_share: f64) -> Vec<Candidate> {
+fn candidates(near: usize, remote: usize) -> Vec<Candidate> {
     let candidate = |index: usize| Candidate {
         host: format!("host-{index}").into(),
         is_near: index < near,
-        sound_share: match index < near {
-            true => near_sound_share,
-            false => 1.0,
-        },
     };
     (0..near + remote).map(candidate).collect()
 }
@@ -25,17 +21,12 @@
 #[gtest]
 fn search_order_reaches_remote_hosts_early() {
     let mut rng = StdRng::seed_from_u64(1);
-    for (near, remote, near_sound_share, asked_max) in [
-        (30, 12, 1.0, 24),
-        (30, 12, 0.0, 4),
-        (39, 3, 0.0, 6),
-        (136, 274, 0.0, 3),
-    ] {
+    for (near, remote, asked_max) in [(30, 12, 24), (34, 68, 8), (68, 127, 8), (136, 274, 8)] {
         let mut late = 0;
         for _ in 0..1000 {
             let mut intermediaries = Intermediaries::default();
-            let candidates = candidates(near, remote, near_sound_share);
-            let order = intermediaries.search_order(candidates, SECOND, || rng.random());
+            let order =
+                intermediaries.search_order(candidates(near, remote), SECOND, || rng.random());
             expect_that!(order.len(), eq(near + remote));
             let is_remote = |host: &HostId| host[5..].parse::<usize>().unwrap() >= near;
             late += usize::from(!order.iter().take(asked_max).any(is_remote));
@@ -51,7 +42,7 @@
     let mut first_near = 0;
     for _ in 0..1000 {
         let mut intermediaries = Intermediaries::default();
-        let order = intermediaries.search_order(candidates(10, 20, 1.0), SECOND, || rng.random());
+        let order = intermediaries.search_order(candidates(10, 20), SECOND, || rng.random());
         first_near += usize::from(order[0][5..].parse::<usize>().unwrap() < 10);
     }
     expect_that!(first_near, ge(400));
@@ -69,7 +60,7 @@
         (4 * SECOND, vec!["host-1", "host-3"]),
         (7 * SECOND, vec!["host-1", "host-2", "host-3"]),
     ] {
-        let mut order = intermediaries.search_order(candidates(4, 0, 1.0), now, || 0.5);
+        let mut order = intermediaries.search_order(candidates(4, 0), now, || 0.5);
         order.sort();
         expect_that!(order, eq(&expected));
     }
--- a/crates/anvil_core/src/reachability.rs
+++ b/crates/anvil_core/src/reachability.rs
@@ -100,10 +100,13 @@
     }
 
     /// Records that the probes of further targets failed as well. A connection that was opened
-    /// meanwhile outweighs them.
+    /// meanwhile outweighs them. One target that fails shows nothing of this host's links.
     pub fn record_failed_probes(&mut self) {
         if self.belief == Belief::Suspect {
-            self.belief = Belief::CutOff;
+            self.belief = match self.failures.len() >= SUSPECT_TARGETS_MIN {
+                true => Belief::CutOff,
+                false => Belief::Connected,
+            };
         }
     }
 }
--- a/crates/anvil_core/src/reachability/tests.rs
+++ b/crates/anvil_core/src/reachability/tests.rs
@@ -51,6 +51,11 @@
     expect_that!(reachability.suspect(), eq(true));
     expect_that!(reachability.belief(), eq(Belief::Suspect));
     expect_that!(reachability.suspect(), eq(false));
+    reachability.record_failure(&"a".into(), SECOND);
+    reachability.record_failed_probes();
+    expect_that!(reachability.belief(), eq(Belief::Connected));
+    expect_that!(reachability.suspect(), eq(true));
+    reachability.record_failure(&"b".into(), SECOND);
     reachability.record_failed_probes();
     expect_that!(reachability.suspect(), eq(false));
     expect_that!(reachability.belief(), eq(Belief::CutOff));
--- a/crates/anvil_gateway/src/link.rs
+++ b/crates/anvil_gateway/src/link.rs
@@ -146,30 +146,50 @@
         }
     }
 
-    /// Records that the probes failed too. If this host is cut off, nothing that it saw of the targets
-    /// counts against them.
+    /// Records that the probes failed too.
     fn record_failed_probes(&self, gateway: &Gateway, service: &ServiceId) {
         let now = gateway.uptime();
-        let mut reachability = self.reachability.borrow_mut();
-        let Some(reachability) = reachability.get_mut(service) else {
-            return;
+        let begun = {
+            let mut reachability = self.reachability.borrow_mut();
+            let Some(reachability) = reachability.get_mut(service) else {
+                return;
+            };
+            let before = reachability.belief();
+            reachability.record_failed_probes();
+            let is_begun = before != Belief::CutOff && reachability.belief() == Belief::CutOff;
+            is_begun.then(|| {
+                (
+                    reachability.unreached_count(),
+                    reachability.unreached_time(now),
+                )
+            })
         };
-        reachability.record_failed_probes();
-        if reachability.belief() == Belief::CutOff {
-            gateway.tunnels.begin(service);
+        if let Some((unreached_targets, since)) = begun {
             spdlog::warn!("link.cut_off", kv: {
                 service = service.as_str(),
-                unreached_targets = reachability.unreached_count(),
-                since_ms = reachability.unreached_time(now).as_millis() as u64,
+                unreached_targets,
+                since_ms = since.as_millis() as u64,
             });
-            for target in gateway.targets.of_service(service) {
-                target.end_avoidance();
-                target.pool.clear();
-            }
+            self.begin_cut(gateway, service);
         }
         self.settled.send_modify(|count| *count += 1);
     }
 
+    /// Takes the consequences of a cut: nothing that this host saw of the targets counts against them,
+    /// and other services may be cut off as well.
+    fn begin_cut(&self, gateway: &Gateway, service: &ServiceId) {
+        gateway.tunnels.begin(service);
+        for target in gateway.targets.of_service(service) {
+            target.end_avoidance();
+            target.pool.clear();
+        }
+        for other in gateway.targets.services() {
+            if other != *service {
+                self.suspect(&other);
+            }
+        }
+    }
+
     /// Returns the belief, once the probes that a suspicion began have ended.
     pub(crate) async fn settled_belief(&self, service: &ServiceId) -> Belief {
         let mut settled = self.settled.subscribe();
--- a/crates/anvil_gateway/src/peers/tunnel.rs
+++ b/crates/anvil_gateway/src/peers/tunnel.rs
@@ -323,7 +323,6 @@
     let candidates = peers.into_iter().map(|(host, data_centre)| Candidate {
         host,
         is_near: data_centre == *own,
-        sound_share: 1.0,
     });
     let now = gateway.uptime();
     gateway.tunnels.with(service, |known| {
--- a/crates/anvil_gateway/src/targets.rs
+++ b/crates/anvil_gateway/src/targets.rs
@@ -7,6 +7,7 @@
     },
     collections::{
         BTreeMap,
+        BTreeSet,
         HashMap,
         HashSet,
         VecDeque, //
@@ -419,6 +420,15 @@
         self.by_id.borrow().get(id).cloned()
     }
 
+    /// Returns the services with targets.
+    pub fn services(&self) -> BTreeSet<ServiceId> {
+        let targets = self.by_id.borrow();
+        let services = targets
+            .values()
+            .map(|target| target.entry.borrow().service.clone());
+        services.collect()
+    }
+
     /// Returns the targets of a service, sorted by name.
     pub fn of_service(&self, service: &ServiceId) -> Vec<Rc<Target>> {
         let mut found: Vec<_> = self
