Log which answer refuted evidence, and the belief when a target was lost

The log could not tell whether an error refuted the evidence against a lethal request, nor why a check found the target unreachable. quarantine.refuted gains request, target and status, request.connection_lost gains belief. No decision changes.

--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -153,7 +153,7 @@
         match result.await {
             AttemptResult::Response(head, metadata, body) => {
                 if metadata.is_sealed {
-                    gateway.record_target_answer(request);
+                    gateway.record_target_answer(request, &target, head.status);
                 }
                 let is_failure = head.status >= 500;
                 let is_success = (200..300).contains(&head.status);
@@ -252,6 +252,7 @@
         team = request.team.as_deref().unwrap_or_default(),
         path = request.head.path(),
         target_state = state.as_str(),
+        belief:? = gateway.link.belief(request.service_id),
     });
     // Nothing tells whether a plain target had begun.
     gateway.record_lost_target(request, admission, target, Progress::Begun, state);
--- a/crates/anvil_gateway/src/quarantine.rs
+++ b/crates/anvil_gateway/src/quarantine.rs
@@ -135,8 +135,8 @@
         }
     }
 
-    /// Records that a target answered a request and kept running.
-    pub fn record_target_answer(&self, request: &RequestContext<'_>) {
+    /// Records that a target answered a request with `status` and kept running.
+    pub fn record_target_answer(&self, request: &RequestContext<'_>, target: &Target, status: u16) {
         let now = Instant::now().into_std();
         let mut quarantine = self.quarantine.borrow_mut();
         if quarantine.is_empty() {
@@ -149,6 +149,9 @@
                 suspect: = state.suspect,
                 round = state.round,
                 points = state.points,
+                request = request.metadata.id.as_str(),
+                target = target.id.as_str(),
+                status,
             });
             if state.is_quarantined() {
                 self.remove_from_store(&state.suspect);
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -87,6 +87,8 @@
 const RESUME_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Status with which an engine answers a request that failed there.
 const INTERNAL_ERROR_STATUS: u16 = 500;
+/// Status of an answer whose events are relayed.
+const OK_STATUS: u16 = 200;
 /// Refusals without execution after which a request is given up.
 const REFUSALS_MAX: u32 = 4;
 
@@ -599,7 +601,8 @@
                 }
                 Ok(Ok(None)) => {
                     if is_framed && !is_answer_recorded {
-                        self.gateway.record_target_answer(self.request);
+                        self.gateway
+                            .record_target_answer(self.request, chosen.first(), OK_STATUS);
                     }
                     return AttemptResult::Complete;
                 }
@@ -627,7 +630,8 @@
             }
             if !is_answer_recorded && self.progress.early().is_none() {
                 is_answer_recorded = true;
-                self.gateway.record_target_answer(self.request);
+                self.gateway
+                    .record_target_answer(self.request, chosen.first(), OK_STATUS);
             }
             if events == 0 {
                 continue;
