--- a/crates/anvil_gateway/src/plain/tests.rs
+++ b/crates/anvil_gateway/src/plain/tests.rs
@@ -25,6 +25,8 @@
     wait_for_peers, //
 };
 
+mod lethal;
+
 /// Most targets that may end under equal requests: three, and three in later sends.
 const ENDED_MAX: usize = 6;
 /// Most targets that may end later, in a trial of whether the request still ends targets.
--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -62,11 +62,15 @@
     },
     sync::Notify,
     task::{
+        AbortHandle,
         JoinSet,
         LocalSet,
         spawn_local, //
     },
-    time::sleep,
+    time::{
+        Instant,
+        sleep, //
+    },
 };
 
 use crate::{
@@ -149,8 +153,12 @@
     _unanswered: (Socket, TcpStream),
     /// Time after which its process is started again; `None` if never.
     restart_delay: Option<Duration>,
-    /// Number of times that its process has ended.
-    end_count: Cell<usize>,
+    /// When its process ended, each time.
+    end_times: RefCell<Vec<Instant>>,
+    /// When a request that ends targets began to run, each time.
+    lethal_times: RefCell<Vec<Instant>>,
+    /// How it treats requests that end targets.
+    pub(crate) lethal: Cell<Lethal>,
     /// Notified when the process ends.
     ended: Notify,
     /// Ids of the requests that began to run, in order.
@@ -167,6 +175,15 @@
     pub(crate) behaviour: Cell<Behaviour>,
 }
 
+/// How a target treats a request that ends targets.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Lethal {
+    /// Time for which the request runs before the process ends.
+    pub(crate) delay: Duration,
+    /// Of five such requests, the number that are answered with an error, without an end.
+    pub(crate) failed_of_five: usize,
+}
+
 /// How a target answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum Behaviour {
@@ -204,7 +221,9 @@
             unanswered_address,
             _unanswered: (unanswered, first),
             restart_delay,
-            end_count: Cell::new(0),
+            end_times: RefCell::default(),
+            lethal_times: RefCell::default(),
+            lethal: Cell::default(),
             ended: Notify::new(),
             run_ids: RefCell::default(),
             limit_per_s: Cell::new(None),
@@ -254,8 +273,15 @@
         }
     }
 
+    /// Records a request that ends targets, and returns whether it is answered with an error instead.
+    fn begin_lethal(&self) -> bool {
+        let mut times = self.lethal_times.borrow_mut();
+        times.push(Instant::now());
+        times.len() % 5 < self.lethal.get().failed_of_five
+    }
+
     fn end_process(&self) {
-        self.end_count.set(self.end_count.get() + 1);
+        self.end_times.borrow_mut().push(Instant::now());
         self.ended.notify_one();
     }
 
@@ -281,6 +307,20 @@
             self.request_count.set(self.request_count.get() + 1);
             self.run_ids.borrow_mut().push(id.into());
             let is_lethal = is_lethal(&head, &body);
+            let must_fail = is_lethal && self.begin_lethal();
+            let fails = must_fail || self.behaviour.get() == Behaviour::Fails;
+            if is_lethal {
+                sleep(self.lethal.get().delay).await;
+            }
+            if fails {
+                let answer = format!(
+                    "HTTP/1.1 500 Error\r\nid: {id}\r\nsealed: 1\r\nContent-Length: 0\r\n\r\n"
+                );
+                if connection.write_all(answer.as_bytes()).await.is_err() {
+                    return;
+                }
+                continue;
+            }
             if !head.target.starts_with(MODEL_PATH) {
                 if is_lethal {
                     return self.end_process();
@@ -324,15 +364,6 @@
                 }
                 continue;
             }
-            if self.behaviour.get() == Behaviour::Fails {
-                let answer = format!(
-                    "HTTP/1.1 500 Error\r\nid: {id}\r\nsealed: 1\r\nContent-Length: 0\r\n\r\n"
-                );
-                if connection.write_all(answer.as_bytes()).await.is_err() {
-                    return;
-                }
-                continue;
-            }
             let limit = self.limit_per_s.get();
             let limit = limit.map_or_else(String::new, |limit| format!("limit: {limit}\r\n"));
             let begun = format!(
@@ -721,6 +752,8 @@
     pub(crate) gateway: Rc<Gateway>,
     address: SocketAddr,
     tasks: JoinSet<()>,
+    /// The tasks that exchange digests.
+    exchange: Vec<AbortHandle>,
     next_id: Cell<u32>,
 }
 
@@ -768,6 +801,16 @@
         )
     }
 
+    /// Returns the next request.
+    fn request(&self, path: &str, headers: &str, body: &str) -> String {
+        self.next_id.set(self.next_id.get() + 1);
+        let id = self.last_id();
+        format!(
+            "POST {path} HTTP/1.1\r\nHost: test\r\nid: {id}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
+            body.len(),
+        )
+    }
+
     async fn exchange(&self, path: &str, headers: &str, body: &str) -> CallerResult {
         match self.send(path, headers, body).await.1 {
             Some((200, _)) => CallerResult::Complete,
@@ -784,12 +827,8 @@
         headers: &str,
         body: &str,
     ) -> (RequestId, Option<(u16, Bytes)>) {
-        self.next_id.set(self.next_id.get() + 1);
+        let request = self.request(path, headers, body);
         let id = self.last_id();
-        let request = format!(
-            "POST {path} HTTP/1.1\r\nHost: test\r\nid: {id}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
-            body.len(),
-        );
         let limit = Duration::from_secs(5);
         let mut connection = Connection::open(self.address, limit).await.unwrap();
         connection.write_all(request.as_bytes()).await.unwrap();
@@ -802,6 +841,27 @@
         (id, answer)
     }
 
+    /// Makes the host neither send nor receive any more digests.
+    pub(crate) fn isolate(&mut self) {
+        for exchange in self.exchange.drain(..) {
+            exchange.abort();
+        }
+    }
+
+    /// Opens a connection, sends a request to a plain service, and closes the connection after a while.
+    pub(crate) async fn call_plain_and_leave(
+        &self,
+        path: &str,
+        key: &str,
+        body: &str,
+        after: Duration,
+    ) {
+        let request = self.request(path, &format!("key: {key}\r\n"), body);
+        let connection = self.open_silent_connection(request.as_bytes()).await;
+        sleep(after).await;
+        drop(connection);
+    }
+
     /// Ends the host's process: all its tasks, with what it has in memory.
     pub(crate) async fn kill(mut self) {
         self.tasks.shutdown().await;
@@ -871,10 +931,34 @@
 
     /// Returns the number of times that the process of an engine has ended.
     pub(crate) fn ended_count(&self) -> usize {
-        let end_counts = self.engines.iter().map(|engine| engine.end_count.get());
+        let end_counts = self
+            .engines
+            .iter()
+            .map(|engine| engine.end_times.borrow().len());
         end_counts.sum()
     }
 
+    /// Returns the number of requests that end targets and began to run later than `stable_time` after
+    /// the third end.
+    pub(crate) fn late_lethal_count(&self, stable_time: Duration) -> usize {
+        let all = |times: fn(&Engine) -> &RefCell<Vec<Instant>>| {
+            let mut all: Vec<Instant> = Vec::new();
+            for engine in &self.engines {
+                all.extend(times(engine).borrow().iter());
+            }
+            all.sort();
+            all
+        };
+        let Some(third_end) = all(|engine| &engine.end_times).get(2).copied() else {
+            return 0;
+        };
+        let is_late = |at: &&Instant| **at > third_end + stable_time;
+        all(|engine| &engine.lethal_times)
+            .iter()
+            .filter(is_late)
+            .count()
+    }
+
     /// Returns the number of times that a request began to run.
     pub(crate) fn run_count(&self, id: &RequestId) -> usize {
         let runs = |engine: &Rc<Engine>| {
@@ -991,8 +1075,10 @@
         let peers = Rc::new(Peers::open(Rc::clone(&gateway)).await.unwrap());
         let mut tasks = JoinSet::new();
         tasks.spawn_local(Rc::clone(&peers).maintain_host_list());
-        tasks.spawn_local(Rc::clone(&peers).send_digests());
-        tasks.spawn_local(Rc::clone(&peers).receive());
+        let exchange = vec![
+            tasks.spawn_local(Rc::clone(&peers).send_digests()),
+            tasks.spawn_local(Rc::clone(&peers).receive()),
+        ];
         tasks.spawn_local(accept(Rc::clone(&gateway), listener));
         tasks.spawn_local(confirm_table(Rc::clone(&gateway)));
         tasks.spawn_local(link::watch(Rc::clone(&gateway)));
@@ -1003,6 +1089,7 @@
             gateway,
             address: callers,
             tasks,
+            exchange,
             next_id: Cell::new(0),
         }
     }
