Don't take a target's error for proof that a request is sound

Callers saw: targets of a small service ending again and again under one request, and 502 or 503 for others meanwhile.

Cause: any sealed answer refuted the evidence against a request and began a new round, also a failure of a target that may not have run it. Where a target fails some of its requests, three ends in a row never came together.

Change: only an answer that is no error refutes. A trial that is answered with an error, is refused by its target, or loses a connection to a target that lives shows nothing, and the next one comes as late as after a failed one, because each may end a target.

--- a/crates/anvil_core/src/quarantine.rs
+++ b/crates/anvil_core/src/quarantine.rs
@@ -6,7 +6,7 @@
 //! too before it had answered for long. Targets that end together count once under a part, which many
 //! requests share; under equal requests, which are seldom on several targets at once, each target
 //! counts. One answer refutes all earlier evidence, because a suspect that ends targets ends each of
-//! them. A part that was answered before needs more evidence: it may have been on the engines that
+//! them. An error of the target is no such answer: the request may not have run. A part that was answered before needs more evidence: it may have been on the engines that
 //! another one ended.
 //!
 //! Hosts merge their states. A state is replaced only by a later one, in the order of
@@ -384,6 +384,21 @@
         })
     }
 
+    /// Records that a trial ended without showing whether the suspect ends targets. The next one comes as
+    /// late as after one that ended a target, because each trial may end one.
+    pub fn record_inconclusive_trial(&mut self, admission: &Admission, now: Instant) {
+        for known in admission.known.iter().filter(|known| known.is_trial) {
+            if let Some(entry) = self.entries.get_mut(&known.suspect)
+                && entry.round == known.round
+            {
+                entry.failed_trials = entry.failed_trials.saturating_add(1);
+                entry.changed_at = now;
+                entry.tried_at = None;
+                entry.news_at = Some(now);
+            }
+        }
+    }
+
     /// Records that a target, given by the hash of its id, ended before it had answered a request with
     /// `suspects` for long. Returns the states that changed.
     pub fn record_end(
--- a/crates/anvil_core/src/quarantine/tests.rs
+++ b/crates/anvil_core/src/quarantine/tests.rs
@@ -196,6 +196,24 @@
     );
 }
 
+/// Guards against trials without a result that follow one another at once.
+#[gtest]
+fn record_inconclusive_trial_delays_next_one() {
+    let start = Instant::now();
+    let mut quarantine = quarantined("lethal", start);
+    let lethal = parts(&["lethal"]);
+    let mut over = start + QUARANTINE_TIME_FIRST;
+    for delay in [QUARANTINE_TIME_MIN, 2 * QUARANTINE_TIME_MIN] {
+        let trial = quarantine.admit(&lethal, over, |_, _| true).unwrap();
+        quarantine.record_inconclusive_trial(&trial, over);
+        // What is released afterwards doesn't bring the trial forward.
+        quarantine.release_trial(&trial);
+        let refusal = quarantine.admit(&lethal, over, |_, _| true).unwrap_err();
+        expect_that!(refusal.retry_after, eq(delay));
+        over += delay;
+    }
+}
+
 #[gtest]
 fn admit_tries_no_two_parts_with_one_request() {
     let start = Instant::now();
--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -153,7 +153,7 @@
         match result.await {
             AttemptResult::Response(head, metadata, body) => {
                 if metadata.is_sealed {
-                    gateway.record_target_answer(request, &target, head.status);
+                    gateway.record_target_answer(request, &admission, &target, head.status);
                 }
                 let is_failure = head.status >= 500;
                 let is_success = (200..300).contains(&head.status);
@@ -401,6 +401,7 @@
                     .release(acquired.connection, metadata.idle_timeout);
             }
             if metadata.did_not_run {
+                gateway.record_inconclusive_trial(request, admission);
                 return AttemptResult::NotRun("refused");
             }
             AttemptResult::Response(head, metadata, body)
--- a/crates/anvil_gateway/src/quarantine.rs
+++ b/crates/anvil_gateway/src/quarantine.rs
@@ -40,6 +40,8 @@
 /// Time for which one host may try a suspect before another one may: not every host gets requests with
 /// it.
 const TRIAL_SLOT: Duration = Duration::from_secs(4);
+/// Lowest status of an answer that is an error.
+const ERROR_STATUS_MIN: u16 = 400;
 /// Name of the store as the source of a state.
 const STORE_SOURCE: &str = "store";
 /// Pause before a failed write to the store is tried again.
@@ -104,6 +106,7 @@
             ProcessState::Alive => false,
         };
         if !has_ended {
+            self.record_inconclusive_trial(request, admission);
             return;
         }
         let now = Instant::now().into_std();
@@ -135,8 +138,19 @@
         }
     }
 
-    /// Records that a target answered a request with `status` and kept running.
-    pub fn record_target_answer(&self, request: &RequestContext<'_>, target: &Target, status: u16) {
+    /// Records that a target answered a request with `status` and kept running. An error tells nothing of
+    /// the request: it may not have run.
+    pub fn record_target_answer(
+        &self,
+        request: &RequestContext<'_>,
+        admission: &Admission,
+        target: &Target,
+        status: u16,
+    ) {
+        if status >= ERROR_STATUS_MIN {
+            self.record_inconclusive_trial(request, admission);
+            return;
+        }
         let now = Instant::now().into_std();
         let mut quarantine = self.quarantine.borrow_mut();
         if quarantine.is_empty() {
@@ -162,6 +176,20 @@
         }
     }
 
+    /// Records that an admitted request ended without showing whether it ends targets.
+    pub fn record_inconclusive_trial(&self, request: &RequestContext<'_>, admission: &Admission) {
+        if !admission.is_trial() {
+            return;
+        }
+        let now = Instant::now().into_std();
+        let mut quarantine = self.quarantine.borrow_mut();
+        quarantine.record_inconclusive_trial(admission, now);
+        spdlog::info!("quarantine.trial_inconclusive", kv: {
+            request = request.metadata.id.as_str(),
+        });
+        self.urgent_change.notify_one();
+    }
+
     /// Returns the states to share with peers.
     pub(crate) fn shared_suspect_states(&self) -> Vec<SuspectState> {
         let now = Instant::now().into_std();
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -231,6 +231,8 @@
                     return self.give_up(ErrorReason::Stale, may_have_run, "keys may be outdated");
                 }
                 AttemptResult::ErrorStatus(head, body) => {
+                    self.gateway
+                        .record_inconclusive_trial(self.request, &self.admission);
                     if chosen.first().record_error(Instant::now()) {
                         // Each other host would find out by requests of its own.
                         self.gateway.urgent_change.notify_one();
@@ -601,8 +603,7 @@
                 }
                 Ok(Ok(None)) => {
                     if is_framed && !is_answer_recorded {
-                        self.gateway
-                            .record_target_answer(self.request, chosen.first(), OK_STATUS);
+                        self.record_answer(chosen);
                     }
                     return AttemptResult::Complete;
                 }
@@ -630,8 +631,7 @@
             }
             if !is_answer_recorded && self.progress.early().is_none() {
                 is_answer_recorded = true;
-                self.gateway
-                    .record_target_answer(self.request, chosen.first(), OK_STATUS);
+                self.record_answer(chosen);
             }
             if events == 0 {
                 continue;
@@ -661,6 +661,12 @@
         }
     }
 
+    fn record_answer(&self, chosen: &ChosenPath) {
+        let (request, admission) = (self.request, &self.admission);
+        self.gateway
+            .record_target_answer(request, admission, chosen.first(), OK_STATUS);
+    }
+
     fn time_left(&self) -> Duration {
         self.request
             .deadline
--- a/crates/anvil_observe/src/events.rs
+++ b/crates/anvil_observe/src/events.rs
@@ -118,6 +118,7 @@
     "quarantine.evidence": "A target ended at the start of its answer to a request, or before. The evidence against the request, or a shared part of its prompt, has risen.",
     "quarantine.lowered": "A quarantined part or request was not tried for long. It is sent again, and the next target that ends quarantines it.",
     "quarantine.refuted": "A target answered a request that was under suspicion, or that has such a part. The evidence is void.",
+    "quarantine.trial_inconclusive": "A request that was admitted to try a quarantined suspect ended without showing whether it ends targets.",
     "quarantine.write_failed": "What is quarantined could not be written to the store, or removed from it. It is tried again.",
     "recovery.chosen": "A request lost a stage, and a method to continue it was chosen.",
     "recovery.diverged": "A rebuilt layer range produced a different token than the one already sent. The range is not trusted.",
