Count the end of a target also when its whole service has ended

Callers saw: the targets of a service of three ending together again and again under one request.

Cause: after the loss of a connection a new one was tried, and if no target of the service could be reached the host took itself for cut off, so that the end was no evidence (unreachable). That is what a lethal request does to a small service.

Change: a host that takes itself for cut off asks others, as for any request. If one of them says that it reaches no target of the service either, and none reaches one, the target has ended. A host that gets no answer from others still concludes nothing.

--- a/crates/anvil_core/src/intermediary.rs
+++ b/crates/anvil_core/src/intermediary.rs
@@ -61,8 +61,8 @@
 pub struct Intermediaries {
     /// Hosts that opened a connection and have not failed since.
     known: Vec<HostId>,
-    /// Hosts that are not asked until a moment.
-    failed_until: HashMap<HostId, Duration>,
+    /// Hosts that opened no connection, and until when they are not asked.
+    failed: HashMap<HostId, (Failure, Duration)>,
     /// Searches in a row that found too few hosts.
     failed_searches: u32,
     /// When the next search may begin, after one that found too few hosts.
@@ -84,6 +84,14 @@
         self.known.len() < KNOWN_HOSTS
     }
 
+    /// Returns whether the last search found no host, and one that was asked reached no target either.
+    pub fn found_none(&self) -> bool {
+        let mut failed = self.failed.values();
+        self.known.is_empty()
+            && self.failed_searches > 0
+            && failed.any(|(failure, _)| *failure == Failure::Refused)
+    }
+
     /// Returns the time until a search may begin.
     pub fn time_until_search(&self, now: Duration) -> Duration {
         self.next_search_at.saturating_sub(now)
@@ -97,12 +105,11 @@
         now: Duration,
         mut draw: impl FnMut() -> f64,
     ) -> Vec<HostId> {
-        self.failed_until.retain(|_, until| *until > now);
+        self.failed.retain(|_, (_, until)| *until > now);
         let mut drawn: Vec<(f64, HostId)> = candidates
             .into_iter()
             .filter(|candidate| {
-                !self.failed_until.contains_key(&candidate.host)
-                    && !self.known.contains(&candidate.host)
+                !self.failed.contains_key(&candidate.host) && !self.known.contains(&candidate.host)
             })
             .map(|candidate| {
                 // The first of exponentially distributed times is that of a host with a probability
@@ -120,7 +127,7 @@
         if !self.known.contains(host) {
             self.known.push(host.clone());
         }
-        self.failed_until.remove(host);
+        self.failed.remove(host);
         self.failed_searches = 0;
     }
 
@@ -136,7 +143,7 @@
             Failure::Refused => REFUSED_TIME,
             Failure::Silent => SILENT_TIME,
         };
-        self.failed_until.insert(host.clone(), now + pause);
+        self.failed.insert(host.clone(), (failure, now + pause));
     }
 
     /// Records the end of a search. One that found too few hosts delays the next one.
--- a/crates/anvil_core/src/intermediary/tests.rs
+++ b/crates/anvil_core/src/intermediary/tests.rs
@@ -80,6 +80,21 @@
     expect_that!(intermediaries.pick(7), some(eq("a")));
 }
 
+/// Guards against a fault of the network that is taken for the end of all targets.
+#[gtest]
+fn found_none_needs_refusal_of_other_host() {
+    let mut intermediaries = Intermediaries::default();
+    expect_that!(intermediaries.found_none(), eq(false));
+    intermediaries.record_search(SECOND);
+    expect_that!(intermediaries.found_none(), eq(false));
+    intermediaries.record_failure(&"a".into(), Failure::Silent, SECOND);
+    expect_that!(intermediaries.found_none(), eq(false));
+    intermediaries.record_failure(&"b".into(), Failure::Refused, SECOND);
+    expect_that!(intermediaries.found_none(), eq(true));
+    intermediaries.record_opened(&"c".into());
+    expect_that!(intermediaries.found_none(), eq(false));
+}
+
 #[gtest]
 fn record_search_delays_next_one_while_hosts_lack() {
     let mut intermediaries = Intermediaries::default();
--- a/crates/anvil_gateway/src/faults.rs
+++ b/crates/anvil_gateway/src/faults.rs
@@ -21,6 +21,7 @@
         ChosenPath,
         LIVENESS_WINDOW, //
     },
+    plain::THROUGH_PEER_TIMEOUT,
     target::{
         AvoidReason,
         Target, //
@@ -156,7 +157,8 @@
 pub enum ProcessState {
     /// The target accepts connections: only the one of the request was lost.
     Alive,
-    /// Nothing listens at its address: its process has ended.
+    /// Nothing listens at its address, or no host reaches a target of its service: its process has
+    /// ended.
     Ended,
     /// The connection could not be opened for another reason.
     Unreachable,
@@ -176,7 +178,11 @@
 /// Finds out by a new connection whether a target to which one was lost is still running. The new one
 /// is kept for the next request.
 pub async fn check_state(gateway: &Gateway, target: &Target) -> ProcessState {
-    check_state_within(gateway, target, STATE_CHECK_TIMEOUT).await
+    let limits = link::Limits {
+        direct: STATE_CHECK_TIMEOUT,
+        through_peer: THROUGH_PEER_TIMEOUT,
+    };
+    check_state_within(gateway, target, limits).await
 }
 
 /// Returns what is known of each engine of a path whose stream has been silent since `silent_since`:
@@ -201,7 +207,11 @@
             if is_avoided || target.is_removed.get() {
                 return Evidence::Lost;
             }
-            match check_state_within(gateway, target, PROBE_TIMEOUT).await {
+            let limits = link::Limits {
+                direct: PROBE_TIMEOUT,
+                through_peer: PROBE_TIMEOUT,
+            };
+            match check_state_within(gateway, target, limits).await {
                 ProcessState::Alive => Evidence::Alive,
                 ProcessState::Ended | ProcessState::Unreachable => Evidence::Lost,
             }
@@ -210,12 +220,13 @@
     futures::future::join_all(probes).await
 }
 
-async fn check_state_within(gateway: &Gateway, target: &Target, limit: Duration) -> ProcessState {
-    let limits = link::Limits {
-        direct: limit,
-        through_peer: limit,
-    };
+async fn check_state_within(
+    gateway: &Gateway,
+    target: &Target,
+    limits: link::Limits,
+) -> ProcessState {
     let opened = link::open(gateway, target, limits).await;
+    let service = target.entry.borrow().service.clone();
     match opened {
         Ok(acquired) => {
             target.pool.release(acquired.connection, None);
@@ -223,10 +234,15 @@
         }
         Err(ConnectError::Failed { source, .. })
             if source.kind() == std::io::ErrorKind::ConnectionRefused
-                && gateway.link.belief(&target.entry.borrow().service) != Belief::Suspect =>
+                && gateway.link.belief(&service) != Belief::Suspect =>
         {
             ProcessState::Ended
         }
+        // The targets of a small service may all have ended. If other hosts reach none of them either,
+        // this one is not cut off.
+        Err(ConnectError::CutOff { .. }) if gateway.tunnels.found_none(&service) => {
+            ProcessState::Ended
+        }
         Err(_) => ProcessState::Unreachable,
     }
 }
--- a/crates/anvil_gateway/src/peers/tunnel.rs
+++ b/crates/anvil_gateway/src/peers/tunnel.rs
@@ -132,6 +132,11 @@
         self.wanted.notify_one();
     }
 
+    /// Returns whether the hosts that were asked last reached no target of a service either.
+    pub fn found_none(&self, service: &ServiceId) -> bool {
+        self.with(service, |known| known.found_none())
+    }
+
     fn with<T>(&self, service: &ServiceId, act: impl FnOnce(&mut Intermediaries) -> T) -> T {
         let mut intermediaries = self.intermediaries.borrow_mut();
         act(intermediaries.entry(service.clone()).or_default())
