Find out whether targets end under requests that are no longer waited for

Callers saw: targets ending under one request whose callers did not wait for the answer, or which ran longer than the time for an attempt.

Cause: a caller who left took with it what the host knew of its request, and an attempt that timed out counted as a slow target. The end that followed was nobody's. Evidence: 12 and 11 ends with no quarantine.evidence at all where callers left after 20 ms; one connection checked as alive before the target ended 300 ms later.

Change: the target of such a request is examined 250 ms and 1.2 s later. An idle connection that is still open shows that it runs; otherwise a new one decides. An end is evidence against the whole request, not against the parts of its prompt, which too many others share. At most 256 requests are watched.

--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -37,6 +37,7 @@
 };
 
 use crate::{
+    abandoned::AbandonedQueue,
     clock::BootTime,
     http1::ResponseHead,
     knowledge::TableCache,
@@ -86,6 +87,8 @@
     pub newer_table_notify: Notify,
     /// States of the prompt parts under which engines ended.
     pub quarantine: RefCell<Quarantine>,
+    /// Requests that are no longer waited for, under which targets may end.
+    pub abandoned: AbandonedQueue,
     /// Notified when this host has observed what peers must know soon: evidence against a request, or
     /// a lost engine.
     pub urgent_change: Notify,
@@ -132,6 +135,7 @@
             metrics: Metrics::new(),
             newer_table_notify: Notify::new(),
             quarantine: RefCell::new(Quarantine::default()),
+            abandoned: AbandonedQueue::default(),
             urgent_change: Notify::new(),
             last_slowdown_query: Cell::new(None),
             awaits_targets: Cell::new(false),
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! the events, and resumes the stream on another path if one fails. The module [`port`] defines the
 //! interfaces to the platform that the gateway runs on.
 
+pub mod abandoned;
 pub mod answer;
 pub mod calls;
 pub mod clock;
--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -2,6 +2,7 @@
 //! before it is passed on.
 
 use std::{
+    cell::RefCell,
     rc::Rc,
     time::Duration, //
 };
@@ -98,10 +99,17 @@
     request: &RequestContext<'_>,
     trace: &mut RequestTrace,
 ) -> RequestOutcome {
+    let sent = RefCell::new(None);
     let result = tokio::select! {
         biased;
-        result = try_targets(gateway, request, trace) => result,
-        () = connection.closed_by_peer(READ_AHEAD_LIMIT_BYTES) => return RequestOutcome::CallerDisconnected,
+        result = try_targets(gateway, request, trace, &sent) => Some(result),
+        () = connection.closed_by_peer(READ_AHEAD_LIMIT_BYTES) => None,
+    };
+    let Some(result) = result else {
+        if let Some((target, admission)) = sent.take() {
+            gateway.record_abandoned(request, &admission, &target);
+        }
+        return RequestOutcome::CallerDisconnected;
     };
     match result {
         Err(error_response) => RequestOutcome::Error(error_response),
@@ -120,12 +128,17 @@
     }
 }
 
+/// A request that is on its way to a target, or runs there.
+type Sent = (Rc<Target>, Admission);
+
 /// Sends a request to targets one after another until one answers. Returns the answer, or the error
-/// response for the caller.
+/// response for the caller. `sent` holds the target that the request was sent to, for as long as it has
+/// not answered.
 async fn try_targets(
     gateway: &Gateway,
     request: &RequestContext<'_>,
     trace: &mut RequestTrace,
+    sent: &RefCell<Option<Sent>>,
 ) -> Result<(ResponseHead, Bytes), ErrorResponse> {
     let is_repeatable = request.route.semantics.is_repeatable();
     let mut tried: Vec<Rc<Target>> = Vec::new();
@@ -149,8 +162,12 @@
         let is_last = trace.sends + 1 >= request.route.attempts_max;
         let may_repeat = is_repeatable && !is_last;
         let _in_flight = InFlightGuard::begin(&target, 0.0, true);
-        let result = send(gateway, request, &admission, &target, may_repeat, trace);
-        match result.await {
+        let result = send(
+            gateway, request, &admission, &target, may_repeat, trace, sent,
+        );
+        let result = result.await;
+        sent.take();
+        match result {
             AttemptResult::Response(head, metadata, body) => {
                 if metadata.is_sealed {
                     gateway.record_target_answer(request, &admission, &target, head.status);
@@ -193,9 +210,7 @@
             }
             AttemptResult::TimedOut => {
                 let failure = "no answer within the time for this attempt";
-                if admission.is_trial() {
-                    handle_lost_connection(gateway, request, &admission, &target, failure).await;
-                }
+                gateway.record_abandoned(request, &admission, &target);
                 trace.record_failure(format!("{}: {failure}", target.id));
                 may_have_run = true;
             }
@@ -328,6 +343,7 @@
     target: &Rc<Target>,
     may_repeat: bool,
     trace: &mut RequestTrace,
+    sent: &RefCell<Option<Sent>>,
 ) -> AttemptResult {
     let now = Instant::now();
     let time_left = request.deadline.saturating_duration_since(now);
@@ -376,6 +392,7 @@
     target.charge_limit(Instant::now());
     trace.sends += 1;
     trace.via.push(target.id.to_string());
+    sent.replace(Some((Rc::clone(target), admission.clone())));
     match timeout_at(
         attempt_deadline(request, may_repeat),
         send_and_receive(gateway, request, target, &mut acquired.connection, &out),
--- a/crates/anvil_gateway/src/pool.rs
+++ b/crates/anvil_gateway/src/pool.rs
@@ -54,6 +54,13 @@
         None
     }
 
+    /// Returns whether an idle connection is open, which shows that the target's process runs.
+    pub fn has_open(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let open = |candidate: &mut IdleConnection| candidate.connection.is_reusable();
+        idle.iter_mut().any(open)
+    }
+
     /// Returns a connection whose last answer was read completely to the pool. Drops it if bytes
     /// are left in its buffer, or if it is a tunnel.
     pub fn release(&self, connection: Connection, idle_timeout: Option<Duration>) {
--- a/crates/anvil_gateway/src/quarantine.rs
+++ b/crates/anvil_gateway/src/quarantine.rs
@@ -6,13 +6,16 @@
     time::Duration, //
 };
 
-use anvil_core::quarantine::{
-    Admission,
-    Progress,
-    Quarantine,
-    Refusal,
-    Suspect,
-    SuspectState, //
+use anvil_core::{
+    id::RequestId,
+    quarantine::{
+        Admission,
+        Progress,
+        Quarantine,
+        Refusal,
+        Suspect,
+        SuspectState, //
+    },
 };
 use tokio::{
     task::spawn_local,
@@ -117,14 +120,46 @@
             progress,
             now,
         );
-        for state in &changed {
+        self.handle_evidence(&changed, &request.metadata.id, target, progress);
+    }
+
+    /// Records that a process of a target ended under a request that was abandoned there.
+    pub(crate) fn record_end_under(
+        &self,
+        request_id: &RequestId,
+        suspects: &[Suspect],
+        admission: &Admission,
+        (target, process_hash): (&Target, u32),
+    ) {
+        let now = Instant::now().into_std();
+        // Nothing tells whether the target had begun.
+        let progress = Progress::Begun;
+        let changed = self.quarantine.borrow_mut().record_end(
+            suspects,
+            admission,
+            process_hash,
+            progress,
+            now,
+        );
+        self.handle_evidence(&changed, request_id, target, progress);
+    }
+
+    /// Logs evidence, keeps what is quarantined in the store, and tells peers.
+    fn handle_evidence(
+        &self,
+        changed: &[SuspectState],
+        request_id: &RequestId,
+        target: &Target,
+        progress: Progress,
+    ) {
+        for state in changed {
             spdlog::info!("quarantine.evidence", kv: {
                 suspect: = state.suspect,
                 round = state.round,
                 points = state.points,
                 was_answered = state.was_answered,
                 failed_trials = state.failed_trials,
-                request = request.metadata.id.as_str(),
+                request = request_id.as_str(),
                 target = target.id.as_str(),
                 progress:? = progress,
             });
--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -25,6 +25,7 @@
 };
 
 use crate::{
+    abandoned,
     exchange,
     follow,
     gateway::{
@@ -117,6 +118,7 @@
     spawn_local(Rc::clone(&placer).maintain_lease());
     spawn_local(Rc::clone(&placer).place());
     spawn_local(link::watch(Rc::clone(&gateway)));
+    spawn_local(abandoned::watch(Rc::clone(&gateway)));
     spawn_local(tunnel::maintain_intermediaries(Rc::clone(&gateway)));
     spawn_local(expire(Rc::clone(&gateway)));
     loop {
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -214,7 +214,14 @@
             let result = self.send(caller, &mut chosen, trace).await;
             let failure = match result {
                 AttemptResult::Complete => return self.finish(caller).await,
-                AttemptResult::CallerDisconnected => return RequestOutcome::CallerDisconnected,
+                AttemptResult::CallerDisconnected => {
+                    if self.progress.early().is_some() {
+                        let (request, admission) = (self.request, &self.admission);
+                        self.gateway
+                            .record_abandoned(request, admission, chosen.first());
+                    }
+                    return RequestOutcome::CallerDisconnected;
+                }
                 AttemptResult::DeadlineExceeded => {
                     return self.give_up(ErrorReason::Timeout, true, "timeout");
                 }
--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -74,6 +74,7 @@
 };
 
 use crate::{
+    abandoned,
     clock::BootTime,
     exchange,
     gateway::Gateway,
@@ -1082,6 +1083,7 @@
         tasks.spawn_local(accept(Rc::clone(&gateway), listener));
         tasks.spawn_local(confirm_table(Rc::clone(&gateway)));
         tasks.spawn_local(link::watch(Rc::clone(&gateway)));
+        tasks.spawn_local(abandoned::watch(Rc::clone(&gateway)));
         tasks.spawn_local(tunnel::maintain_intermediaries(Rc::clone(&gateway)));
         let tables = TcpListener::bind((address, PEERS_PORT)).await.unwrap();
         tasks.spawn_local(table::serve(Rc::clone(&gateway), tables));
--- a/crates/anvil_observe/src/events.rs
+++ b/crates/anvil_observe/src/events.rs
@@ -123,6 +123,7 @@
     "recovery.chosen": "A request lost a stage, and a method to continue it was chosen.",
     "recovery.diverged": "A rebuilt layer range produced a different token than the one already sent. The range is not trusted.",
     "recovery.moved": "A layer range of a running request was moved to another target.",
+    "request.abandoned_target_ended": "A target ended after this host had given up a request there, or its caller had left. This is evidence against the request.",
     "request.connection_lost": "The connection of a request to its target was lost. The line gives the digest of what the target received, and whether the target still accepts connections.",
     "request.ended": "A caller's request ended. The line gives the outcome, the paths that it took, what failed, and the age of the data that it was routed by.",
     "request.malformed": "A caller sent a request head that can't be read.",
