Quarantine a request after one end at a host that hears no other

Callers saw: targets ending under one request at hosts that had lost their links to one another, each of which needed three ends of its own.

Cause: evidence that doesn't suffice reaches other hosts by digests alone, and what the store holds as quarantined was read at a start only. Evidence: 9 ends in evidence over six hosts, and none of these with a quarantine until the last.

Which host tries a suspect is decided among all listed hosts then, not by each for itself.

--- a/crates/anvil_core/src/exchange.rs
+++ b/crates/anvil_core/src/exchange.rs
@@ -335,12 +335,17 @@
     }
 
     /// Returns whether this host is the one among the relays of all data centres that does the work
-    /// for a key.
+    /// for a key. A host that hears no other one chooses among all that are listed.
     pub fn is_chosen(&self, key: &str, now: Duration) -> bool {
         let relays = self.relays_of(&self.own.data_centre, now);
         if !relays.contains(&self.own.id) {
             return false;
         }
+        if !self.peers.is_empty() && !self.hears_any(now) {
+            // Others may be isolated, too, and take themselves for relays.
+            let listed = self.order.values().flatten();
+            return rendezvous::choose(key, listed) == Some(&self.own.id);
+        }
         let remote = self.regions.iter().filter(|(id, region)| {
             let acts_as_relay = self.peers.get(*id).is_some_and(|peer| peer.acts_as_relay);
             acts_as_relay && region.is_fresh(now)
--- a/crates/anvil_core/src/quarantine.rs
+++ b/crates/anvil_core/src/quarantine.rs
@@ -462,6 +462,31 @@
         changed
     }
 
+    /// Quarantines a whole request on evidence that would not suffice by itself, unless `count_max`
+    /// requests are quarantined already. Returns its state if it was not quarantined before.
+    pub fn quarantine_request(
+        &mut self,
+        suspect: &Suspect,
+        count_max: usize,
+        now: Instant,
+    ) -> Option<SuspectState> {
+        let is_request = |suspect: &Suspect| matches!(suspect, Suspect::Request(_));
+        let quarantined = self
+            .entries
+            .iter()
+            .filter(|(suspect, entry)| is_request(suspect) && entry.is_quarantined());
+        if !is_request(suspect) || quarantined.count() >= count_max {
+            return None;
+        }
+        let entry = self.entries.get_mut(suspect)?;
+        if entry.is_quarantined() || entry.points == 0 {
+            return None;
+        }
+        entry.points = required_points(entry.was_answered);
+        entry.news_at = Some(now);
+        Some(entry.state(suspect, now))
+    }
+
     /// Records that requests with the parts of a prompt were answered. It does without the other
     /// suspects of the request, and suffices while no suspect has a state.
     pub fn record_answered_parts(&mut self, parts: &[PartId], now: Instant) {
--- a/crates/anvil_core/src/quarantine/tests.rs
+++ b/crates/anvil_core/src/quarantine/tests.rs
@@ -196,6 +196,28 @@
     );
 }
 
+#[gtest]
+fn quarantine_request_needs_evidence_and_is_bounded() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::default();
+    let request =
+        |body: &str| Suspect::Request(RequestDigest::of("POST", "", "/", None, body.as_bytes()));
+    expect_that!(quarantine.quarantine_request(&request("a"), 2, now), none());
+    for (body, is_quarantined) in [("a", true), ("b", true), ("c", false)] {
+        let suspects = [request(body)];
+        let admission = Admission::default();
+        quarantine.record_end(&suspects, &admission, TARGET, Progress::Begun, now);
+        let state = quarantine.quarantine_request(&suspects[0], 2, now);
+        expect_that!(state.is_some(), eq(is_quarantined), "{body}");
+        let admitted = quarantine.admit(&suspects, now, |_, _| true);
+        expect_that!(admitted.is_err(), eq(is_quarantined), "{body}");
+    }
+    expect_that!(quarantine.quarantine_request(&request("a"), 9, now), none());
+    end(&mut quarantine, &["part"], Progress::Begun, now);
+    let part = &parts(&["part"])[0];
+    expect_that!(quarantine.quarantine_request(part, 9, now), none());
+}
+
 /// Guards against trials without a result that follow one another at once.
 #[gtest]
 fn record_inconclusive_trial_delays_next_one() {
--- a/crates/anvil_gateway/src/peers.rs
+++ b/crates/anvil_gateway/src/peers.rs
@@ -142,7 +142,9 @@
                 registered_era = self.register(&entry).await;
                 self.gateway.keep_quarantine_in_store();
             }
-            if self.is_list_outdated.replace(false) {
+            // What other hosts have quarantined reaches an isolated host through the store alone.
+            let is_isolated = self.gateway.peers.borrow().is_isolated(BootTime::now());
+            if self.is_list_outdated.replace(false) || is_isolated {
                 match self.gateway.platform.store.registry().await {
                     Ok(registry) => {
                         self.apply_host_list(&registry.hosts);
--- a/crates/anvil_gateway/src/quarantine.rs
+++ b/crates/anvil_gateway/src/quarantine.rs
@@ -163,9 +163,13 @@
                 target = target.id.as_str(),
                 progress:? = progress,
             });
-            if state.is_quarantined() {
-                log_quarantined(state, "own");
-                self.keep_in_store(state);
+            let quarantined = match state.is_quarantined() {
+                true => Some(state.clone()),
+                false => self.quarantine_alone(&state.suspect),
+            };
+            if let Some(state) = quarantined {
+                log_quarantined(&state, "own");
+                self.keep_in_store(&state);
             }
         }
         if !changed.is_empty() {
@@ -173,6 +177,17 @@
         }
     }
 
+    /// Quarantines a request after one end if this host hears no peer: each isolated host would need as
+    /// many ends as all others together.
+    fn quarantine_alone(&self, suspect: &Suspect) -> Option<SuspectState> {
+        if !self.peers.borrow().is_isolated(BootTime::now()) {
+            return None;
+        }
+        let now = Instant::now().into_std();
+        let mut quarantine = self.quarantine.borrow_mut();
+        quarantine.quarantine_request(suspect, SHARED_STATES_MAX, now)
+    }
+
     /// Records that a target answered a request with `status` and kept running. An error tells nothing of
     /// the request: it may not have run.
     pub fn record_target_answer(
