Keep the rest of a digest that holds one odd target change

Reported by other operators: one odd entry among those of the workers, and hosts stop following the list.

Cause: a target change from a relay that can't be read made the whole digest unreadable, with the other changes, the loads and the age of the table. It also looked like a datagram with a wrong tag, so that the host list was read again.

from_wire_keeps_rest_of_digest_with_odd_target_change failed before (no digest). A datagram of build is read, and written the same to the byte, by another new test.

--- a/crates/anvil_gateway/src/peers/message.rs
+++ b/crates/anvil_gateway/src/peers/message.rs
@@ -19,6 +19,7 @@
 };
 use anvil_wire::generated::peer_digest as wire;
 use smol_str::{
+    SmolStr,
     ToSmolStr,
     format_smolstr, //
 };
@@ -203,7 +204,7 @@
 }
 
 /// Converts a digest from the wire format. Returns `None` if lists that belong together differ in
-/// length or a target change can't be read.
+/// length.
 pub(super) fn from_wire(digest: wire::Digest) -> Option<Digest> {
     let age = |millis: u32| Duration::from_millis(u64::from(millis));
     let load_count = digest.load_targets.len();
@@ -261,8 +262,7 @@
             })
         })
         .collect();
-    let changes: Option<Vec<_>> = digest.news.into_iter().map(change_from_wire).collect();
-    let changes = changes?;
+    let changes = digest.news.into_iter().map(change_from_wire).collect();
     Some(Digest {
         kind: kind_from_wire(digest.kind),
         host: digest.host,
@@ -387,20 +387,33 @@
     }
 }
 
-fn change_from_wire(change: wire::TargetNews) -> Option<TargetChange> {
+/// Converts a target change from the wire format. One that can't be read hides no other.
+fn change_from_wire(change: wire::TargetNews) -> TargetChange {
     let Some(entry) = change.entry else {
-        return Some(TargetChange::Removed(change.target));
+        return TargetChange::Removed(change.target);
     };
+    match entry_from_wire(entry) {
+        Ok(entry) => TargetChange::Put(change.target, entry),
+        Err(error) => TargetChange::Unreadable(change.target, error),
+    }
+}
+
+fn entry_from_wire(entry: wire::TargetEntry) -> Result<TargetEntry, SmolStr> {
     let layers = match (entry.first_layer, entry.end_layer) {
-        (Some(first), Some(end)) => Some((
-            LayerRange::new(first, end)?,
-            entry.layers_version.unwrap_or(0),
-        )),
+        (Some(first), Some(end)) => {
+            let range = LayerRange::new(first, end)
+                .ok_or_else(|| format_smolstr!("no layers in {first}..{end}"))?;
+            Some((range, entry.layers_version.unwrap_or(0)))
+        }
         _ => None,
     };
-    let entry = TargetEntry {
+    let address = entry
+        .address
+        .parse()
+        .map_err(|_| format_smolstr!("unreadable address {:?}", entry.address))?;
+    Ok(TargetEntry {
         service: entry.service,
-        address: entry.address.parse().ok()?,
+        address,
         data_centre: entry.data_centre,
         slot_limit_requests: entry.slots,
         state: match entry.leaving {
@@ -410,6 +423,5 @@
         kind: entry.kind,
         layers,
         started_unix_ms: entry.started_unix_ms,
-    };
-    Some(TargetChange::Put(change.target, entry))
+    })
 }
--- a/crates/anvil_gateway/src/peers/tests.rs
+++ b/crates/anvil_gateway/src/peers/tests.rs
@@ -18,6 +18,7 @@
     },
     request_digest::RequestDigest, //
 };
+use anvil_wire::generated::peer_digest as wire;
 use googletest::prelude::*;
 
 use super::*;
@@ -137,6 +138,44 @@
     );
 }
 
+/// Guards against one target change that can't be read and hides all else that a peer says.
+#[gtest]
+fn from_wire_keeps_rest_of_digest_with_odd_target_change() {
+    let sent = digest("host");
+    for break_entry in [
+        |entry: &mut wire::TargetEntry| entry.address = "10.0.0.1:70000".into(),
+        |entry: &mut wire::TargetEntry| entry.end_layer = entry.first_layer,
+    ] {
+        let mut digest = message::to_wire(&sent);
+        let news = digest.news.iter_mut().find(|news| news.entry.is_some());
+        break_entry(news.unwrap().entry.as_mut().unwrap());
+        let read = message::from_wire(digest).unwrap();
+        expect_that!(read.summary, eq(&sent.summary));
+        let changes = read.target_changes.unwrap().changes;
+        expect_that!(changes[0], eq(&TargetChange::Removed("gone".into())));
+        expect_that!(
+            changes[1],
+            matches_pattern!(TargetChange::Unreadable(eq("new"), _))
+        );
+    }
+}
+
+/// Guards against builds side by side that can't read one another: the datagram is of 7f27459.
+#[gtest]
+fn decode_authenticated_reads_datagram_of_former_build() {
+    let datagram = include_str!("tests/datagram_7f27459.hex");
+    let bytes: Vec<u8> = datagram
+        .trim()
+        .as_bytes()
+        .chunks(2)
+        .map(|digits| u8::from_str_radix(str::from_utf8(digits).unwrap(), 16).unwrap())
+        .collect();
+    let read = datagram::decode_authenticated(&bytes, &key("a1"));
+    expect_that!(read, some(eq(&digest("host"))));
+    let written = datagram::encode_authenticated(&digest("host"), &key("a1")).unwrap();
+    expect_that!(written, eq(&bytes));
+}
+
 /// Guards against hosts that hear nothing of one that has requests at many targets.
 /// Returns a digest with more loads than a datagram holds.
 fn large_digest() -> Digest {
