Send no request twice on a connection on which it was refused

Cause: an answer is told from others by the id of its request alone. A request that was refused was sent again on the same connection, so that a late copy of the refusal bore the id that was awaited. An answer that names no request was taken for the awaited one on connections that had carried others, too.

Change: a kept connection remembers the requests that were refused or failed on it (eight at most, then it is closed) and carries none of them again. On a connection that carried others, an answer that names no request ends the attempt: the request may have run.

take_idle_skips_connection_on_which_request_was_refused is new; without the rule the connection is taken.

--- a/crates/anvil_gateway/src/faults.rs
+++ b/crates/anvil_gateway/src/faults.rs
@@ -229,7 +229,7 @@
     let service = target.entry.borrow().service.clone();
     match opened {
         Ok(acquired) => {
-            target.pool.release(acquired.connection, None);
+            target.pool.release(acquired, None);
             ProcessState::Alive
         }
         Err(ConnectError::Failed { source, .. })
--- a/crates/anvil_gateway/src/link.rs
+++ b/crates/anvil_gateway/src/link.rs
@@ -8,7 +8,10 @@
 };
 
 use anvil_core::{
-    id::ServiceId,
+    id::{
+        RequestId,
+        ServiceId, //
+    },
     reachability::{
         Belief,
         Reachability, //
@@ -209,7 +212,7 @@
     pub through_peer: Duration,
 }
 
-/// Takes an idle connection to a target, or opens one within `limits`.
+/// Takes an idle connection to a target for a request, or opens one within `limits`.
 ///
 /// # Errors
 ///
@@ -217,13 +220,11 @@
 pub async fn acquire(
     gateway: &Gateway,
     target: &Target,
+    request: &RequestId,
     limits: Limits,
 ) -> Result<PooledConnection, ConnectError> {
-    match target.pool.take_idle() {
-        Some(connection) => Ok(PooledConnection {
-            connection,
-            is_reused: true,
-        }),
+    match target.pool.take_idle(request) {
+        Some(connection) => Ok(connection),
         None => open(gateway, target, limits).await,
     }
 }
@@ -252,10 +253,7 @@
         Some(Err(error)) if belief != Belief::CutOff => return Err(error),
         Some(Err(_)) | None => tunnel::open(gateway, target, limits.through_peer).await?,
     };
-    Ok(PooledConnection {
-        connection,
-        is_reused: false,
-    })
+    Ok(PooledConnection::new(connection))
 }
 
 /// Opens a connection to a target over this host's own links.
@@ -319,7 +317,10 @@
     targets.truncate(count);
     let probes = targets.iter().map(|target| async {
         let opened = open_directly(gateway, target, PROBE_TIMEOUT).await;
-        opened.map(|connection| target.pool.release(connection, None))
+        opened.map(|connection| {
+            let connection = PooledConnection::new(connection);
+            target.pool.release(connection, None);
+        })
     });
     future::join_all(probes).await.iter().any(Result::is_ok)
 }
--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -42,6 +42,7 @@
         ResponseHead, //
     },
     link,
+    pool::PooledConnection,
     port::{
         Forwarding,
         ResponseMetadata, //
@@ -352,7 +353,7 @@
         direct: CONNECT_TIMEOUT.min(attempt_time_left),
         through_peer: THROUGH_PEER_TIMEOUT.min(time_left),
     };
-    let acquired = link::acquire(gateway, target, limits).await;
+    let acquired = link::acquire(gateway, target, &request.metadata.id, limits).await;
     let mut acquired = match acquired {
         Ok(acquired) => acquired,
         Err(error @ ConnectError::CutOff { .. }) => {
@@ -395,7 +396,7 @@
     sent.replace(Some((Rc::clone(target), admission.clone())));
     match timeout_at(
         attempt_deadline(request, may_repeat),
-        send_and_receive(gateway, request, target, &mut acquired.connection, &out),
+        send_and_receive(gateway, request, target, &mut acquired, &out),
     )
     .await
     {
@@ -412,10 +413,11 @@
             AttemptResult::Lost(failure)
         }
         Ok(Ok((head, metadata, body))) => {
+            if metadata.did_not_run || head.status >= 500 {
+                acquired.record_unanswered(&request.metadata.id);
+            }
             if head.keep_alive {
-                target
-                    .pool
-                    .release(acquired.connection, metadata.idle_timeout);
+                target.pool.release(acquired, metadata.idle_timeout);
             }
             if metadata.did_not_run {
                 gateway.record_inconclusive_trial(request, admission);
@@ -426,6 +428,10 @@
     }
 }
 
+/// Failure of an attempt whose answer names no request, on a connection that carried others. It may be a
+/// copy of an answer to one of these.
+pub const UNNAMED_ANSWER: &str = "answer names no request";
+
 /// Returns whether an answer belongs to a request. An unsealed answer, such as a refusal, need not
 /// name the request.
 pub fn is_response_to(metadata: &ResponseMetadata, id: &RequestId) -> bool {
@@ -444,9 +450,11 @@
     gateway: &Gateway,
     request: &RequestContext<'_>,
     target: &Target,
-    connection: &mut Connection,
+    acquired: &mut PooledConnection,
     out: &[u8],
 ) -> Result<(ResponseHead, ResponseMetadata, Bytes), &'static str> {
+    let is_reused = acquired.is_reused;
+    let connection = &mut acquired.connection;
     connection
         .write_all(out)
         .await
@@ -466,6 +474,9 @@
             .await
             .map_err(|_| "connection ended within the answer")?
             .ok_or("answer is larger than the limit")?;
+        if metadata.id.is_none() && is_reused {
+            return Err(UNNAMED_ANSWER);
+        }
         if is_response_to(&metadata, &request.metadata.id) {
             return Ok((head, metadata, body));
         }
--- a/crates/anvil_gateway/src/pool.rs
+++ b/crates/anvil_gateway/src/pool.rs
@@ -6,13 +6,21 @@
     time::Duration, //
 };
 
-use anvil_core::id::TargetId;
+use anvil_core::id::{
+    RequestId,
+    TargetId, //
+};
 use tokio::time::Instant;
 
 use crate::http1::Connection;
 
+#[cfg(test)]
+mod tests;
+
 /// Largest number of idle connections kept to one target. A host has few requests open with each.
 const IDLE_LIMIT_CONNECTIONS: usize = 16;
+/// Most requests that were refused or failed on a connection which is kept.
+const UNANSWERED_MAX: usize = 8;
 /// Idle time after which a connection is not used again if the target states no timeout.
 const IDLE_TIMEOUT_DEFAULT: Duration = Duration::from_secs(10);
 /// Time before the end of the target's stated timeout from which a connection is not used again,
@@ -22,7 +30,7 @@
 /// An idle connection that has carried a request.
 #[derive(Debug)]
 struct IdleConnection {
-    connection: Connection,
+    connection: PooledConnection,
     usable_until: Instant,
 }
 
@@ -33,6 +41,25 @@
     pub connection: Connection,
     /// Whether it carried a request before. If so, the target may have closed it meanwhile.
     pub is_reused: bool,
+    /// Requests that were refused or failed on it. Invariant: none of them is sent on it again, because a
+    /// late copy of that answer would be taken for the answer to the second send.
+    unanswered: Vec<RequestId>,
+}
+
+impl PooledConnection {
+    /// Takes over a connection that has carried no request.
+    pub fn new(connection: Connection) -> Self {
+        Self {
+            connection,
+            is_reused: false,
+            unanswered: Vec::new(),
+        }
+    }
+
+    /// Records that a request was refused or failed, and may be sent again.
+    pub fn record_unanswered(&mut self, request: &RequestId) {
+        self.unanswered.push(request.clone());
+    }
 }
 
 /// Idle connections to one target. The one used last is taken first.
@@ -42,13 +69,18 @@
 }
 
 impl ConnectionPool {
-    /// Takes an idle connection, if there is one.
-    pub(crate) fn take_idle(&self) -> Option<Connection> {
+    /// Takes an idle connection for a request, if there is one.
+    pub(crate) fn take_idle(&self, request: &RequestId) -> Option<PooledConnection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
-        while let Some(mut candidate) = idle.pop_back() {
-            if candidate.usable_until > now && candidate.connection.is_reusable() {
-                return Some(candidate.connection);
+        while let Some(candidate) = idle.pop_back() {
+            let mut kept = candidate.connection;
+            if candidate.usable_until > now
+                && kept.connection.is_reusable()
+                && !kept.unanswered.contains(request)
+            {
+                kept.is_reused = true;
+                return Some(kept);
             }
         }
         None
@@ -57,14 +89,18 @@
     /// Returns whether an idle connection is open, which shows that the target's process runs.
     pub fn has_open(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
-        let open = |candidate: &mut IdleConnection| candidate.connection.is_reusable();
+        let open = |candidate: &mut IdleConnection| candidate.connection.connection.is_reusable();
         idle.iter_mut().any(open)
     }
 
     /// Returns a connection whose last answer was read completely to the pool. Drops it if bytes
-    /// are left in its buffer, or if it is a tunnel.
-    pub fn release(&self, connection: Connection, idle_timeout: Option<Duration>) {
-        if connection.has_buffered_bytes() || connection.is_tunnel() {
+    /// are left in its buffer, if it is a tunnel, or if many requests were refused on it.
+    pub fn release(&self, pooled: PooledConnection, idle_timeout: Option<Duration>) {
+        let connection = &pooled.connection;
+        if connection.has_buffered_bytes()
+            || connection.is_tunnel()
+            || pooled.unanswered.len() > UNANSWERED_MAX
+        {
             return;
         }
         let usable_for = idle_timeout
@@ -75,7 +111,7 @@
             idle.pop_front();
         }
         idle.push_back(IdleConnection {
-            connection,
+            connection: pooled,
             usable_until: Instant::now() + usable_for,
         });
     }
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -60,8 +60,10 @@
         CROSSED_ANSWERS_MAX,
         READ_AHEAD_LIMIT_BYTES,
         THROUGH_PEER_TIMEOUT,
+        UNNAMED_ANSWER,
         is_response_to, //
     },
+    pool::PooledConnection,
     port::{
         EventId,
         Forwarding,
@@ -395,18 +397,19 @@
             direct: CONNECT_TIMEOUT.min(self.time_left()),
             through_peer: THROUGH_PEER_TIMEOUT.min(self.time_left()),
         };
-        let mut acquired = match link::acquire(gateway, first, limits).await {
-            Ok(acquired) => acquired,
-            Err(error @ ConnectError::CutOff { .. }) => {
-                trace.record_failure(error.to_string());
-                return AttemptResult::CutOff;
-            }
-            Err(error) => {
-                first.record_unresponsive(Instant::now());
-                trace.record_failure(error.to_string());
-                return AttemptResult::NotRun("no connection", Some(first.address()));
-            }
-        };
+        let mut acquired =
+            match link::acquire(gateway, first, &self.request.metadata.id, limits).await {
+                Ok(acquired) => acquired,
+                Err(error @ ConnectError::CutOff { .. }) => {
+                    trace.record_failure(error.to_string());
+                    return AttemptResult::CutOff;
+                }
+                Err(error) => {
+                    first.record_unresponsive(Instant::now());
+                    trace.record_failure(error.to_string());
+                    return AttemptResult::NotRun("no connection", Some(first.address()));
+                }
+            };
         if !first.accepts(Instant::now()) {
             return AttemptResult::NotRun("engine takes no requests", None);
         }
@@ -474,6 +477,9 @@
                 Ok(Ok(head)) => head,
             };
             let metadata = gateway.parse_answer(first, &head);
+            if metadata.id.is_none() && acquired.is_reused {
+                return AttemptResult::Lost(UNNAMED_ANSWER);
+            }
             if is_response_to(&metadata, &self.request.metadata.id) {
                 break (head, metadata);
             }
@@ -501,7 +507,7 @@
         };
         if !(200..300).contains(&head.status) {
             return self
-                .handle_error_status(acquired.connection, first, &head, &metadata)
+                .handle_error_status(acquired, first, &head, &metadata)
                 .await;
         }
         if !metadata.is_sealed {
@@ -527,9 +533,7 @@
             )
             .await;
         if matches!(result, AttemptResult::Complete) && head.keep_alive {
-            first
-                .pool
-                .release(acquired.connection, metadata.idle_timeout);
+            first.pool.release(acquired, metadata.idle_timeout);
         }
         result
     }
@@ -537,7 +541,7 @@
     /// Reads an answer with an error status, and returns what it says of the request.
     async fn handle_error_status(
         &self,
-        mut upstream: Connection,
+        mut acquired: PooledConnection,
         first: &Rc<Target>,
         head: &ResponseHead,
         metadata: &crate::port::ResponseMetadata,
@@ -546,7 +550,9 @@
         let mut decoder = BodyDecoder::new(head.framing);
         let body = timeout_at(
             self.request.deadline,
-            upstream.read_whole_body(&mut decoder, ERROR_BODY_LIMIT_BYTES),
+            acquired
+                .connection
+                .read_whole_body(&mut decoder, ERROR_BODY_LIMIT_BYTES),
         )
         .await;
         let complete_body = match body {
@@ -554,7 +560,8 @@
             _ => None,
         };
         if complete_body.is_some() && head.keep_alive {
-            first.pool.release(upstream, metadata.idle_timeout);
+            acquired.record_unanswered(&self.request.metadata.id);
+            first.pool.release(acquired, metadata.idle_timeout);
         }
         if metadata.did_not_run {
             return AttemptResult::NotRun("refused", metadata.at_fault);
