Pass the last event of a resumed stream on to services without engines

Cause: such a stream is served like a plain request, which named no event, and the client's own header is not forwarded.

Change: the event is named where the kind of request may be resumed.

serve_passes_last_event_on_to_service_without_engines failed before (the whole answer). A stream that breaks off while the next engine answers with an error is cut after its last whole event, without an end and without the error, by serve_writes_nothing_after_events_when_next_engine_fails, which holds on the former code too: after the head only events and the end are written, by one function each, and all other outcomes close the connection. Streams of services without engines are still held back until their end.

--- a/crates/anvil_gateway/src/plain/tests.rs
+++ b/crates/anvil_gateway/src/plain/tests.rs
@@ -272,3 +272,14 @@
         }
     });
 }
+
+/// Guards against a resumed stream that begins again at a service without engines (ORDER).
+#[gtest]
+fn serve_passes_last_event_on_to_service_without_engines() {
+    run(async {
+        let fleet = Fleet::start_plain(93, 1, None).await;
+        let host = fleet.start_host(0).await;
+        let body = host.resume_plain(19).await;
+        expect_that!(body.as_deref(), some(eq("after 19")));
+    });
+}
--- a/crates/anvil_gateway/src/stream/tests.rs
+++ b/crates/anvil_gateway/src/stream/tests.rs
@@ -273,3 +273,27 @@
         expect_that!(complete, ge(76));
     });
 }
+
+/// Guards against an error of the next engine, or an end that looks complete, in the middle of a stream
+/// that broke off (ORDER, MIXED).
+#[gtest]
+fn serve_writes_nothing_after_events_when_next_engine_fails() {
+    run(async {
+        let fleet = Fleet::start(92, 2).await;
+        let host = fleet.start_host(0).await;
+        fleet.engines[0].behaviour.set(Behaviour::BreaksOff);
+        fleet.engines[1].behaviour.set(Behaviour::Fails);
+        let mut begun = 0;
+        for _ in 0..12 {
+            let answer = host.call_model_raw().await;
+            let answer = answer.as_str();
+            expect_that!(answer.matches("HTTP/1.1 ").count(), eq(1), "{answer}");
+            if answer.starts_with("HTTP/1.1 200") {
+                begun += 1;
+                let (_, body) = answer.split_once("\r\n\r\n").unwrap();
+                expect_that!(body, eq("f\r\nid: 1\ndata: a\n\n\r\n"));
+            }
+        }
+        expect_that!(begun, ge(1));
+    });
+}
--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -56,6 +56,7 @@
     Type, //
 };
 use tokio::{
+    io::AsyncReadExt,
     net::{
         TcpListener,
         TcpStream, //
@@ -199,6 +200,8 @@
     AnswersTwiceNext,
     /// At once, with an error of its own.
     Fails,
+    /// With the start of a stream, on a connection that ends then.
+    BreaksOff,
     /// Not at all: it runs the request and closes the connection.
     LosesAnswer,
     /// After a delay.
@@ -326,9 +329,13 @@
                 if is_lethal {
                     return self.end_process();
                 }
+                let body = match head.headers.text("after").unwrap_or_default() {
+                    "" => id.to_owned(),
+                    after => format!("after {after}"),
+                };
                 let answer = format!(
-                    "HTTP/1.1 200 OK\r\nid: {id}\r\nsealed: 1\r\nContent-Length: {}\r\n\r\n{id}",
-                    id.len()
+                    "HTTP/1.1 200 OK\r\nid: {id}\r\nsealed: 1\r\nContent-Length: {}\r\n\r\n{body}",
+                    body.len()
                 );
                 let mut written = late_copy.take().unwrap_or_default();
                 let mut later = None;
@@ -349,6 +356,7 @@
                     }
                     Behaviour::Sound
                     | Behaviour::Fails
+                    | Behaviour::BreaksOff
                     | Behaviour::Slow { .. }
                     | Behaviour::Stalled { .. } => {
                         written.push_str(&answer);
@@ -405,6 +413,10 @@
             }
             connection.write_all(b"0\r\n\r\n").await
         }
+        Behaviour::BreaksOff => {
+            connection.write_all(b"f\r\nid: 1\ndata: a\n\n\r\n").await?;
+            Err(io::ErrorKind::ConnectionReset.into())
+        }
         Behaviour::Stalled { pause } => {
             connection.write_all(b"f\r\nid: 1\ndata: a\n\n\r\n").await?;
             loop {
@@ -453,6 +465,7 @@
         Ok(RequestMetadata {
             id: head.headers.text("id").unwrap_or_default().into(),
             key: head.headers.text("key").map(SmolStr::new),
+            resume_after: head.headers.text("after").and_then(|id| id.parse().ok()),
             prompt_tokens: 10,
             answer_limit_tokens: 10,
             shared_parts: parts_of(head),
@@ -469,11 +482,16 @@
     ) {
         let text = |name| head.headers.text(name).unwrap_or_default();
         let forwarded = format!(
-            "POST {} HTTP/1.1\r\nid: {}\r\nteam: {}\r\nparts: {}\r\nContent-Length: {body_bytes}\r\n\r\n",
+            "POST {} HTTP/1.1\r\nid: {}\r\nteam: {}\r\nparts: {}\r\nafter: {}\r\n\
+             Content-Length: {body_bytes}\r\n\r\n",
             head.target,
             text("id"),
             forwarding.team.map_or("", |team| team.as_str()),
             text("parts"),
+            forwarding
+                .resume_after
+                .map(|id| id.to_string())
+                .unwrap_or_default(),
         );
         out.extend_from_slice(forwarded.as_bytes());
     }
@@ -722,6 +740,7 @@
         [
             route(MODEL_PATH, RequestSemantics::ResumableStream, "model"),
             route("/safe/", RequestSemantics::Safe, "plain"),
+            route("/events/", RequestSemantics::ResumableStream, "plain"),
             route("/unsafe/", RequestSemantics::AtMostOnce, "plain"),
         ],
         [
@@ -785,6 +804,23 @@
         (id, body)
     }
 
+    /// Sends a request to the model and returns all bytes that come until its connection is closed.
+    pub(crate) async fn call_model_raw(&self) -> String {
+        let request = self.request(MODEL_PATH, "Connection: close\r\n", "");
+        let connection = self.open_silent_connection(request.as_bytes()).await;
+        let mut received = Vec::new();
+        // A reset ends the answer as well.
+        let _ended = connection.into_stream().read_to_end(&mut received).await;
+        String::from_utf8_lossy(&received).into_owned()
+    }
+
+    /// Resumes a stream of the plain service after an event, and returns the body of the answer.
+    pub(crate) async fn resume_plain(&self, after: u64) -> Option<String> {
+        let headers = format!("key: {SOUND_KEY}\r\nafter: {after}\r\n");
+        let (_, answer) = self.send("/events/a", &headers, "").await;
+        answer.map(|(_, body)| String::from_utf8_lossy(&body).into_owned())
+    }
+
     /// Opens a connection, sends some bytes on it and says nothing more.
     pub(crate) async fn open_silent_connection(&self, bytes: &[u8]) -> Connection {
         let limit = Duration::from_secs(5);
