Use own links for a request that waits for a search when the cut ends

Callers saw: 503 at a host whose links were back, for requests that were waiting for a host to send through.

Cause: found in reading.

Change: the end of a cut wakes these requests, and they try their target again over this host's own links.

open_uses_own_links_when_cut_ends_during_search: refused without the second attempt, answered with it.

--- a/crates/anvil_core/src/quarantine.rs
+++ b/crates/anvil_core/src/quarantine.rs
@@ -6,8 +6,8 @@
 //! too before it had answered for long. Targets that end together count once under a part, which many
 //! requests share; under equal requests, which are seldom on several targets at once, each target
 //! counts. One answer refutes all earlier evidence, because a suspect that ends targets ends each of
-//! them. An error of the target is no such answer: the request may not have run. A part that was answered before needs more evidence: it may have been on the engines that
-//! another one ended.
+//! them. An error of the target is no such answer: the request may not have run. A part that was
+//! answered before needs more evidence: it may have been on the engines that another one ended.
 //!
 //! Hosts merge their states. A state is replaced only by a later one, in the order of
 //! their ranks, so that messages may be lost, repeated or reordered.
--- a/crates/anvil_gateway/src/link.rs
+++ b/crates/anvil_gateway/src/link.rs
@@ -110,7 +110,7 @@
             .is_some_and(|reachability| reachability.has_failed(&target.id))
     }
 
-    fn record_success(&self, target: &Target) {
+    fn record_success(&self, gateway: &Gateway, target: &Target) {
         let service = &target.entry.borrow().service;
         let mut reachability = self.reachability.borrow_mut();
         let Some(before) = reachability
@@ -124,6 +124,7 @@
                 service = service.as_str(),
                 target = target.id.as_str(),
             });
+            gateway.tunnels.end();
         }
         if before != Belief::Connected {
             self.settled.send_modify(|count| *count += 1);
@@ -251,7 +252,16 @@
     let connection = match opened {
         Some(Ok(connection)) => connection,
         Some(Err(error)) if belief != Belief::CutOff => return Err(error),
-        Some(Err(_)) | None => tunnel::open(gateway, target, limits.through_peer).await?,
+        Some(Err(_)) | None => {
+            match tunnel::open(gateway, target, limits.through_peer).await {
+                Ok(connection) => connection,
+                // The cut ended meanwhile.
+                Err(_) if gateway.link.belief(&service) == Belief::Connected => {
+                    open_directly(gateway, target, limits.direct).await?
+                }
+                Err(error) => return Err(error),
+            }
+        }
     };
     Ok(PooledConnection::new(connection))
 }
@@ -274,7 +284,7 @@
     };
     gateway.metrics.record_connection(outcome);
     match &opened {
-        Ok(_) => gateway.link.record_success(target),
+        Ok(_) => gateway.link.record_success(gateway, target),
         Err(_) => gateway.link.record_failure(gateway, target),
     }
     opened
--- a/crates/anvil_gateway/src/link/tests.rs
+++ b/crates/anvil_gateway/src/link/tests.rs
@@ -12,6 +12,7 @@
     Fleet,
     Host,
     SAFE_PATH,
+    SOUND_KEY,
     UNSAFE_PATH,
     run,
     wait_for_peers, //
@@ -92,6 +93,29 @@
     });
 }
 
+/// Guards against requests that are refused at the end of a cut, because nobody searches for hosts any
+/// more (RECOVER).
+#[gtest]
+fn open_uses_own_links_when_cut_ends_during_search() {
+    run(async {
+        let fleet = Fleet::start_plain(94, 6, None).await;
+        fleet.register_unanswered_hosts(12).await;
+        let host = fleet.start_host(0).await;
+        while host.gateway.peers.borrow().len() < 12 {
+            sleep(POLL_INTERVAL).await;
+        }
+        fleet.cut_off_silently(&host);
+        let reconnect = async {
+            while host.gateway.link.belief(&"plain".into()) != Belief::CutOff {
+                sleep(POLL_INTERVAL).await;
+            }
+            fleet.reconnect(&host);
+        };
+        let (result, ()) = futures::join!(host.call_plain(SAFE_PATH, SOUND_KEY, ""), reconnect);
+        expect_that!(result, eq(CallerResult::Complete));
+    });
+}
+
 /// Guards against a service whose requests must show again what those of another service have shown:
 /// that the host is cut off (RECOVER).
 #[gtest]
--- a/crates/anvil_gateway/src/peers/tunnel.rs
+++ b/crates/anvil_gateway/src/peers/tunnel.rs
@@ -105,7 +105,7 @@
     intermediaries: RefCell<HashMap<ServiceId, Intermediaries>>,
     /// Notified when a service may lack intermediaries.
     wanted: Notify,
-    /// Incremented when a search finds an intermediary, and when it ends.
+    /// Incremented when a search finds an intermediary, when it ends, and when the cut ends.
     searched: watch::Sender<u64>,
     /// Numbers that were seen from each host, with the key of its run.
     seen: RefCell<HashMap<HostId, (DatagramKey, replay::Window)>>,
@@ -132,6 +132,11 @@
         self.wanted.notify_one();
     }
 
+    /// Wakes the requests that wait for a search: this host reaches a service again.
+    pub fn end(&self) {
+        self.searched.send_modify(|count| *count += 1);
+    }
+
     /// Returns whether the hosts that were asked last reached no target of a service either.
     pub fn found_none(&self, service: &ServiceId) -> bool {
         self.with(service, |known| known.found_none())
@@ -158,7 +163,7 @@
     }
 
     /// Waits until a search has found an intermediary for a service or has ended. Returns `false` at
-    /// once if none may begin yet, and at `deadline`.
+    /// once if none may begin yet, at the end of the cut, and at `deadline`.
     async fn wait_for_search(
         &self,
         gateway: &Gateway,
@@ -176,6 +181,9 @@
         searched.mark_unchanged();
         self.wanted.notify_one();
         let found = searched.wait_for(|_| {
+            if gateway.link.belief(service) != Belief::CutOff {
+                return true;
+            }
             self.with(service, |known| {
                 known.pick(0).is_some() || !known.time_until_search(now).is_zero()
             })
--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -1022,6 +1022,20 @@
         host
     }
 
+    /// Registers hosts whose address answers no connection.
+    pub(crate) async fn register_unanswered_hosts(&self, count: u8) {
+        for index in 0..count {
+            let entry = HostEntry {
+                id: format_smolstr!("unanswered-{index}"),
+                address: self.engines[0].unanswered_address,
+                key: "a1".repeat(16).into(),
+                data_centre: "a".into(),
+                processor_millis: 1,
+            };
+            self.store.register_host(&entry).await.unwrap();
+        }
+    }
+
     /// Starts a host of a data centre. Hosts of [`Self::start_host`] are in data centre `a`.
     pub(crate) async fn start_host_in(&self, index: u8, data_centre: &str) -> Host {
         self.start_host_configured(index, data_centre, Duration::ZERO)
