Pass on the last event of a caller wherever the gateway names none (ORDER)

Cause: the client's header was always dropped, and set again by other conditions. On routes whose streams the gateway doesn't resume it never reached the target. A value that is no number was taken for none, so that a resumable stream began at its first event, with engines too.

Change: the header is dropped by the condition that sets the gateway's own, and forwarded as it is otherwise. The metadata tells a start, an event and an unreadable event apart; a resumable stream with the last is refused with 400 before anything is sent.

--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -11,6 +11,7 @@
         Route,
         Service,
         Table,
+        RequestSemantics,
         choose_backend, //
     },
     id::ServiceId,
@@ -45,7 +46,10 @@
         RequestHead, //
     },
     plain,
-    port::RequestMetadata,
+    port::{
+        RequestMetadata,
+        ResumePoint, //
+    },
     stream, //
 };
 
@@ -410,6 +414,13 @@
 /// Returns whether the table is so old that one of its keys may have been revoked for longer than
 /// the revocation bound allows, or a newer one is known that this host can't get.
 pub fn are_keys_stale(gateway: &Gateway) -> bool {
+    if route.semantics == RequestSemantics::ResumableStream
+        && metadata.resume_point == ResumePoint::Unreadable
+    {
+        // From the first event on, the caller would get some events twice.
+        trace.record_failure("the last event is no event id");
+        return (metadata, rejected(ErrorReason::BadRequest), true);
+    }
     if gateway.is_table_superseded() {
         return true;
     }
--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -8,7 +8,6 @@
 };
 
 use anvil_core::{
-    entry::RequestSemantics,
     id::RequestId,
     quarantine::{
         Admission,
@@ -381,12 +380,7 @@
         target: &target.id,
         team: request.team.as_ref(),
         path: &[],
-        resume_after: match request.route.semantics {
-            RequestSemantics::ResumableStream => request.metadata.resume_after,
-            RequestSemantics::Safe | RequestSemantics::AtMostOnce | RequestSemantics::Stream => {
-                None
-            }
-        },
+        resume_after: None,
     };
     let mut out = Vec::with_capacity(1024 + request.body.len());
     gateway.platform.header_codec.write_forwarded(
--- a/crates/anvil_gateway/src/plain/tests.rs
+++ b/crates/anvil_gateway/src/plain/tests.rs
@@ -18,6 +18,7 @@
     Host,
     LETHAL_BODY,
     LETHAL_KEY,
+    MODEL_PATH,
     SAFE_PATH,
     SOUND_KEY,
     UNSAFE_PATH,
@@ -279,7 +280,38 @@
     run(async {
         let fleet = Fleet::start_plain(93, 1, None).await;
         let host = fleet.start_host(0).await;
-        let body = host.resume_plain(19).await;
-        expect_that!(body.as_deref(), some(eq("after 19")));
+        let answer = host.resume("/events/a", "19").await;
+        expect_that!(answer, some(eq(&(200, "after 19".to_owned()))));
+    });
+}
+
+/// Guards against an event that a caller has, and of which the target learns nothing, on routes whose
+/// streams are not resumed by the gateway.
+#[gtest]
+fn serve_passes_last_event_on_where_it_resumes_nothing() {
+    run(async {
+        let fleet = Fleet::start_plain(94, 1, None).await;
+        let host = fleet.start_host(0).await;
+        for path in [SAFE_PATH, UNSAFE_PATH] {
+            for after in ["19", "x"] {
+                let answer = host.resume(path, after).await;
+                expect_that!(answer, some(eq(&(200, format!("after {after}")))), "{path}");
+            }
+        }
+    });
+}
+
+/// Guards against a stream that begins again because the event after which it resumes can't be read
+/// (ORDER).
+#[gtest]
+fn serve_refuses_to_resume_after_unreadable_event() {
+    run(async {
+        let fleet = Fleet::start_both(95, 1).await;
+        let host = fleet.start_host(0).await;
+        for path in ["/events/a", MODEL_PATH] {
+            let status = host.resume(path, "x").await.map(|(status, _)| status);
+            expect_that!(status, some(eq(400)), "{path}");
+        }
+        expect_that!(fleet.run_count(&host.last_id()), eq(0));
     });
 }
--- a/crates/anvil_gateway/src/port.rs
+++ b/crates/anvil_gateway/src/port.rs
@@ -39,6 +39,28 @@
 /// Number of an event in its stream; grows along the stream.
 pub type EventId = u64;
 
+/// The event after which a caller wants a stream to go on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ResumePoint {
+    /// The caller names no event, so that the stream begins at its first one.
+    #[default]
+    Start,
+    /// The stream goes on after this event.
+    After(EventId),
+    /// What the caller names is no id of an event.
+    Unreadable,
+}
+
+impl ResumePoint {
+    /// Returns the event after which the stream goes on; `None` if it begins at its first one.
+    pub fn event_id(self) -> Option<EventId> {
+        match self {
+            Self::After(event) => Some(event),
+            Self::Start | Self::Unreadable => None,
+        }
+    }
+}
+
 /// The values that the gateway reads from the head of a caller's request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RequestMetadata {
@@ -48,8 +70,8 @@
     pub budget: Option<Duration>,
     /// The caller's API key; `None` where it sends none.
     pub key: Option<SmolStr>,
-    /// Event after which the stream resumes; `None` for a stream from the start.
-    pub resume_after: Option<EventId>,
+    /// Where the caller wants a stream to begin.
+    pub resume_point: ResumePoint,
     /// Number of tokens of the prompt.
     pub prompt_tokens: u32,
     /// Largest number of tokens of the answer.
@@ -86,7 +108,8 @@
     /// Engines that the request passes through, beginning with the target. Empty for services that
     /// are no model engines.
     pub path: &'a [Stage],
-    /// Event after which the stream resumes; `None` for a stream from the start.
+    /// Event after which the gateway resumes the stream, in place of the one that the caller names.
+    /// `None` forwards what the caller sent.
     pub resume_after: Option<EventId>,
 }
 
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -154,7 +154,12 @@
         request,
         engine,
         is_head_sent: false,
-        last_event_id: request.metadata.resume_after,
+        last_event_id: match request.route.semantics {
+            RequestSemantics::ResumableStream => request.metadata.resume_point.event_id(),
+            RequestSemantics::Safe | RequestSemantics::AtMostOnce | RequestSemantics::Stream => {
+                None
+            }
+        },
         last_sent_at: Instant::now(),
         first_engines: Vec::new(),
         failed: Vec::new(),
--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -114,6 +114,7 @@
         RepathResponse,
         RequestMetadata,
         ResponseMetadata,
+        ResumePoint,
         Snapshot,
         Store,
         TargetChange,
@@ -175,6 +176,8 @@
     pub(crate) silent_request_count: Cell<u32>,
     /// How it answers requests that don't end it.
     pub(crate) behaviour: Cell<Behaviour>,
+    /// Bytes of its last answer that was cut from which on a caller may see a success.
+    pub(crate) success_bytes: Cell<usize>,
 }
 
 /// How a target treats a request that ends targets.
@@ -204,6 +207,12 @@
     BreaksOff,
     /// Not at all: it runs the request and closes the connection.
     LosesAnswer,
+    /// With the first bytes of an answer, on a connection that ends then.
+    Cut {
+        bytes: usize,
+        /// Whether the head states how the body is framed.
+        is_framed: bool,
+    },
     /// After a delay.
     Late(Duration),
     /// A stream of some events, each after a pause.
@@ -235,6 +244,7 @@
             silent_connections: RefCell::default(),
             silent_request_count: Cell::new(0),
             behaviour: Cell::default(),
+            success_bytes: Cell::default(),
         });
         spawn_local(Rc::clone(&engine).run(listener));
         engine
@@ -289,6 +299,14 @@
         self.ended.notify_one();
     }
 
+    /// Writes the first bytes of an answer. A caller needs `needed` bytes of it to see a success.
+    async fn write_cut(&self, connection: &Connection, answer: &str, bytes: usize, needed: usize) {
+        self.success_bytes.set(needed);
+        let cut = &answer.as_bytes()[..bytes.min(answer.len())];
+        // A caller that has left needs no answer.
+        let _written = connection.write_all(cut).await;
+    }
+
     async fn serve(self: Rc<Self>, stream: TcpStream) {
         let mut connection = Connection::new(stream);
         let index = self.silent_connections.borrow().len();
@@ -333,10 +351,26 @@
                     "" => id.to_owned(),
                     after => format!("after {after}"),
                 };
-                let answer = format!(
-                    "HTTP/1.1 200 OK\r\nid: {id}\r\nsealed: 1\r\nContent-Length: {}\r\n\r\n{body}",
-                    body.len()
-                );
+                let answer = match id {
+                    "" => {
+                        "HTTP/1.1 400 Bad Request\r\nrefused: 1\r\nContent-Length: 0\r\n\r\n".into()
+                    }
+                    id => format!(
+                        "HTTP/1.1 200 OK\r\nid: {id}\r\nsealed: 1\r\nContent-Length: {}\r\n\r\n{body}",
+                        body.len()
+                    ),
+                };
+                if let Behaviour::Cut { bytes, is_framed } = self.behaviour.get() {
+                    let answer = match is_framed {
+                        true => answer,
+                        false => answer.replace("Content-Length", "Length"),
+                    };
+                    let needed = match is_framed {
+                        true => answer.len(),
+                        false => answer.len() - body.len(),
+                    };
+                    return self.write_cut(&connection, &answer, bytes, needed).await;
+                }
                 let mut written = late_copy.take().unwrap_or_default();
                 let mut later = None;
                 match self.behaviour.get() {
@@ -357,6 +391,7 @@
                     Behaviour::Sound
                     | Behaviour::Fails
                     | Behaviour::BreaksOff
+                    | Behaviour::Cut { .. }
                     | Behaviour::Slow { .. }
                     | Behaviour::Stalled { .. } => {
                         written.push_str(&answer);
@@ -378,6 +413,12 @@
             let begun = format!(
                 "HTTP/1.1 200 OK\r\nid: {id}\r\nsealed: 1\r\n{limit}Transfer-Encoding: chunked\r\n\r\n"
             );
+            if let Behaviour::Cut { bytes, .. } = self.behaviour.get() {
+                let answer = format!("{begun}f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n");
+                return self
+                    .write_cut(&connection, &answer, bytes, answer.len())
+                    .await;
+            }
             if connection.write_all(begun.as_bytes()).await.is_err() {
                 return;
             }
@@ -428,6 +469,7 @@
         | Behaviour::AnswersTwice
         | Behaviour::AnswersTwiceLate(_)
         | Behaviour::AnswersTwiceNext
+        | Behaviour::Cut { .. }
         | Behaviour::Fails
         | Behaviour::LosesAnswer
         | Behaviour::Late(_) => {
@@ -465,7 +507,12 @@
         Ok(RequestMetadata {
             id: head.headers.text("id").unwrap_or_default().into(),
             key: head.headers.text("key").map(SmolStr::new),
-            resume_after: head.headers.text("after").and_then(|id| id.parse().ok()),
+            resume_point: match head.headers.text("after") {
+                None => ResumePoint::Start,
+                Some(id) => id
+                    .parse()
+                    .map_or(ResumePoint::Unreadable, ResumePoint::After),
+            },
             prompt_tokens: 10,
             answer_limit_tokens: 10,
             shared_parts: parts_of(head),
@@ -490,8 +537,7 @@
             text("parts"),
             forwarding
                 .resume_after
-                .map(|id| id.to_string())
-                .unwrap_or_default(),
+                .map_or(text("after").into(), |id| format_smolstr!("{id}")),
         );
         out.extend_from_slice(forwarded.as_bytes());
     }
@@ -500,6 +546,7 @@
         ResponseMetadata {
             id: head.headers.text("id").map(RequestId::new),
             is_sealed: head.headers.get("sealed").is_some(),
+            did_not_run: head.headers.get("refused").is_some(),
             limit_per_s: head
                 .headers
                 .text("limit")
@@ -814,11 +861,21 @@
         String::from_utf8_lossy(&received).into_owned()
     }
 
-    /// Resumes a stream of the plain service after an event, and returns the body of the answer.
-    pub(crate) async fn resume_plain(&self, after: u64) -> Option<String> {
+    /// Sends a request on a path that names the last event which the caller has, and returns the status
+    /// and the body of the answer.
+    pub(crate) async fn resume(&self, path: &str, after: &str) -> Option<(u16, String)> {
         let headers = format!("key: {SOUND_KEY}\r\nafter: {after}\r\n");
-        let (_, answer) = self.send("/events/a", &headers, "").await;
-        answer.map(|(_, body)| String::from_utf8_lossy(&body).into_owned())
+        let (_, answer) = self.send(path, &headers, "").await;
+        answer.map(|(status, body)| (status, String::from_utf8_lossy(&body).into_owned()))
+    }
+
+    /// Sends a request without an id to the plain service, and returns the status of the answer.
+    pub(crate) async fn call_plain_without_id(&self, path: &str) -> Option<u16> {
+        let request = format!(
+            "POST {path} HTTP/1.1\r\nHost: test\r\nkey: {SOUND_KEY}\r\nContent-Length: 0\r\n\r\n"
+        );
+        let mut connection = self.open_silent_connection(request.as_bytes()).await;
+        read_answer(&mut connection).await.map(|(status, _)| status)
     }
 
     /// Opens a connection, sends some bytes on it and says nothing more.
@@ -869,13 +926,7 @@
         let limit = Duration::from_secs(5);
         let mut connection = Connection::open(self.address, limit).await.unwrap();
         connection.write_all(request.as_bytes()).await.unwrap();
-        let Ok(head) = connection.read_response().await else {
-            return (id, None);
-        };
-        let mut decoder = BodyDecoder::new(head.framing);
-        let body = connection.read_whole_body(&mut decoder, 1 << 20).await;
-        let answer = body.ok().flatten().map(|body| (head.status, body));
-        (id, answer)
+        (id, read_answer(&mut connection).await)
     }
 
     /// Makes the host neither send nor receive any more digests.
@@ -905,6 +956,14 @@
     }
 }
 
+/// Reads the status and body of an answer. Returns `None` if it breaks off.
+pub(crate) async fn read_answer(connection: &mut Connection) -> Option<(u16, Bytes)> {
+    let head = connection.read_response().await.ok()?;
+    let mut decoder = BodyDecoder::new(head.framing);
+    let body = connection.read_whole_body(&mut decoder, 1 << 20).await;
+    Some((head.status, body.ok().flatten()?))
+}
+
 /// Engines, and the store and addresses of the hosts before them.
 pub(crate) struct Fleet {
     /// Second byte of all loopback addresses, different in each test.
