Give a request without an id a connection of its own (TWICE)

Cause: answers on a kept connection are told apart by an id that need not be unique there, or present. Since an answer that names no request counts as lost on a connection that carried others; the answers to a request without an id never name one.

Change: such a request gets a new connection, which carries no other request before or after it.

Test: serve_takes_refusal_of_request_without_id_for_its_own fails without the rule (502 in place of 503).

--- a/crates/anvil_gateway/src/link.rs
+++ b/crates/anvil_gateway/src/link.rs
@@ -213,7 +213,8 @@
     pub through_peer: Duration,
 }
 
-/// Takes an idle connection to a target for a request, or opens one within `limits`.
+/// Takes an idle connection to a target for a request, or opens one within `limits`. A request without
+/// an id gets a new one that carries no other.
 ///
 /// # Errors
 ///
@@ -224,6 +225,10 @@
     request: &RequestId,
     limits: Limits,
 ) -> Result<PooledConnection, ConnectError> {
+    if request.is_empty() {
+        let connection = open(gateway, target, limits).await?;
+        return Ok(connection.into_single_use());
+    }
     match target.pool.take_idle(request) {
         Some(connection) => Ok(connection),
         None => open(gateway, target, limits).await,
--- a/crates/anvil_gateway/src/plain/tests.rs
+++ b/crates/anvil_gateway/src/plain/tests.rs
@@ -255,6 +255,25 @@
     }
 }
 
+/// Guards against a refusal that names no request and is taken for a lost answer, or for the answer to
+/// another request (TWICE).
+#[gtest]
+fn serve_takes_refusal_of_request_without_id_for_its_own() {
+    run(async {
+        let fleet = Fleet::start_plain(96, 1, None).await;
+        let host = fleet.start_host(0).await;
+        let late = Behaviour::AnswersTwiceLate(Duration::from_millis(15));
+        fleet.engines[0].behaviour.set(late);
+        for index in 0..12 {
+            let status = host.call_plain_without_id(UNSAFE_PATH).await;
+            expect_that!(status, some(eq(503)));
+            sleep(Duration::from_millis(5 * (index % 3))).await;
+            let (id, body) = host.answer_of(SAFE_PATH).await;
+            expect_that!(body, some(eq(id.as_str())));
+        }
+    });
+}
+
 /// Guards against work that is run again, or said not to have run, after its answer was lost.
 #[gtest]
 fn serve_does_not_repeat_or_deny_unsafe_request_whose_answer_was_lost() {
--- a/crates/anvil_gateway/src/pool.rs
+++ b/crates/anvil_gateway/src/pool.rs
@@ -41,6 +41,8 @@
     pub connection: Connection,
     /// Whether it carried a request before. If so, the target may have closed it meanwhile.
     pub is_reused: bool,
+    /// Whether it carries one request alone, since the answers to that request name none.
+    is_single_use: bool,
     /// Requests that were refused or failed on it. Invariant: none of them is sent on it again, because a
     /// late copy of that answer would be taken for the answer to the second send.
     unanswered: Vec<RequestId>,
@@ -52,10 +54,19 @@
         Self {
             connection,
             is_reused: false,
+            is_single_use: false,
             unanswered: Vec::new(),
         }
     }
 
+    /// Returns the connection as one that is not kept after its request.
+    pub(crate) fn into_single_use(self) -> Self {
+        Self {
+            is_single_use: true,
+            ..self
+        }
+    }
+
     /// Records that a request was refused or failed, and may be sent again.
     pub fn record_unanswered(&mut self, request: &RequestId) {
         self.unanswered.push(request.clone());
@@ -94,11 +105,12 @@
     }
 
     /// Returns a connection whose last answer was read completely to the pool. Drops it if bytes
-    /// are left in its buffer, if it is a tunnel, or if many requests were refused on it.
+    /// are left in its buffer, if it carries one request alone, or if many requests were refused on it.
     pub fn release(&self, pooled: PooledConnection, idle_timeout: Option<Duration>) {
         let connection = &pooled.connection;
         if connection.has_buffered_bytes()
             || connection.is_tunnel()
+            || pooled.is_single_use
             || pooled.unanswered.len() > UNANSWERED_MAX
         {
             return;
