--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -1,17 +1,20 @@
 //! Serves a caller's connection: reads its requests one after another and answers each.
 
 use std::{
-    cell::OnceCell,
+    cell::{
+        Cell,
+        OnceCell, //
+    },
     rc::Rc,
     time::Duration, //
 };
 
 use anvil_core::{
     entry::{
+        RequestSemantics,
         Route,
         Service,
         Table,
-        RequestSemantics,
         choose_backend, //
     },
     id::ServiceId,
@@ -72,6 +75,9 @@
 /// `Retry-After` of a host that stops or has no current configuration: the retry is expected to
 /// reach another host.
 const OTHER_HOST_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// Longest time for a request to begin on a connection that was opened when this host had begun to
+/// close: some round trips, and the time in which a busy caller writes.
+const LATE_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest time that reading a request's body may take.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -99,6 +105,8 @@
     pub deadline: Instant,
     /// Whether the connection may stay open after the answer.
     pub keep_alive: bool,
+    /// Whether any byte of an answer was written to the caller.
+    pub is_answer_begun: Cell<bool>,
     /// Digest of the request; empty until it is needed.
     pub digest: OnceCell<RequestDigest>,
     /// What the request has in common with others; empty until it is needed.
@@ -166,6 +174,8 @@
 pub struct RequestTrace {
     /// Number of times that the request was sent to a target.
     pub sends: u32,
+    /// Number of sends that a target refused without running the request. Invariant: at most `sends`.
+    pub refused_sends: u32,
     /// The target or path of each send, in order.
     pub via: Vec<String>,
     /// Descriptions of failures, oldest first; limited by `record_failure`.
@@ -183,6 +193,11 @@
 }
 
 impl RequestTrace {
+    /// Returns whether a target may have run the request.
+    pub fn may_have_run(&self) -> bool {
+        self.sends > self.refused_sends
+    }
+
     /// Records a failure, up to a fixed number per request; later ones are dropped.
     pub fn record_failure(&mut self, failure: impl Into<String>) {
         const FAILURES_MAX: usize = 6;
@@ -196,22 +211,9 @@
 pub async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
     let _count_guard = CountGuard::begin(&gateway.open_connections);
     let mut connection = Connection::new(stream);
+    let mut is_kept = false;
     loop {
-        let limits = gateway
-            .table_cache
-            .table()
-            .map(|table| table.limits())
-            .unwrap_or_default();
-        let head = tokio::select! {
-            biased;
-            head = connection.read_request(
-                limits.header_limit_bytes,
-                limits.idle_timeout,
-                limits.header_timeout,
-            ) => head,
-            () = gateway.closing() => return connection.close(CLOSE_TIMEOUT).await,
-        };
-        let head = match head {
+        let head = match read_head(&gateway, &mut connection, is_kept).await {
             Ok(Some(head)) => head,
             Ok(None) => return connection.close(CLOSE_TIMEOUT).await,
             Err(ReadError::Head(error)) => {
@@ -219,8 +221,11 @@
             }
             Err(ReadError::Io(_) | ReadError::Closed | ReadError::Body(_)) => return,
         };
-        let _count_guard = CountGuard::begin(&gateway.open_requests);
-        match serve_request(&gateway, &mut connection, &head).await {
+        is_kept = true;
+        let count_guard = CountGuard::begin(&gateway.open_requests);
+        let action = serve_request(&gateway, &mut connection, &head).await;
+        drop(count_guard);
+        match action {
             ConnectionAction::ReadNext => {}
             ConnectionAction::Close => return connection.close(CLOSE_TIMEOUT).await,
             ConnectionAction::Drop => return,
@@ -228,6 +233,41 @@
     }
 }
 
+/// Reads the head of the next request; returns `None` if the connection is to be closed. Once this host
+/// is closing, a kept connection on which no request has begun is closed, and a new one has
+/// [`LATE_REQUEST_TIMEOUT`] to send a request, so that its caller is refused with an answer.
+async fn read_head(
+    gateway: &Gateway,
+    connection: &mut Connection,
+    is_kept: bool,
+) -> Result<Option<RequestHead>, ReadError> {
+    let limits = gateway
+        .table_cache
+        .table()
+        .map(|table| table.limits())
+        .unwrap_or_default();
+    tokio::select! {
+        biased;
+        head = connection.read_request(
+            limits.header_limit_bytes,
+            limits.idle_timeout,
+            limits.header_timeout,
+        ) => return head,
+        () = gateway.reached(Phase::Closing) => {}
+    }
+    if is_kept && !connection.has_buffered_bytes() {
+        return Ok(None);
+    }
+    let idle_timeout = LATE_REQUEST_TIMEOUT.min(limits.idle_timeout);
+    connection
+        .read_request(
+            limits.header_limit_bytes,
+            idle_timeout,
+            limits.header_timeout,
+        )
+        .await
+}
+
 /// What to do with a connection after a request.
 enum ConnectionAction {
     /// Keep it open and read the next request.
@@ -336,17 +376,24 @@
         .table()
         .map(|table| table.limits())
         .unwrap_or_default();
-    let body = match read_body(connection, head, limits.body_limit_bytes).await {
+    let stopping = || {
+        let retry_after = Some(OTHER_HOST_RETRY_AFTER);
+        RequestOutcome::Error(ErrorResponse::not_run(ErrorReason::Stopping, retry_after))
+    };
+    let body = tokio::select! {
+        biased;
+        body = read_body(connection, head, limits.body_limit_bytes) => body,
+        () = gateway.reached(Phase::Ending) => return (metadata, stopping(), false),
+    };
+    let body = match body {
         Ok(Some(body)) => body,
         Ok(None) => return (metadata, rejected(ErrorReason::BodyTooLarge), false),
         Err(ReadError::Body(_)) => return (metadata, rejected(ErrorReason::BadRequest), false),
         Err(_) => return (metadata, RequestOutcome::CallerDisconnected, false),
     };
-    if gateway.phase() == Phase::Closing {
+    if gateway.phase() >= Phase::Closing {
         // Too little time is left to serve it before this host stops; another host can.
-        let error_response =
-            ErrorResponse::not_run(ErrorReason::Stopping, Some(OTHER_HOST_RETRY_AFTER));
-        return (metadata, RequestOutcome::Error(error_response), true);
+        return (metadata, stopping(), true);
     }
     // The table is fetched after the body was read, so that the newest one decides.
     let Some(table) = wait_for_first_table(gateway).await else {
@@ -366,6 +413,13 @@
     let Some(route) = table.route(host, head.path()) else {
         return (metadata, rejected_by_table(ErrorReason::NoRoute), true);
     };
+    if route.semantics == RequestSemantics::ResumableStream
+        && metadata.resume_point == ResumePoint::Unreadable
+    {
+        // From the first event on, the caller would get some events twice.
+        trace.record_failure("the last event is no event id");
+        return (metadata, rejected(ErrorReason::BadRequest), true);
+    }
     let team = if table.needs_key(route) {
         if are_keys_stale(gateway) {
             let error_response =
@@ -399,28 +453,45 @@
         arrived,
         deadline: arrived + time_limit.saturating_sub(DEADLINE_MARGIN),
         keep_alive,
+        is_answer_begun: Cell::new(false),
         digest: OnceCell::new(),
         suspects: OnceCell::new(),
     };
-    let request_outcome = match &service.engine {
-        Some(engine) if route.semantics.is_stream() => {
-            stream::serve(gateway, connection, &request, engine, trace).await
+    let serve = async {
+        match &service.engine {
+            Some(engine) if route.semantics.is_stream() => {
+                stream::serve(gateway, connection, &request, engine, trace).await
+            }
+            Some(_) | None => plain::serve(gateway, connection, &request, trace).await,
         }
-        Some(_) | None => plain::serve(gateway, connection, &request, trace).await,
     };
+    let served = tokio::select! {
+        biased;
+        request_outcome = serve => Some(request_outcome),
+        () = end_unanswered(gateway, &request) => None,
+    };
+    let request_outcome = served.unwrap_or_else(|| {
+        trace.record_failure("the host stopped before the answer");
+        match trace.may_have_run() {
+            true => RequestOutcome::Error(ErrorResponse::unknown(ErrorReason::Stopping)),
+            false => stopping(),
+        }
+    });
     (metadata, request_outcome, true)
 }
 
+/// Waits until the grace period of a planned stop is nearly over, and forever if the answer to a request
+/// has begun by then: such a request keeps the rest of the time.
+async fn end_unanswered(gateway: &Gateway, request: &RequestContext<'_>) {
+    gateway.reached(Phase::Ending).await;
+    if request.is_answer_begun.get() {
+        std::future::pending().await
+    }
+}
+
 /// Returns whether the table is so old that one of its keys may have been revoked for longer than
 /// the revocation bound allows, or a newer one is known that this host can't get.
 pub fn are_keys_stale(gateway: &Gateway) -> bool {
-    if route.semantics == RequestSemantics::ResumableStream
-        && metadata.resume_point == ResumePoint::Unreadable
-    {
-        // From the first event on, the caller would get some events twice.
-        trace.record_failure("the last event is no event id");
-        return (metadata, rejected(ErrorReason::BadRequest), true);
-    }
     if gateway.is_table_superseded() {
         return true;
     }
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -63,8 +63,11 @@
     Serving,
     /// The host is about to stop. Its readiness check says so, and it still accepts requests.
     Draining,
-    /// The load balancer has had time to notice. Idle connections are closed.
+    /// The load balancer has had time to notice. Idle connections are closed, and new requests are
+    /// refused.
     Closing,
+    /// The grace period is nearly over. Requests without an answer get one from this host.
+    Ending,
 }
 
 /// State that all parts of a gateway share.
@@ -168,11 +171,11 @@
         self.phase.send_replace(phase);
     }
 
-    /// Waits until idle connections are to be closed.
-    pub async fn closing(&self) {
+    /// Waits until a phase of the run, or a later one, has begun.
+    pub async fn reached(&self, awaited: Phase) {
         let mut phase = self.phase.subscribe();
         // The sender lives as long as the gateway, so the wait can't fail.
-        let _phase = phase.wait_for(|phase| *phase == Phase::Closing).await;
+        let _phase = phase.wait_for(|phase| *phase >= awaited).await;
     }
 
     /// Returns the latest time at which a question is known to have been sent that the store
--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -115,6 +115,7 @@
     match result {
         Err(error_response) => RequestOutcome::Error(error_response),
         Ok((head, body)) => {
+            request.is_answer_begun.set(true);
             let mut out = render_head(&head, RelayedBody::Length(body.len()), request.keep_alive);
             if request.head.method != "HEAD" {
                 out.extend_from_slice(&body);
@@ -420,6 +421,7 @@
                 target.pool.release(acquired, metadata.idle_timeout);
             }
             if metadata.did_not_run {
+                trace.refused_sends += 1;
                 gateway.record_inconclusive_trial(request, admission);
                 return AttemptResult::NotRun("refused");
             }
--- a/crates/anvil_gateway/src/plain/tests.rs
+++ b/crates/anvil_gateway/src/plain/tests.rs
@@ -274,6 +274,40 @@
     });
 }
 
+/// Guards against a success with an empty or short body, framed as whole, after a target that stopped in
+/// the middle of its answer (MIXED, ORDER).
+#[gtest]
+fn serve_passes_no_success_on_from_target_that_stops_in_its_answer() {
+    run(async {
+        let fleet = Fleet::start_both(97, 1).await;
+        let target = &fleet.engines[0];
+        let host = fleet.start_host(0).await;
+        for (path, is_framed) in [
+            (SAFE_PATH, true),
+            (UNSAFE_PATH, true),
+            (UNSAFE_PATH, false),
+            (MODEL_PATH, true),
+        ] {
+            target.success_bytes.set(1);
+            let mut bytes = 0;
+            while bytes < target.success_bytes.get() {
+                target.behaviour.set(Behaviour::Cut { bytes, is_framed });
+                // The target is used again although it failed.
+                for listed in host.gateway.targets.all() {
+                    listed.end_avoidance();
+                }
+                let result = match path {
+                    MODEL_PATH => host.call(&["part"]).await,
+                    path => host.call_plain(path, SOUND_KEY, "").await,
+                };
+                expect_that!(result, not(eq(CallerResult::Complete)), "{path}, {bytes}");
+                bytes += 1;
+            }
+            expect_that!(bytes, gt(40), "{path}");
+        }
+    });
+}
+
 /// Guards against work that is run again, or said not to have run, after its answer was lost.
 #[gtest]
 fn serve_does_not_repeat_or_deny_unsafe_request_whose_answer_was_lost() {
--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -57,6 +57,9 @@
 const READINESS_PROPAGATION_DELAY: Duration = Duration::from_millis(2600);
 /// Time before the end of the grace period that is reserved for the process to exit by itself.
 const STOP_GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// Time before the end of the grace period at which requests without an answer get one from this host.
+/// It leaves [`STOP_GRACE_MARGIN`] and the time in which a busy host writes these answers.
+const STOP_ANSWER_MARGIN: Duration = Duration::from_millis(800);
 /// Time between two checks of the open requests during shutdown.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Time between two removals of what has expired: idle connections, evidence against prompt parts.
@@ -168,7 +171,12 @@
     sleep(READINESS_PROPAGATION_DELAY.saturating_sub(signalled_at.elapsed())).await;
     // Kept connections would bring requests until the end, and too little time is left for these.
     gateway.set_phase(Phase::Closing);
+    let answer_after = (gateway.settings.bounds.stop_grace).saturating_sub(STOP_ANSWER_MARGIN);
     loop {
+        if signalled_at.elapsed() >= answer_after && gateway.phase() < Phase::Ending {
+            spdlog::warn!("host.answering_rest", kv: { open_requests = gateway.open_requests.get() });
+            gateway.set_phase(Phase::Ending);
+        }
         let is_idle = gateway.open_requests.get() == 0
             && gateway.open_connections.get() == 0
             && gateway.open_tunnels.get() == 0;
@@ -198,10 +206,19 @@
     }
 }
 
+/// Accepts callers until this host answers its last requests. From then on connections are refused, since
+/// a request on one could be cut without an answer.
 async fn accept_callers(gateway: Rc<Gateway>, listener: TcpListener) {
-    loop {
-        let stream = accept(&listener).await;
-        spawn_local(exchange::serve(Rc::clone(&gateway), stream));
+    let accept_all = async {
+        loop {
+            let stream = accept(&listener).await;
+            spawn_local(exchange::serve(Rc::clone(&gateway), stream));
+        }
+    };
+    tokio::select! {
+        biased;
+        () = gateway.reached(Phase::Ending) => {}
+        () = accept_all => {}
     }
 }
 
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -374,6 +374,7 @@
                 reason: "engine refused to resume",
             };
         }
+        self.request.is_answer_begun.set(true);
         let mut out = render_head(
             head,
             RelayedBody::Length(body.len()),
@@ -511,15 +512,18 @@
             }
         };
         if !(200..300).contains(&head.status) {
-            return self
+            let result = self
                 .handle_error_status(acquired, first, &head, &metadata)
                 .await;
+            trace.refused_sends += u32::from(matches!(result, AttemptResult::NotRun(..)));
+            return result;
         }
         if !metadata.is_sealed {
             return AttemptResult::Lost("unsealed answer");
         }
         self.progress.record_head();
         if !self.is_head_sent {
+            self.request.is_answer_begun.set(true);
             let out = render_head(&head, RelayedBody::Chunked, self.request.keep_alive);
             if caller.write_all(&out).await.is_err() {
                 return AttemptResult::CallerDisconnected;
--- a/crates/anvil_observe/src/events.rs
+++ b/crates/anvil_observe/src/events.rs
@@ -61,6 +61,7 @@
     "host.signal_failed": "The host can't wait for a stop signal and therefore stops.",
     "host.start_failed": "The host could not start.",
     "host.starting": "The host is reading its configuration and opening its listeners.",
+    "host.answering_rest": "The grace period of a planned stop is nearly over. Requests without an answer get one from this host: that they did not run, or may have run.",
     "host.stopped": "The host stopped. The line tells how many requests were still open.",
     "host.stopping": "The host was told to stop. It is no longer ready and finishes its open requests.",
     "host.timer_late": "A timer of this host fired late: other tasks occupied its only thread, or it had no processor time.",
