Wait for a target at work where no other may be tried

What callers saw: requests of safe routes whose targets take longer than the latency objective were given up and answered 502 after that time when the retry budget was spent, although their targets were at work.

Cause: an attempt ended at its own time limit before it was known whether another one may be sent.

Change: at that limit the retry is taken from the budget and another target is looked for first. Without both, and once the head of the answer came, the attempt goes on to the deadline.

Test: serve_waits_for_target_at_work_when_retry_budget_is_spent failed before.

--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -1,8 +1,12 @@
-//! Serves requests to services that are no model engines: the answer of a target is read completely
-//! before it is passed on.
+//! Serves requests whose answers are no streams: the answer of a target is read completely before it is
+//! passed on.
 
 use std::{
-    cell::RefCell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    pin::pin,
     rc::Rc,
     time::Duration, //
 };
@@ -89,7 +93,9 @@
     NotRun(&'static str),
     /// The connection failed after the request may have run.
     Lost(&'static str),
-    /// No answer arrived in the time for the attempt.
+    /// No answer had begun in the time for the attempt, and a retry was taken from the budget.
+    GivenUp,
+    /// No answer arrived before the deadline of the request.
     TimedOut,
 }
 
@@ -147,6 +153,7 @@
     let mut last_response: Option<(ResponseHead, Bytes)> = None;
     let mut may_have_run = false;
     let mut refusal = None;
+    let mut has_reserved_retry = false;
     while trace.sends < request.route.attempts_max {
         let admission = match gateway.admit(request) {
             Ok(admission) => admission,
@@ -162,13 +169,19 @@
         };
         tried.push(Rc::clone(&target));
         let is_last = trace.sends + 1 >= request.route.attempts_max;
-        let may_repeat = is_repeatable && !is_last;
+        let may_resend = || {
+            is_repeatable
+                && !is_last
+                && choose(gateway, request, &tried).is_some()
+                && gateway.try_retry(request.service_id)
+        };
         let _in_flight = InFlightGuard::begin(&target, 0.0, true);
         let result = send(
-            gateway, request, &admission, &target, may_repeat, trace, sent,
+            gateway, request, &admission, &target, may_resend, trace, sent,
         );
         let result = result.await;
         sent.take();
+        has_reserved_retry |= matches!(result, AttemptResult::GivenUp);
         match result {
             AttemptResult::Response(head, metadata, body) => {
                 if metadata.is_sealed {
@@ -210,7 +223,7 @@
                 trace.record_failure(format!("{}: {failure}", target.id));
                 may_have_run = true;
             }
-            AttemptResult::TimedOut => {
+            AttemptResult::GivenUp | AttemptResult::TimedOut => {
                 let failure = "no answer within the time for this attempt";
                 gateway.record_abandoned(request, &admission, &target);
                 trace.record_failure(format!("{}: {failure}", target.id));
@@ -223,7 +236,8 @@
         if Instant::now() >= request.deadline || trace.sends >= request.route.attempts_max {
             break;
         }
-        if trace.sends > 0 && !gateway.try_retry(request.service_id) {
+        let is_retry = trace.sends > 0 && !std::mem::take(&mut has_reserved_retry);
+        if is_retry && !gateway.try_retry(request.service_id) {
             trace.record_failure("retry budget exhausted");
             break;
         }
@@ -242,14 +256,18 @@
         let reason = ErrorReason::from(&refusal.suspect);
         return Err(ErrorResponse::not_run(reason, Some(refusal.retry_after)));
     }
-    let retry_after = shortest_closed_time(gateway, request)
-        + gateway.random_duration(RETRY_AFTER_MIN, RETRY_AFTER_MIN + RETRY_AFTER_JITTER);
     Err(ErrorResponse::not_run(
         ErrorReason::NoTarget,
-        Some(retry_after),
+        Some(retry_after(gateway, request)),
     ))
 }
 
+/// Returns a random `Retry-After` for requests that no target could take.
+pub fn retry_after(gateway: &Gateway, request: &RequestContext<'_>) -> Duration {
+    shortest_closed_time(gateway, request)
+        + gateway.random_duration(RETRY_AFTER_MIN, RETRY_AFTER_MIN + RETRY_AFTER_JITTER)
+}
+
 /// Finds out whether a target still runs to which the connection was lost with a request on it, logs
 /// that, and records an end of the target as evidence against the request.
 async fn handle_lost_connection(
@@ -275,12 +293,9 @@
     gateway.record_lost_target(request, admission, target, Progress::Begun, state);
 }
 
-/// Returns when to give up on a target: early enough that another one can answer before the deadline,
-/// if the request may be sent to another one.
-fn attempt_deadline(request: &RequestContext<'_>, may_repeat: bool) -> Instant {
-    if !may_repeat {
-        return request.deadline;
-    }
+/// Returns when to give up on a target if the request may be sent to another one: early enough that the
+/// other one can answer before the deadline.
+fn attempt_deadline(request: &RequestContext<'_>) -> Instant {
     let time_left = request.deadline.saturating_duration_since(Instant::now());
     let attempt_timeout = request.route.latency_objective.max(ATTEMPT_TIMEOUT_MIN);
     Instant::now() + attempt_timeout.min(time_left / 2)
@@ -308,7 +323,7 @@
 
 /// Chooses the target with the fewest requests in flight from this host, and prefers this host's
 /// data centre. Returns `None` if every listed target was tried.
-fn choose(
+pub fn choose(
     gateway: &Gateway,
     request: &RequestContext<'_>,
     tried: &[Rc<Target>],
@@ -336,22 +351,22 @@
         .map(|(_, target)| target)
 }
 
-/// Sends a request to one target and reads its complete answer. `may_repeat` tells whether it may be
-/// sent to another target if that takes long.
+/// Sends a request to one target and reads its complete answer. If no answer has begun in the time for
+/// the attempt, `may_resend` tells whether the request is given up here and sent to another target: the
+/// target may be at work, so that it is not given up for nothing.
 async fn send(
     gateway: &Gateway,
     request: &RequestContext<'_>,
     admission: &Admission,
     target: &Rc<Target>,
-    may_repeat: bool,
+    may_resend: impl Fn() -> bool,
     trace: &mut RequestTrace,
     sent: &RefCell<Option<Sent>>,
 ) -> AttemptResult {
     let now = Instant::now();
     let time_left = request.deadline.saturating_duration_since(now);
-    let attempt_time_left = attempt_deadline(request, may_repeat).saturating_duration_since(now);
     let limits = link::Limits {
-        direct: CONNECT_TIMEOUT.min(attempt_time_left),
+        direct: CONNECT_TIMEOUT.min(time_left),
         through_peer: THROUGH_PEER_TIMEOUT.min(time_left),
     };
     let acquired = link::acquire(gateway, target, &request.metadata.id, limits).await;
@@ -395,14 +410,31 @@
     trace.sends += 1;
     trace.via.push(target.id.to_string());
     sent.replace(Some((Rc::clone(target), admission.clone())));
-    match timeout_at(
-        attempt_deadline(request, may_repeat),
-        send_and_receive(gateway, request, target, &mut acquired, &out),
-    )
-    .await
-    {
+    let has_begun = Cell::new(false);
+    let is_reused = acquired.is_reused;
+    let received = {
+        let mut receive = pin!(send_and_receive(
+            gateway,
+            request,
+            target,
+            &mut acquired,
+            &out,
+            &has_begun
+        ));
+        match timeout_at(attempt_deadline(request), &mut receive).await {
+            Err(_) if !has_begun.get() && may_resend() => {
+                if is_reused {
+                    target.pool.doubt(&target.id);
+                }
+                return AttemptResult::GivenUp;
+            }
+            Err(_) => timeout_at(request.deadline, receive).await,
+            received => received,
+        }
+    };
+    match received {
         Err(_) => {
-            if acquired.is_reused {
+            if is_reused {
                 target.pool.doubt(&target.id);
             }
             AttemptResult::TimedOut
@@ -443,7 +475,8 @@
     }
 }
 
-/// Writes a request and reads the answer to it; skips answers to other requests.
+/// Writes a request and reads the answer to it; skips answers to other requests. Sets `has_begun` when
+/// the head of the answer has arrived.
 ///
 /// # Errors
 ///
@@ -454,6 +487,7 @@
     target: &Target,
     acquired: &mut PooledConnection,
     out: &[u8],
+    has_begun: &Cell<bool>,
 ) -> Result<(ResponseHead, ResponseMetadata, Bytes), &'static str> {
     let is_reused = acquired.is_reused;
     let connection = &mut acquired.connection;
@@ -467,6 +501,7 @@
             .await
             .map_err(|_| "connection ended before the answer")?;
         let metadata = gateway.parse_answer(target, &head);
+        has_begun.set(is_response_to(&metadata, &request.metadata.id));
         let mut decoder = match request.head.method.as_str() {
             "HEAD" => BodyDecoder::new(crate::http1::Framing::Length(0)),
             _ => BodyDecoder::new(head.framing),
--- a/crates/anvil_gateway/src/plain/tests.rs
+++ b/crates/anvil_gateway/src/plain/tests.rs
@@ -308,6 +308,26 @@
     });
 }
 
+/// Guards against a request that is given up, although its target is at work, where no other target may
+/// be tried (LOST).
+#[gtest]
+fn serve_waits_for_target_at_work_when_retry_budget_is_spent() {
+    run(async {
+        let fleet = Fleet::start_plain(98, 2, None).await;
+        let host = fleet.start_host(0).await;
+        for target in &fleet.engines {
+            // Several times the latency objective of the route.
+            target
+                .behaviour
+                .set(Behaviour::Late(Duration::from_millis(1500)));
+        }
+        while host.gateway.try_retry(&"plain".into()) {}
+        let (id, body) = host.answer_of(SAFE_PATH).await;
+        expect_that!(body, some(eq(id.as_str())));
+        expect_that!(fleet.run_count(&id), eq(1));
+    });
+}
+
 /// Guards against work that is run again, or said not to have run, after its answer was lost.
 #[gtest]
 fn serve_does_not_repeat_or_deny_unsafe_request_whose_answer_was_lost() {
