--- a/crates/anvil_gateway/src/events.rs
+++ b/crates/anvil_gateway/src/events.rs
@@ -61,6 +61,12 @@
         })
     }
 
+    /// Removes the bytes of an incomplete event from the buffer.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.searched_bytes = 0;
+        self.buffer.split().freeze()
+    }
+
     /// Returns whether the buffer holds bytes of an incomplete event.
     pub fn has_partial_event(&self) -> bool {
         !self.buffer.is_empty()
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -458,11 +458,13 @@
         suspects: OnceCell::new(),
     };
     let serve = async {
-        match &service.engine {
-            Some(engine) if route.semantics.is_stream() => {
-                stream::serve(gateway, connection, &request, engine, trace).await
+        match route.semantics {
+            RequestSemantics::Stream | RequestSemantics::ResumableStream => {
+                stream::serve(gateway, connection, &request, trace).await
+            }
+            RequestSemantics::Safe | RequestSemantics::AtMostOnce => {
+                plain::serve(gateway, connection, &request, trace).await
             }
-            Some(_) | None => plain::serve(gateway, connection, &request, trace).await,
         }
     };
     let served = tokio::select! {
--- a/crates/anvil_gateway/src/paths.rs
+++ b/crates/anvil_gateway/src/paths.rs
@@ -66,8 +66,8 @@
 pub struct Hop {
     /// The engine of this step.
     pub target: Rc<Target>,
-    /// Layers that the engine applies to the request.
-    pub layers: LayerRange,
+    /// Layers that the engine applies to the request; `None` for a target that is no engine.
+    pub layers: Option<LayerRange>,
 }
 
 /// A path of targets, with the times predicted for it.
@@ -75,25 +75,44 @@
 pub struct ChosenPath {
     /// The engines in order. Invariant: not empty.
     pub hops: Vec<Hop>,
-    /// The path as computed by the core, with the predicted times.
+    /// The path as computed by the core, with the predicted times. Without hops and with times of zero
+    /// for a target that is no engine.
     pub path: Path,
 }
 
 impl ChosenPath {
+    /// Returns the path to a target of a service without engines.
+    pub fn to_plain_target(target: Rc<Target>) -> Self {
+        Self {
+            hops: vec![Hop {
+                target,
+                layers: None,
+            }],
+            path: Path {
+                hops: Vec::new(),
+                first_event_ms: 0.0,
+                pause_ms: 0.0,
+                memory_share: 0.0,
+                crossing_count: 0,
+            },
+        }
+    }
+
     /// Returns the first engine, which the request is sent to.
     pub fn first(&self) -> &Rc<Target> {
         &self.hops[0].target
     }
 
-    /// Returns the path in the form in which it is sent with the request.
+    /// Returns the path in the form in which it is sent with the request; empty for a target that is no
+    /// engine.
     pub fn stages(&self) -> Vec<Stage> {
-        self.hops
-            .iter()
-            .map(|hop| Stage {
+        let stage = |hop: &Hop| {
+            Some(Stage {
                 address: hop.target.address(),
-                layers: hop.layers,
+                layers: hop.layers?,
             })
-            .collect()
+        };
+        self.hops.iter().filter_map(stage).collect()
     }
 
     /// Returns the engine of the path that listens at an address, or `None` if there is none.
@@ -107,7 +126,10 @@
 
     /// Formats the path for a log line, as `target=layers` joined by commas.
     pub fn to_log_string(&self) -> String {
-        let hop = |hop: &Hop| format!("{}={}", hop.target.id, hop.layers);
+        let hop = |hop: &Hop| match hop.layers {
+            Some(layers) => format!("{}={layers}", hop.target.id),
+            None => hop.target.id.to_string(),
+        };
         self.hops.iter().map(hop).collect::<Vec<_>>().join(",")
     }
 
@@ -268,7 +290,7 @@
             let is_same = |target: &Rc<Target>| Rc::ptr_eq(target, &hop.target);
             Some(engine_driven::Hop {
                 worker: snapshot.targets.iter().position(is_same)?,
-                layers: hop.layers,
+                layers: hop.layers?,
             })
         })
         .collect();
@@ -331,7 +353,7 @@
             .iter()
             .map(|hop| Hop {
                 target: Rc::clone(&self.targets[hop.worker]),
-                layers: hop.layers,
+                layers: Some(hop.layers),
             })
             .collect();
         ChosenPath { hops, path }
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -1,5 +1,5 @@
-//! Serves streams of model engines: sends a request once along a path, relays the events, and
-//! resumes the stream on another path if one fails.
+//! Serves streams: sends a request once along a path of engines, or to one target of a service without
+//! engines, relays the events, and resumes the stream elsewhere if that fails.
 
 use std::{
     net::SocketAddr,
@@ -10,6 +10,7 @@
 use anvil_core::{
     engine_model::EngineProfile,
     entry::RequestSemantics,
+    id::LayerRange,
     quarantine::{
         Admission,
         Progress,
@@ -57,6 +58,7 @@
         PriorAttempts, //
     },
     plain::{
+        self,
         CROSSED_ANSWERS_MAX,
         READ_AHEAD_LIMIT_BYTES,
         THROUGH_PEER_TIMEOUT,
@@ -123,12 +125,17 @@
 struct Relay<'a> {
     gateway: &'a Gateway,
     request: &'a RequestContext<'a>,
-    engine: &'a EngineProfile,
+    /// The profile of the service's engines; `None` if its targets are no engines.
+    engine: Option<&'a EngineProfile>,
     /// Whether the head of the answer was sent to the caller.
     is_head_sent: bool,
     /// Id of the last event sent to the caller. Before the first: the id after which the caller
     /// asked to resume, or `None`.
     last_event_id: Option<EventId>,
+    /// Whether bytes were passed on that belong to no event, so that the stream can't be resumed.
+    has_unnumbered_bytes: bool,
+    /// Whether a retry was taken from the budget for the next send.
+    has_reserved_retry: bool,
     /// When the last event was sent to the caller.
     last_sent_at: Instant,
     /// First engines that this request was sent to, each once.
@@ -146,14 +153,15 @@
     gateway: &Gateway,
     caller: &mut Connection,
     request: &RequestContext<'_>,
-    engine: &EngineProfile,
     trace: &mut RequestTrace,
 ) -> RequestOutcome {
     let mut relay = Relay {
         gateway,
         request,
-        engine,
+        engine: request.service.engine.as_ref(),
         is_head_sent: false,
+        has_unnumbered_bytes: false,
+        has_reserved_retry: false,
         last_event_id: match request.route.semantics {
             RequestSemantics::ResumableStream => request.metadata.resume_point.event_id(),
             RequestSemantics::Safe | RequestSemantics::AtMostOnce | RequestSemantics::Stream => {
@@ -186,20 +194,14 @@
                     return self.refuse_quarantined(may_have_run, &refusal);
                 }
             };
-            let chosen = paths::choose(
-                self.gateway,
-                self.request,
-                self.engine,
-                &PriorAttempts {
-                    first_engines: &self.first_engines,
-                    failed: &self.failed,
-                },
-            );
-            let chosen = match chosen {
+            let chosen = match self.choose() {
                 Ok(chosen) => chosen,
                 Err(error) => {
                     self.gateway.release_trial(&self.admission);
-                    trace.record_failure(error.to_string());
+                    trace.record_failure(error);
+                    if self.engine.is_none() {
+                        return self.give_up(ErrorReason::NoTarget, may_have_run, "no target");
+                    }
                     let since = *no_path_since.get_or_insert_with(Instant::now);
                     if !may_have_run || since.elapsed() > RESUME_TIMEOUT {
                         return self.give_up(ErrorReason::Overloaded, may_have_run, "no path");
@@ -265,8 +267,12 @@
                 }
                 AttemptResult::NotRun(failure, at_fault) => {
                     self.gateway.release_trial(&self.admission);
-                    let engine_at_fault =
-                        faults::record_refusal(self.gateway, self.engine, &chosen, at_fault);
+                    let engine_at_fault = match self.engine {
+                        Some(engine) => {
+                            faults::record_refusal(self.gateway, engine, &chosen, at_fault)
+                        }
+                        None => Rc::clone(chosen.first()),
+                    };
                     trace
                         .record_failure(format!("{failure}, attributed to {}", engine_at_fault.id));
                     self.failed.push(engine_at_fault);
@@ -289,21 +295,49 @@
                     if self.progress.early() == Some(Progress::Unanswered) {
                         chosen.first().pool.doubt(&chosen.first().id);
                     }
-                    faults::record_stall(&chosen);
+                    match self.engine {
+                        Some(_) => faults::record_stall(&chosen),
+                        // It may be at work, and slow with this request alone.
+                        None => self.failed.push(Rc::clone(chosen.first())),
+                    }
                     "stalled"
                 }
             };
             trace.record_failure(format!("{}: {failure}", chosen.first().id));
-            if may_have_run && !is_resumable {
+            if self.has_unnumbered_bytes || may_have_run && !is_resumable {
                 return self.give_up(ErrorReason::AnswerLost, true, failure);
             }
-            if trace.sends > 0 && !self.gateway.try_retry(self.request.service_id) {
+            let is_retry = trace.sends > 0 && !std::mem::take(&mut self.has_reserved_retry);
+            if is_retry && !self.gateway.try_retry(self.request.service_id) {
                 trace.record_failure("retry budget exhausted");
                 return self.give_up(ErrorReason::Overloaded, may_have_run, failure);
             }
         }
     }
 
+    /// Chooses where to send the request next.
+    ///
+    /// # Errors
+    ///
+    /// Returns a text for the log if there is no path or target.
+    fn choose(&self) -> Result<ChosenPath, String> {
+        let Some(engine) = self.engine else {
+            let tried = [self.first_engines.as_slice(), self.failed.as_slice()].concat();
+            let is_allowed = self.first_engines.len() < self.request.route.attempts_max as usize;
+            return is_allowed
+                .then(|| plain::choose(self.gateway, self.request, &tried))
+                .flatten()
+                .map(ChosenPath::to_plain_target)
+                .ok_or_else(|| format!("no target beside {} that were tried", tried.len()));
+        };
+        let attempts = PriorAttempts {
+            first_engines: &self.first_engines,
+            failed: &self.failed,
+        };
+        paths::choose(self.gateway, self.request, engine, &attempts)
+            .map_err(|error| error.to_string())
+    }
+
     /// Logs a lost stream. If it was lost at the start of its answer or before, finds out whether the
     /// engine ended, and records that as evidence against the request and the parts of its prompt.
     async fn handle_lost_stream(&self, engine: &Target, failure: &'static str) {
@@ -342,7 +376,10 @@
         if may_have_run {
             return RequestOutcome::Error(ErrorResponse::unknown(reason));
         }
-        let retry_after = paths::retry_after(self.gateway);
+        let retry_after = match self.engine {
+            Some(_) => paths::retry_after(self.gateway),
+            None => plain::retry_after(self.gateway, self.request),
+        };
         RequestOutcome::Error(ErrorResponse::not_run(reason, Some(retry_after)))
     }
 
@@ -411,7 +448,10 @@
                     return AttemptResult::CutOff;
                 }
                 Err(error) => {
-                    first.record_unresponsive(Instant::now());
+                    match self.engine {
+                        Some(_) => first.record_unresponsive(Instant::now()),
+                        None => first.record_failure(Instant::now()),
+                    }
                     trace.record_failure(error.to_string());
                     return AttemptResult::NotRun("no connection", Some(first.address()));
                 }
@@ -530,7 +570,10 @@
             }
             self.is_head_sent = true;
         }
-        let mut decoder = BodyDecoder::new(head.framing);
+        let mut decoder = match self.request.head.method.as_str() {
+            "HEAD" => BodyDecoder::new(Framing::Length(0)),
+            _ => BodyDecoder::new(head.framing),
+        };
         let result = self
             .relay(
                 caller,
@@ -617,6 +660,21 @@
             let piece = match piece {
                 Err(_) => return AttemptResult::DeadlineExceeded,
                 Ok(Err(_)) => return AttemptResult::Lost("stream broke off"),
+                // A target that is no engine may answer with something else than events. Its framing
+                // tells that the answer is whole.
+                Ok(Ok(None))
+                    if is_framed && self.engine.is_none() && event_decoder.has_partial_event() =>
+                {
+                    out.clear();
+                    push_chunk(&mut out, &event_decoder.take_rest());
+                    if caller.write_all(&out).await.is_err() {
+                        return AttemptResult::CallerDisconnected;
+                    }
+                    if !is_answer_recorded {
+                        self.record_answer(chosen);
+                    }
+                    return AttemptResult::Complete;
+                }
                 Ok(Ok(None)) if event_decoder.has_partial_event() => {
                     return AttemptResult::Lost("torn event");
                 }
@@ -632,12 +690,26 @@
                 }
                 Ok(Ok(Some(piece))) => piece,
             };
-            if event_decoder.push(&piece).is_err() {
-                return AttemptResult::Lost("event is too large");
-            }
             let now = Instant::now();
             out.clear();
             let mut events = 0;
+            if event_decoder.push(&piece).is_err() {
+                if self.engine.is_some() {
+                    return AttemptResult::Lost("event is too large");
+                }
+                // No event is that large: the answer is passed on as it is, without being held.
+                if !self.has_unnumbered_bytes {
+                    spdlog::info!("stream.without_events", kv: {
+                        request = self.request.metadata.id.as_str(),
+                        target = chosen.first().id.as_str(),
+                    });
+                }
+                self.has_unnumbered_bytes = true;
+                push_chunk(&mut out, &event_decoder.take_rest());
+                push_chunk(&mut out, &piece);
+                events = 1;
+                self.progress.record_event(now);
+            }
             while let Some(event) = event_decoder.take_event() {
                 self.progress.record_event(now);
                 // A resumed stream may repeat events that were already sent; they are skipped.
@@ -663,7 +735,7 @@
             if is_first {
                 chosen.first().record_begun();
             }
-            if !is_first {
+            if !is_first && self.engine.is_some() {
                 let pause = now.duration_since(stall_timer.started_at);
                 faults::query_slow_engine(self.gateway, chosen, pause);
             }
@@ -676,7 +748,10 @@
             trace.events += events;
             is_first = false;
             let longest_pause = Duration::from_millis(trace.longest_pause_ms);
-            stall_timer = StallTimer::start_at_event(now, chosen, longest_pause);
+            stall_timer = match self.engine {
+                Some(_) => StallTimer::start_at_event(now, chosen, longest_pause),
+                None => StallTimer::start(now),
+            };
             self.last_sent_at = now;
             if caller.write_all(&out).await.is_err() {
                 return AttemptResult::CallerDisconnected;
@@ -708,15 +783,16 @@
     /// Counts a request as in flight on every engine of the path until the guards are dropped.
     fn begin_requests(
         &self,
-        engine: &EngineProfile,
+        engine: Option<&EngineProfile>,
         request: &RequestContext<'_>,
     ) -> Vec<InFlightGuard> {
-        let tokens = paths::demand(request, engine).memory_tokens();
+        let tokens = engine.map_or(0.0, |engine| paths::demand(request, engine).memory_tokens());
         self.hops
             .iter()
             .enumerate()
             .map(|(index, hop)| {
-                let token_layers = tokens * f64::from(hop.layers.count());
+                let layer_count = hop.layers.map_or(0, LayerRange::count);
+                let token_layers = tokens * f64::from(layer_count);
                 InFlightGuard::begin(&hop.target, token_layers, index == 0)
             })
             .collect()
--- a/crates/anvil_gateway/src/stream/repair.rs
+++ b/crates/anvil_gateway/src/stream/repair.rs
@@ -7,18 +7,24 @@
 };
 
 use anvil_core::{
+    engine_model::EngineProfile,
     entry::RequestSemantics,
+    quarantine::Progress,
     stall, //
 };
 use tokio::time::Instant;
 
 use crate::{
     exchange::RequestTrace,
-    faults,
+    faults::{
+        self,
+        ProcessState, //
+    },
     paths::{
         self,
         ChosenPath, //
     },
+    plain,
     port::{
         RepathOrder,
         RepathResponse, //
@@ -37,6 +43,9 @@
 /// Time without events after which the first engine is asked what the stream waits for, unless all
 /// engines of its path make progress with some request. Its report tells of a stall after 300 ms.
 const STALL_CHECK_DELAY: Duration = Duration::from_millis(320);
+/// Time without events after which a target that is no engine is examined, and between two such checks.
+/// Resuming takes a few hundred ms, and callers disconnect after two seconds without events.
+const TARGET_CHECK_INTERVAL: Duration = Duration::from_millis(1100);
 /// Time between two such queries. A report of an engine is a few hundred ms old, so that asking
 /// more often tells little.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -117,6 +126,10 @@
 impl Relay<'_> {
     /// Waits until the cause of a stall must be checked, or the request must be sent again.
     pub(super) async fn wait_for_stall(&self, chosen: &ChosenPath, stall_timer: &StallTimer) {
+        if self.engine.is_none() {
+            let since = stall_timer.checked_at.unwrap_or(stall_timer.started_at);
+            return tokio::time::sleep_until(since + TARGET_CHECK_INTERVAL).await;
+        }
         let mut check_at = stall_timer.next_check_at();
         loop {
             tokio::time::sleep_until(check_at.min(stall_timer.resend_at())).await;
@@ -137,13 +150,16 @@
     /// Returns [`StallAction::Resend`] without a check if a resumable stream has stalled so long
     /// that its request must be sent again.
     pub(super) async fn repair(
-        &self,
+        &mut self,
         chosen: &mut ChosenPath,
         in_flight: &mut Vec<InFlightGuard>,
         stall_timer: &mut StallTimer,
         trace: &mut RequestTrace,
     ) -> StallAction {
         let is_resumable = self.request.route.semantics == RequestSemantics::ResumableStream;
+        let Some(engine) = self.engine else {
+            return self.check_target(chosen, stall_timer, is_resumable).await;
+        };
         if is_resumable && Instant::now() >= stall_timer.resend_at() {
             return StallAction::Resend;
         }
@@ -156,13 +172,14 @@
                     return StallAction::Resend;
                 }
                 Some(lost) => {
-                    tokio::time::timeout(REPAIR_TIMEOUT, self.order_path(chosen, lost)).await
+                    tokio::time::timeout(REPAIR_TIMEOUT, self.order_path(engine, chosen, lost))
+                        .await
                 }
                 None => return StallAction::KeepWaiting,
             },
             false => {
                 stall_timer.checked_at = Some(Instant::now());
-                tokio::time::timeout(REPAIR_TIMEOUT, self.order_repair(chosen)).await
+                tokio::time::timeout(REPAIR_TIMEOUT, self.order_repair(engine, chosen)).await
             }
         };
         let outcome = match result {
@@ -194,6 +211,50 @@
         StallAction::KeepWaiting
     }
 
+    /// Examines a target that is no engine and whose stream is silent. The stream is sent again only where
+    /// another target has a better chance: this one has ended, or it has not even begun its answer on a
+    /// connection that may have gone silent. A pause alone says nothing.
+    async fn check_target(
+        &mut self,
+        chosen: &ChosenPath,
+        stall_timer: &mut StallTimer,
+        is_resumable: bool,
+    ) -> StallAction {
+        let target = chosen.first();
+        let state = faults::check_state(self.gateway, target).await;
+        stall_timer.checked_at = Some(Instant::now());
+        let is_unanswered = self.progress.early() == Some(Progress::Unanswered);
+        let is_lost = state != ProcessState::Alive;
+        if is_lost {
+            target.record_failure(Instant::now());
+        }
+        let may_resend = is_resumable
+            && (is_lost || is_unanswered)
+            && !self.has_unnumbered_bytes
+            && self.has_other_target(target)
+            && self.gateway.try_retry(self.request.service_id);
+        spdlog::info!("stream.silent", kv: {
+            request = self.request.metadata.id.as_str(),
+            first = target.id.as_str(),
+            silent_ms = stall_timer.started_at.elapsed().as_millis() as u64,
+            evidence = state.as_str(),
+            outcome = if may_resend { "sent again" } else { "kept" },
+        });
+        if !may_resend {
+            return StallAction::KeepWaiting;
+        }
+        self.has_reserved_retry = true;
+        StallAction::Resend
+    }
+
+    /// Returns whether the request may be sent to a target beside those that it was sent to.
+    fn has_other_target(&self, current: &Rc<Target>) -> bool {
+        let is_allowed = self.first_engines.len() < self.request.route.attempts_max as usize;
+        let mut tried = [self.first_engines.as_slice(), self.failed.as_slice()].concat();
+        tried.push(Rc::clone(current));
+        is_allowed && plain::choose(self.gateway, self.request, &tried).is_some()
+    }
+
     /// Probes the engines of a path whose stream is silent. Returns those that are lost, or `None` if
     /// none is.
     async fn probe(&self, chosen: &ChosenPath, silent_since: Instant) -> Option<Vec<Rc<Target>>> {
@@ -225,7 +286,11 @@
     /// # Errors
     ///
     /// Returns a text for the log and the metrics if no path could be ordered.
-    async fn order_repair(&self, chosen: &ChosenPath) -> Result<Option<ChosenPath>, &'static str> {
+    async fn order_repair(
+        &self,
+        engine: &EngineProfile,
+        chosen: &ChosenPath,
+    ) -> Result<Option<ChosenPath>, &'static str> {
         let orders = &self.gateway.platform.orders;
         let first = chosen.first();
         let report = orders
@@ -249,7 +314,7 @@
         }
         match lost.is_empty() {
             true => Ok(None),
-            false => self.order_path(chosen, lost).await,
+            false => self.order_path(engine, chosen, lost).await,
         }
     }
 
@@ -260,6 +325,7 @@
     /// Returns a text for the log and the metrics if no path could be ordered.
     async fn order_path(
         &self,
+        engine: &EngineProfile,
         chosen: &ChosenPath,
         mut lost: Vec<Rc<Target>>,
     ) -> Result<Option<ChosenPath>, &'static str> {
@@ -269,9 +335,8 @@
             for target in &lost {
                 target.record_unresponsive(Instant::now());
             }
-            let repaired =
-                paths::choose_repair(self.gateway, self.request, self.engine, chosen, &lost)
-                    .map_err(|_| "no path without the lost engine")?;
+            let repaired = paths::choose_repair(self.gateway, self.request, engine, chosen, &lost)
+                .map_err(|_| "no path without the lost engine")?;
             let order = RepathOrder {
                 target: &first.id,
                 address: first.address(),
--- a/crates/anvil_gateway/src/stream/tests.rs
+++ b/crates/anvil_gateway/src/stream/tests.rs
@@ -18,6 +18,7 @@
     Host,
     LETHAL_BODY,
     LETHAL_PART,
+    MODEL_PATH,
     run,
     wait_for_peers, //
 };
@@ -285,7 +286,7 @@
         fleet.engines[1].behaviour.set(Behaviour::Fails);
         let mut begun = 0;
         for _ in 0..12 {
-            let answer = host.call_model_raw().await;
+            let answer = host.call_raw(MODEL_PATH).await;
             let answer = answer.as_str();
             expect_that!(answer.matches("HTTP/1.1 ").count(), eq(1), "{answer}");
             if answer.starts_with("HTTP/1.1 200") {
@@ -297,3 +298,5 @@
         expect_that!(begun, ge(1));
     });
 }
+
+mod plain;
--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -136,6 +136,10 @@
 pub(crate) const SAFE_PATH: &str = "/safe/lethal";
 /// The same for requests that run at most once.
 pub(crate) const UNSAFE_PATH: &str = "/unsafe/lethal";
+/// Path of streams of the plain service that may be resumed.
+pub(crate) const EVENTS_PATH: &str = "/events/";
+/// The same for streams that run at most once.
+pub(crate) const EVENTS_ONCE_PATH: &str = "/once/";
 const PEERS_PORT: u16 = 17_340;
 const HEAD_LIMIT_BYTES: usize = 16 << 10;
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -176,6 +180,8 @@
     pub(crate) silent_request_count: Cell<u32>,
     /// How it answers requests that don't end it.
     pub(crate) behaviour: Cell<Behaviour>,
+    /// Event that it wrote last, of any stream.
+    pub(crate) last_event: Cell<u32>,
     /// Bytes of its last answer that was cut from which on a caller may see a success.
     pub(crate) success_bytes: Cell<usize>,
 }
@@ -244,6 +250,7 @@
             silent_connections: RefCell::default(),
             silent_request_count: Cell::new(0),
             behaviour: Cell::default(),
+            last_event: Cell::default(),
             success_bytes: Cell::default(),
         });
         spawn_local(Rc::clone(&engine).run(listener));
@@ -299,6 +306,21 @@
         self.ended.notify_one();
     }
 
+    /// Writes a stream from its event `first` on.
+    async fn write_stream(&self, connection: &Connection, first: u32) -> io::Result<()> {
+        let Behaviour::Slow { events, pause } = self.behaviour.get() else {
+            return write_events(connection, self.behaviour.get()).await;
+        };
+        for id in first..=events {
+            sleep(pause).await;
+            let event = format!("id: {id}\ndata: a\n\n");
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            connection.write_all(chunk.as_bytes()).await?;
+            self.last_event.set(id);
+        }
+        connection.write_all(b"0\r\n\r\n").await
+    }
+
     /// Writes the first bytes of an answer. A caller needs `needed` bytes of it to see a success.
     async fn write_cut(&self, connection: &Connection, answer: &str, bytes: usize, needed: usize) {
         self.success_bytes.set(needed);
@@ -343,7 +365,9 @@
                 }
                 continue;
             }
-            if !head.target.starts_with(MODEL_PATH) {
+            let is_stream = head.target.starts_with(MODEL_PATH)
+                || is_plain_stream(&head.target) && self.behaviour.get().is_stream();
+            if !is_stream {
                 if is_lethal {
                     return self.end_process();
                 }
@@ -425,10 +449,10 @@
             if is_lethal {
                 return self.end_process();
             }
-            if write_stream(&connection, self.behaviour.get())
-                .await
-                .is_err()
-            {
+            let after = head.headers.text("after").unwrap_or_default();
+            let first = after.parse().map_or(1, |after: u32| after + 1);
+            let written = self.write_stream(&connection, first).await;
+            if written.is_err() {
                 return;
             }
         }
@@ -443,17 +467,23 @@
     socket
 }
 
-async fn write_stream(connection: &Connection, behaviour: Behaviour) -> io::Result<()> {
+impl Behaviour {
+    /// Returns whether the target answers the streams of the plain service with events.
+    fn is_stream(self) -> bool {
+        matches!(
+            self,
+            Self::Slow { .. } | Self::BreaksOff | Self::Stalled { .. }
+        )
+    }
+}
+
+fn is_plain_stream(path: &str) -> bool {
+    path.starts_with(EVENTS_PATH) || path.starts_with(EVENTS_ONCE_PATH)
+}
+
+async fn write_events(connection: &Connection, behaviour: Behaviour) -> io::Result<()> {
     match behaviour {
-        Behaviour::Slow { events, pause } => {
-            for id in 1..=events {
-                sleep(pause).await;
-                let event = format!("id: {id}\ndata: a\n\n");
-                let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-                connection.write_all(chunk.as_bytes()).await?;
-            }
-            connection.write_all(b"0\r\n\r\n").await
-        }
+        Behaviour::Slow { .. } => unreachable!("its events are counted"),
         Behaviour::BreaksOff => {
             connection.write_all(b"f\r\nid: 1\ndata: a\n\n\r\n").await?;
             Err(io::ErrorKind::ConnectionReset.into())
@@ -787,7 +817,8 @@
         [
             route(MODEL_PATH, RequestSemantics::ResumableStream, "model"),
             route("/safe/", RequestSemantics::Safe, "plain"),
-            route("/events/", RequestSemantics::ResumableStream, "plain"),
+            route(EVENTS_PATH, RequestSemantics::ResumableStream, "plain"),
+            route(EVENTS_ONCE_PATH, RequestSemantics::Stream, "plain"),
             route("/unsafe/", RequestSemantics::AtMostOnce, "plain"),
         ],
         [
@@ -851,16 +882,22 @@
         (id, body)
     }
 
-    /// Sends a request to the model and returns all bytes that come until its connection is closed.
-    pub(crate) async fn call_model_raw(&self) -> String {
-        let request = self.request(MODEL_PATH, "Connection: close\r\n", "");
-        let connection = self.open_silent_connection(request.as_bytes()).await;
+    /// Sends a request for a stream and returns all bytes that come until its connection is closed.
+    pub(crate) async fn call_raw(&self, path: &str) -> String {
         let mut received = Vec::new();
+        let mut stream = self.open_stream(path).await;
         // A reset ends the answer as well.
-        let _ended = connection.into_stream().read_to_end(&mut received).await;
+        let _ended = stream.read_to_end(&mut received).await;
         String::from_utf8_lossy(&received).into_owned()
     }
 
+    /// Sends a request for a stream, and returns the connection on which the answer comes.
+    pub(crate) async fn open_stream(&self, path: &str) -> TcpStream {
+        let request = self.request(path, "Connection: close\r\n", "");
+        let connection = self.open_silent_connection(request.as_bytes()).await;
+        connection.into_stream()
+    }
+
     /// Sends a request on a path that names the last event which the caller has, and returns the status
     /// and the body of the answer.
     pub(crate) async fn resume(&self, path: &str, after: &str) -> Option<(u16, String)> {
