--- a/crates/anvil_observe/src/events.rs
+++ b/crates/anvil_observe/src/events.rs
@@ -141,6 +141,7 @@
     "stream.repair_unknown": "An order to continue a request on another path was not answered.",
     "stream.silent": "The cause of a silent stream was investigated. The line tells whether the stream continues on another path.",
     "stream.state_unknown": "The first engine of a silent stream could not be asked what it is waiting for.",
+    "stream.without_events": "A target that is no engine answers a request for a stream with bytes that hold no event within the size limit. They are passed on as they come, and the stream can't be resumed.",
     "table.answer_failed": "The answer to a peer's question for the operators' table could not be sent.",
     "table.fetch_failed": "A relay did not pass on the operators' table. The host asks the next relay, and then the store.",
     "target.cache_events_missed": "Cache events of a target were missed, so the host's view of its cache is out of date.",
