Bound the check of a silent target, and pass answers without events on unread

Once an answer has turned out to hold no events, its bytes are no longer searched for any, so that none is skipped as already sent.

Found by reading; no test of its own.

--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -693,7 +693,7 @@
             let now = Instant::now();
             out.clear();
             let mut events = 0;
-            if event_decoder.push(&piece).is_err() {
+            if self.has_unnumbered_bytes || event_decoder.push(&piece).is_err() {
                 if self.engine.is_some() {
                     return AttemptResult::Lost("event is too large");
                 }
--- a/crates/anvil_gateway/src/stream/repair.rs
+++ b/crates/anvil_gateway/src/stream/repair.rs
@@ -221,7 +221,10 @@
         is_resumable: bool,
     ) -> StallAction {
         let target = chosen.first();
-        let state = faults::check_state(self.gateway, target).await;
+        let check = faults::check_state(self.gateway, target);
+        let state = tokio::time::timeout(REPAIR_TIMEOUT, check)
+            .await
+            .unwrap_or(ProcessState::Unreachable);
         stall_timer.checked_at = Some(Instant::now());
         let is_unanswered = self.progress.early() == Some(Progress::Unanswered);
         let is_lost = state != ProcessState::Alive;
