Announce the close in answers that a stopping host gives to earlier requests (LOST)

Cause: whether the connection stays open was decided when the request arrived. A request that arrived before the signal and was answered after it announced an open connection, which was then closed at once or shortly after.

Change: it is decided when the head of the answer is written.

Test: stop_announces_close_in_answers_to_earlier_requests; by the former rule, which takes the phase at arrival, the answer announces nothing.

--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -103,8 +103,9 @@
     pub arrived: Instant,
     /// When the gateway stops working on the request and answers it.
     pub deadline: Instant,
-    /// Whether the connection may stay open after the answer.
-    pub keep_alive: bool,
+    /// Whether the connection may stay open after the answer. Decided anew by
+    /// [`Self::announce_keep_alive`].
+    pub keep_alive: Cell<bool>,
     /// Whether any byte of an answer was written to the caller.
     pub is_answer_begun: Cell<bool>,
     /// Digest of the request; empty until it is needed.
@@ -124,6 +125,14 @@
         })
     }
 
+    /// Returns whether the head of the answer, which is written now, announces that the connection stays
+    /// open. A host that began to stop since the request arrived announces that it closes it.
+    pub fn announce_keep_alive(&self, gateway: &Gateway) -> bool {
+        let keep_alive = self.keep_alive.get() && gateway.phase() == Phase::Serving;
+        self.keep_alive.set(keep_alive);
+        keep_alive
+    }
+
     /// Returns what the request has in common with others under which targets may end: the shared parts
     /// of its prompt, and the request itself.
     pub fn suspects(&self) -> &[Suspect] {
@@ -176,6 +185,8 @@
     pub sends: u32,
     /// Number of sends that a target refused without running the request. Invariant: at most `sends`.
     pub refused_sends: u32,
+    /// Whether the answer announced that the connection is closed after it.
+    pub closes_connection: bool,
     /// The target or path of each send, in order.
     pub via: Vec<String>,
     /// Descriptions of failures, oldest first; limited by `record_failure`.
@@ -309,8 +320,8 @@
         process_request(gateway, connection, head, arrived, keep_alive, &mut trace).await;
     log_outcome(gateway, head, &metadata, arrived, &request_outcome, &trace);
     match request_outcome {
-        RequestOutcome::Answered { .. } if keep_alive => ConnectionAction::ReadNext,
-        RequestOutcome::Answered { .. } => ConnectionAction::Close,
+        RequestOutcome::Answered { .. } if trace.closes_connection => ConnectionAction::Close,
+        RequestOutcome::Answered { .. } => ConnectionAction::ReadNext,
         RequestOutcome::Aborted { .. } | RequestOutcome::CallerDisconnected => {
             ConnectionAction::Drop
         }
@@ -321,7 +332,10 @@
                 error_response.reason,
                 ErrorReason::Stale | ErrorReason::Unconfigured
             );
-            let keep_alive = keep_alive && is_body_read && !lacks_current_config;
+            let keep_alive = keep_alive
+                && is_body_read
+                && !lacks_current_config
+                && gateway.phase() == Phase::Serving;
             let id_header = gateway.platform.header_codec.request_id_header();
             let answer = error_response.render(id_header, &metadata.id, keep_alive);
             match connection.write_all(&answer).await {
@@ -452,7 +466,7 @@
         team,
         arrived,
         deadline: arrived + time_limit.saturating_sub(DEADLINE_MARGIN),
-        keep_alive,
+        keep_alive: Cell::new(keep_alive),
         is_answer_begun: Cell::new(false),
         digest: OnceCell::new(),
         suspects: OnceCell::new(),
@@ -472,6 +486,7 @@
         request_outcome = serve => Some(request_outcome),
         () = end_unanswered(gateway, &request) => None,
     };
+    trace.closes_connection = !request.keep_alive.get();
     let request_outcome = served.unwrap_or_else(|| {
         trace.record_failure("the host stopped before the answer");
         match trace.may_have_run() {
--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -122,7 +122,11 @@
         Err(error_response) => RequestOutcome::Error(error_response),
         Ok((head, body)) => {
             request.is_answer_begun.set(true);
-            let mut out = render_head(&head, RelayedBody::Length(body.len()), request.keep_alive);
+            let mut out = render_head(
+                &head,
+                RelayedBody::Length(body.len()),
+                request.announce_keep_alive(gateway),
+            );
             if request.head.method != "HEAD" {
                 out.extend_from_slice(&body);
             }
--- a/crates/anvil_gateway/src/run/tests.rs
+++ b/crates/anvil_gateway/src/run/tests.rs
@@ -150,3 +150,26 @@
         expect_that!(stopping.await.unwrap(), eq(ShutdownOutcome::Drained));
     });
 }
+
+/// Guards against a kept connection that is closed under its next request, because an answer given during
+/// a planned stop didn't announce that (LOST).
+#[gtest]
+fn stop_announces_close_in_answers_to_earlier_requests() {
+    run(async {
+        let fleet = Fleet::start_plain(74, 1, None).await;
+        let work_time = Duration::from_millis(300);
+        fleet.engines[0].behaviour.set(Behaviour::Late(work_time));
+        let host = fleet.start_host(0).await;
+        let whole = format!(
+            "POST {SAFE_PATH} HTTP/1.1\r\nHost: test\r\nid: 1\r\nkey: {SOUND_KEY}\r\nContent-Length: 0\r\n\r\n"
+        );
+        let mut caller = host.open_silent_connection(whole.as_bytes()).await;
+        while host.gateway.open_requests.get() == 0 {
+            sleep(CALL_INTERVAL).await;
+        }
+        host.gateway.set_phase(Phase::Draining);
+        let head = caller.read_response().await.unwrap();
+        expect_that!(head.status, eq(200));
+        expect_that!(head.keep_alive, eq(false));
+    });
+}
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -415,7 +415,7 @@
         let mut out = render_head(
             head,
             RelayedBody::Length(body.len()),
-            self.request.keep_alive,
+            self.request.announce_keep_alive(self.gateway),
         );
         out.extend_from_slice(body);
         match caller.write_all(&out).await {
@@ -564,7 +564,11 @@
         self.progress.record_head();
         if !self.is_head_sent {
             self.request.is_answer_begun.set(true);
-            let out = render_head(&head, RelayedBody::Chunked, self.request.keep_alive);
+            let out = render_head(
+                &head,
+                RelayedBody::Chunked,
+                self.request.announce_keep_alive(gateway),
+            );
             if caller.write_all(&out).await.is_err() {
                 return AttemptResult::CallerDisconnected;
             }
