Tell a host that did not run from targets that are silent (LOST)

The logs could not tell the hypotheses apart: a host that is itself late, one silent engine, or all engines silent at once. A late host was only seen by the placer's own timer.

No decision changes.

--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -201,6 +201,8 @@
     pub predicted_first_ms: f64,
     /// Predicted pause between events, for the first path chosen.
     pub predicted_pause_ms: f64,
+    /// Time for which this host did not run while the request was open.
+    pub host_late_ms: u64,
 }
 
 impl RequestTrace {
@@ -315,9 +317,11 @@
 ) -> ConnectionAction {
     let arrived = Instant::now();
     let keep_alive = head.keep_alive && gateway.phase() == Phase::Serving;
+    let lost_before = gateway.run_clock.lost_time();
     let mut trace = RequestTrace::default();
     let (metadata, request_outcome, is_body_read) =
         process_request(gateway, connection, head, arrived, keep_alive, &mut trace).await;
+    trace.host_late_ms = (gateway.run_clock.lost_time() - lost_before).as_millis() as u64;
     log_outcome(gateway, head, &metadata, arrived, &request_outcome, &trace);
     match request_outcome {
         RequestOutcome::Answered { .. } if trace.closes_connection => ConnectionAction::Close,
@@ -573,6 +577,7 @@
         predicted_pause_ms = trace.predicted_pause_ms as u64,
         events = trace.events,
         sends = trace.sends,
+        host_late_ms = trace.host_late_ms,
         via = trace.via.join(" then ").as_str(),
         failures = trace.failures.join("; ").as_str(),
         prompt_tokens = metadata.prompt_tokens,
--- a/crates/anvil_gateway/src/faults.rs
+++ b/crates/anvil_gateway/src/faults.rs
@@ -8,6 +8,7 @@
 
 use anvil_core::{
     engine_model::EngineProfile,
+    id::ServiceId,
     reachability::Belief,
     stall::Evidence, //
 };
@@ -152,6 +153,32 @@
     }
 }
 
+/// How many engines of a service carry requests of this host, and how many of these are silent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SilenceExtent {
+    /// Number of engines that carry requests of this host.
+    pub in_use: usize,
+    /// Number of those that made no progress with any of them. Invariant: at most `in_use`.
+    pub silent: usize,
+}
+
+/// Returns how many engines of a service have been silent since `silent_since`. If all are, the cause
+/// lies with this host, or with something that all engines share.
+pub fn silence_extent(
+    gateway: &Gateway,
+    service: &ServiceId,
+    silent_since: Instant,
+) -> SilenceExtent {
+    let targets = gateway.targets.of_service(service);
+    let in_use = targets.iter().filter(|target| target.sequences.get() > 0.0);
+    let mut extent = SilenceExtent::default();
+    for target in in_use {
+        extent.in_use += 1;
+        extent.silent += usize::from(!target.progressed_since(silent_since + SAME_PASS_TIME));
+    }
+    extent
+}
+
 /// What a new connection shows about a target to which one was lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProcessState {
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -51,6 +51,7 @@
         Platform,
         ResponseMetadata, //
     },
+    run_clock::RunClock,
     settings::Settings,
     target::Target,
     targets::Targets, //
@@ -82,6 +83,8 @@
     pub targets: Targets,
     /// Links of this host to targets.
     pub link: Link,
+    /// Time in which this host did not run.
+    pub run_clock: RunClock,
     /// Counters and histograms that the metrics address serves.
     pub metrics: Metrics,
     /// The other gateways, and what they observe.
@@ -135,6 +138,7 @@
             settings,
             platform,
             link: Link::default(),
+            run_clock: RunClock::default(),
             metrics: Metrics::new(),
             newer_table_notify: Notify::new(),
             quarantine: RefCell::new(Quarantine::default()),
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod port;
 pub mod quarantine;
 pub mod run;
+pub mod run_clock;
 pub mod settings;
 pub mod stream;
 pub mod target;
--- a/crates/anvil_gateway/src/placer.rs
+++ b/crates/anvil_gateway/src/placer.rs
@@ -66,9 +66,6 @@
 const LEASE_RENEW_SHARE: f64 = 0.35;
 /// Interval between two checks of the placement.
 const PLACEMENT_INTERVAL: Duration = Duration::from_millis(200);
-/// Delay of a timer from which it is logged. A host that sends no reports for as long is taken to be
-/// silent by its peers.
-const TIMER_DELAY_LOGGED_MIN: Duration = Duration::from_millis(300);
 /// Time without a change in the number of targets after which the target list counts as complete at
 /// the start. It is longer than the interval between two reads of the list by a host that holds the
 /// lease.
@@ -175,9 +172,7 @@
             } else if self.is_member() && !self.leave_group().await {
                 pause = self.renewal_pause();
             }
-            let wake_at = Instant::now() + pause;
             sleep(pause).await;
-            self.record_timer_delay(wake_at.elapsed());
         }
     }
 
@@ -262,15 +257,6 @@
         }
     }
 
-    /// Records how late a timer of this host fired: other tasks occupied its thread, or it had no
-    /// processor time.
-    fn record_timer_delay(&self, delay: Duration) {
-        self.gateway.metrics.record_timer_delay(delay);
-        if delay >= TIMER_DELAY_LOGGED_MIN {
-            spdlog::warn!("host.timer_late", kv: { late_ms = delay.as_millis() as u64 });
-        }
-    }
-
     fn lease_duration(&self) -> Duration {
         LEASE_DURATION.max(self.gateway.settings.lease_min)
     }
--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -42,6 +42,7 @@
     },
     placer::Placer,
     port::Platform,
+    run_clock,
     settings::Settings, //
 };
 
@@ -120,6 +121,7 @@
     spawn_local(Rc::clone(&peers).receive());
     spawn_local(Rc::clone(&placer).maintain_lease());
     spawn_local(Rc::clone(&placer).place());
+    spawn_local(run_clock::watch(Rc::clone(&gateway)));
     spawn_local(link::watch(Rc::clone(&gateway)));
     spawn_local(abandoned::watch(Rc::clone(&gateway)));
     spawn_local(tunnel::maintain_intermediaries(Rc::clone(&gateway)));
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -500,7 +500,7 @@
             return AttemptResult::Lost("connection failed while sending");
         }
         let upstream = &mut acquired.connection;
-        let mut stall_timer = StallTimer::start(sent_at);
+        let mut stall_timer = StallTimer::start(sent_at, gateway.run_clock.lost_time());
         let mut crossed_answers = 0;
         let (head, metadata) = loop {
             let head = tokio::select! {
@@ -752,9 +752,10 @@
             trace.events += events;
             is_first = false;
             let longest_pause = Duration::from_millis(trace.longest_pause_ms);
+            let lost = self.gateway.run_clock.lost_time();
             stall_timer = match self.engine {
-                Some(_) => StallTimer::start_at_event(now, chosen, longest_pause),
-                None => StallTimer::start(now),
+                Some(_) => StallTimer::start_at_event(now, lost, chosen, longest_pause),
+                None => StallTimer::start(now, lost),
             };
             self.last_sent_at = now;
             if caller.write_all(&out).await.is_err() {
--- a/crates/anvil_gateway/src/stream/repair.rs
+++ b/crates/anvil_gateway/src/stream/repair.rs
@@ -66,6 +66,8 @@
 pub(super) struct StallTimer {
     /// When the period began: the last event, or the send.
     pub(super) started_at: Instant,
+    /// Sum of the gaps in which this host had not run until then.
+    lost_before: Duration,
     /// When to probe the engines of the path; `None` if they are not to be probed, or were.
     probe_at: Option<Instant>,
     /// When the first engine was last asked for the cause; `None` before the first query.
@@ -75,10 +77,12 @@
 }
 
 impl StallTimer {
-    /// Starts a timer without checks and repairs.
-    pub(super) fn start(started_at: Instant) -> Self {
+    /// Starts a timer without checks and repairs. `lost_before` is the lost time of the host's
+    /// [`RunClock`](crate::run_clock::RunClock).
+    pub(super) fn start(started_at: Instant, lost_before: Duration) -> Self {
         Self {
             started_at,
+            lost_before,
             probe_at: None,
             checked_at: None,
             repaired_at: None,
@@ -88,6 +92,7 @@
     /// Starts a timer at an event of a stream. `longest_pause` is that of the stream so far.
     pub(super) fn start_at_event(
         event_at: Instant,
+        lost_before: Duration,
         chosen: &ChosenPath,
         longest_pause: Duration,
     ) -> Self {
@@ -95,7 +100,7 @@
         let delay = stall::probe_delay(predicted_pause, longest_pause);
         Self {
             probe_at: delay.map(|delay| event_at + delay),
-            ..Self::start(event_at)
+            ..Self::start(event_at, lost_before)
         }
     }
 
@@ -161,6 +166,7 @@
             return self.check_target(chosen, stall_timer, is_resumable).await;
         };
         if is_resumable && Instant::now() >= stall_timer.resend_at() {
+            self.log_silence(chosen.first(), stall_timer, "silence", "sent again");
             return StallAction::Resend;
         }
         let is_probe = stall_timer.probe_at.take().is_some();
@@ -200,15 +206,28 @@
                 "first engine is silent"
             }
         };
+        let evidence = if is_probe { "probe" } else { "report" };
+        self.log_silence(chosen.first(), stall_timer, evidence, outcome);
+        self.gateway.metrics.record_repair(outcome);
+        StallAction::KeepWaiting
+    }
+
+    /// Logs what was found about a silent stream, with what else is silent.
+    fn log_silence(&self, first: &Target, stall_timer: &StallTimer, evidence: &str, outcome: &str) {
+        let gateway = self.gateway;
+        let extent =
+            faults::silence_extent(gateway, self.request.service_id, stall_timer.started_at);
+        let host_late = gateway.run_clock.lost_time() - stall_timer.lost_before;
         spdlog::info!("stream.silent", kv: {
             request = self.request.metadata.id.as_str(),
-            first = chosen.first().id.as_str(),
+            first = first.id.as_str(),
             silent_ms = stall_timer.started_at.elapsed().as_millis() as u64,
-            evidence = if is_probe { "probe" } else { "report" },
+            host_late_ms = host_late.as_millis() as u64,
+            engines_in_use = extent.in_use,
+            engines_silent = extent.silent,
+            evidence,
             outcome,
         });
-        self.gateway.metrics.record_repair(outcome);
-        StallAction::KeepWaiting
     }
 
     /// Examines a target that is no engine and whose stream is silent. The stream is sent again only where
@@ -236,13 +255,8 @@
             && !self.has_unnumbered_bytes
             && self.has_other_target(target)
             && self.gateway.try_retry(self.request.service_id);
-        spdlog::info!("stream.silent", kv: {
-            request = self.request.metadata.id.as_str(),
-            first = target.id.as_str(),
-            silent_ms = stall_timer.started_at.elapsed().as_millis() as u64,
-            evidence = state.as_str(),
-            outcome = if may_resend { "sent again" } else { "kept" },
-        });
+        let outcome = if may_resend { "sent again" } else { "kept" };
+        self.log_silence(target, stall_timer, state.as_str(), outcome);
         if !may_resend {
             return StallAction::KeepWaiting;
         }
--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -121,7 +121,7 @@
         TargetEntry,
         TargetState, //
     },
-    settings,
+    run_clock, settings,
 };
 
 /// Prompt part on which each engine ends that begins to write.
@@ -1228,6 +1228,7 @@
         ];
         tasks.spawn_local(accept(Rc::clone(&gateway), listener));
         tasks.spawn_local(confirm_table(Rc::clone(&gateway)));
+        tasks.spawn_local(run_clock::watch(Rc::clone(&gateway)));
         tasks.spawn_local(link::watch(Rc::clone(&gateway)));
         tasks.spawn_local(abandoned::watch(Rc::clone(&gateway)));
         tasks.spawn_local(tunnel::maintain_intermediaries(Rc::clone(&gateway)));
