--- a/crates/anvil_gateway/src/events.rs
+++ b/crates/anvil_gateway/src/events.rs
@@ -61,6 +61,11 @@
         })
     }
 
+    /// Returns whether the buffer holds a complete event.
+    pub fn has_event(&mut self) -> bool {
+        self.find_event_end().is_some()
+    }
+
     /// Removes the bytes of an incomplete event from the buffer.
     pub fn take_rest(&mut self) -> Bytes {
         self.searched_bytes = 0;
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -3,6 +3,7 @@
 
 use std::{
     net::SocketAddr,
+    pin::pin,
     rc::Rc,
     time::Duration, //
 };
@@ -12,17 +13,24 @@
     entry::RequestSemantics,
     id::LayerRange,
     quarantine::{
-        Admission,
         Progress,
         Refusal, //
     },
 };
 use tokio::time::{
     Instant,
+    error::Elapsed,
     timeout_at, //
 };
 
-use progress::SendProgress;
+use attempt::{
+    Answer,
+    Attempt,
+    Begun,
+    Kept,
+    KeptResult,
+    Upstream, //
+};
 use repair::{
     StallAction,
     StallTimer, //
@@ -35,7 +43,6 @@
         RelayedBody,
         render_head, //
     },
-    events::EventDecoder,
     exchange::{
         RequestContext,
         RequestOutcome,
@@ -48,7 +55,7 @@
         BodyDecoder,
         ConnectError,
         Connection,
-        Framing,
+        ReadError,
         ResponseHead, //
     },
     link,
@@ -77,6 +84,7 @@
     },
 };
 
+mod attempt;
 mod progress;
 mod repair;
 
@@ -111,8 +119,11 @@
     KeysStale,
     /// The attempt failed after the request may have run.
     Lost(&'static str),
-    /// No event arrived for too long.
-    Stalled,
+    /// No event arrived for too long, and another send is due. Holds the connection, on which the
+    /// answer may still come.
+    Stalled(Box<Upstream>),
+    /// An attempt that had been silent has an event first. Holds its index among those that are kept.
+    Overtaken(usize),
     /// The engine answered with an error status, which is passed on to the caller.
     ErrorStatus(ResponseHead, Vec<u8>),
     /// The caller closed the connection.
@@ -121,6 +132,18 @@
     DeadlineExceeded,
 }
 
+/// What ended a wait for an answer.
+enum Step<T> {
+    /// The answer was read from, or the deadline passed.
+    Read(Result<Result<T, ReadError>, Elapsed>),
+    /// The caller closed the connection.
+    CallerDisconnected,
+    /// A kept attempt, by its index, has an event or failed.
+    Kept(usize, KeptResult),
+    /// The cause of the silence must be looked for.
+    Silent,
+}
+
 /// The state of relaying one stream, over all its attempts.
 struct Relay<'a> {
     gateway: &'a Gateway,
@@ -134,18 +157,18 @@
     last_event_id: Option<EventId>,
     /// Whether bytes were passed on that belong to no event, so that the stream can't be resumed.
     has_unnumbered_bytes: bool,
-    /// Whether a retry was taken from the budget for the next send.
-    has_reserved_retry: bool,
+    /// The path of the next send, if a retry was taken from the budget for it.
+    reserved: Option<ChosenPath>,
     /// When the last event was sent to the caller.
     last_sent_at: Instant,
     /// First engines that this request was sent to, each once.
     first_engines: Vec<Rc<Target>>,
     /// Engines blamed for a failure of this request.
     failed: Vec<Rc<Target>>,
-    /// What was known about the request and the parts of its prompt before the current send.
-    admission: Admission,
-    /// How far the engine of the current send has come.
-    progress: SendProgress,
+    /// Silent attempts whose answers may still come before that of the current one.
+    kept: Vec<Kept>,
+    /// Whether an engine may have run the request.
+    may_have_run: bool,
 }
 
 /// Serves a request for a stream until the stream ends or is given up.
@@ -161,7 +184,7 @@
         engine: request.service.engine.as_ref(),
         is_head_sent: false,
         has_unnumbered_bytes: false,
-        has_reserved_retry: false,
+        reserved: None,
         last_event_id: match request.route.semantics {
             RequestSemantics::ResumableStream => request.metadata.resume_point.event_id(),
             RequestSemantics::Safe | RequestSemantics::AtMostOnce | RequestSemantics::Stream => {
@@ -171,8 +194,8 @@
         last_sent_at: Instant::now(),
         first_engines: Vec::new(),
         failed: Vec::new(),
-        admission: Admission::default(),
-        progress: SendProgress::default(),
+        kept: Vec::new(),
+        may_have_run: false,
     };
     relay.run(caller, trace).await
 }
@@ -181,140 +204,205 @@
     async fn run(&mut self, caller: &mut Connection, trace: &mut RequestTrace) -> RequestOutcome {
         let is_resumable = self.request.route.semantics == RequestSemantics::ResumableStream;
         let mut refusals = 0;
-        let mut may_have_run = false;
         let mut no_path_since: Option<Instant> = None;
+        let mut next: Option<Kept> = None;
         loop {
             if Instant::now() >= self.request.deadline {
-                return self.give_up(ErrorReason::Timeout, may_have_run, "timeout");
+                return self.give_up(ErrorReason::Timeout, "timeout");
             }
-            self.admission = match self.gateway.admit(self.request) {
-                Ok(admission) => admission,
-                Err(refusal) => {
-                    trace.record_failure(refusal.to_string());
-                    return self.refuse_quarantined(may_have_run, &refusal);
+            let (attempt, result) = match next.take() {
+                Some(Kept {
+                    mut attempt,
+                    upstream,
+                }) => {
+                    let result = self.receive(caller, &mut attempt, upstream, trace).await;
+                    (attempt, result)
                 }
-            };
-            let chosen = match self.choose() {
-                Ok(chosen) => chosen,
-                Err(error) => {
-                    self.gateway.release_trial(&self.admission);
-                    trace.record_failure(error);
-                    if self.engine.is_none() {
-                        return self.give_up(ErrorReason::NoTarget, may_have_run, "no target");
-                    }
-                    let since = *no_path_since.get_or_insert_with(Instant::now);
-                    if !may_have_run || since.elapsed() > RESUME_TIMEOUT {
-                        return self.give_up(ErrorReason::Overloaded, may_have_run, "no path");
-                    }
-                    tokio::select! {
-                        biased;
-                        () = caller.closed_by_peer(READ_AHEAD_LIMIT_BYTES) => return RequestOutcome::CallerDisconnected,
-                        () = tokio::time::sleep(PATH_RETRY_DELAY) => {}
+                None => {
+                    let admission = match self.gateway.admit(self.request) {
+                        Ok(admission) => admission,
+                        Err(refusal) => {
+                            trace.record_failure(refusal.to_string());
+                            next = self.kept.pop();
+                            if next.is_some() {
+                                continue;
+                            }
+                            return self.refuse_quarantined(&refusal);
+                        }
+                    };
+                    let chosen = match self.reserved.take().map_or_else(|| self.choose(), Ok) {
+                        Ok(chosen) => chosen,
+                        Err(error) => {
+                            self.gateway.release_trial(&admission);
+                            trace.record_failure(error);
+                            next = self.kept.pop();
+                            if next.is_some() {
+                                continue;
+                            }
+                            if self.engine.is_none() {
+                                return self.give_up(ErrorReason::NoTarget, "no target");
+                            }
+                            let since = *no_path_since.get_or_insert_with(Instant::now);
+                            if !self.may_have_run || since.elapsed() > RESUME_TIMEOUT {
+                                return self.give_up(ErrorReason::Overloaded, "no path");
+                            }
+                            tokio::select! {
+                                biased;
+                                () = caller.closed_by_peer(READ_AHEAD_LIMIT_BYTES) => return RequestOutcome::CallerDisconnected,
+                                () = tokio::time::sleep(PATH_RETRY_DELAY) => {}
+                            }
+                            continue;
+                        }
+                    };
+                    no_path_since = None;
+                    if trace.sends == 0 {
+                        trace.predicted_first_ms = chosen.path.first_event_ms;
+                        trace.predicted_pause_ms = chosen.path.pause_ms;
                     }
-                    continue;
+                    let mut attempt = Attempt::new(chosen, admission);
+                    let result = self.send(caller, &mut attempt, trace).await;
+                    (attempt, result)
                 }
             };
-            no_path_since = None;
-            if trace.sends == 0 {
-                trace.predicted_first_ms = chosen.path.first_event_ms;
-                trace.predicted_pause_ms = chosen.path.pause_ms;
-            }
-            let mut chosen = chosen;
-            let result = self.send(caller, &mut chosen, trace).await;
+            let first = Rc::clone(attempt.chosen.first());
             let failure = match result {
                 AttemptResult::Complete => return self.finish(caller).await,
                 AttemptResult::CallerDisconnected => {
-                    if self.progress.early().is_some() {
-                        let (request, admission) = (self.request, &self.admission);
-                        self.gateway
-                            .record_abandoned(request, admission, chosen.first());
-                    }
+                    self.abandon(&attempt);
+                    self.end_kept();
                     return RequestOutcome::CallerDisconnected;
                 }
                 AttemptResult::DeadlineExceeded => {
-                    return self.give_up(ErrorReason::Timeout, true, "timeout");
+                    self.may_have_run = true;
+                    return self.give_up(ErrorReason::Timeout, "timeout");
+                }
+                AttemptResult::Overtaken(index) => {
+                    self.abandon(&attempt);
+                    trace.record_failure(format!("{}: overtaken", first.id));
+                    next = Some(self.kept.swap_remove(index));
+                    self.end_kept();
+                    continue;
                 }
                 AttemptResult::Quarantined => {
-                    self.gateway.release_trial(&self.admission);
+                    self.gateway.release_trial(&attempt.admission);
+                    next = self.kept.pop();
                     continue;
                 }
                 AttemptResult::CutOff => {
-                    self.gateway.release_trial(&self.admission);
-                    return self.give_up(ErrorReason::NoTarget, may_have_run, "cut off");
+                    self.gateway.release_trial(&attempt.admission);
+                    next = self.kept.pop();
+                    if next.is_some() {
+                        continue;
+                    }
+                    return self.give_up(ErrorReason::NoTarget, "cut off");
                 }
                 AttemptResult::KeysStale => {
-                    self.gateway.release_trial(&self.admission);
-                    return self.give_up(ErrorReason::Stale, may_have_run, "keys may be outdated");
+                    self.gateway.release_trial(&attempt.admission);
+                    return self.give_up(ErrorReason::Stale, "keys may be outdated");
                 }
                 AttemptResult::ErrorStatus(head, body) => {
                     self.gateway
-                        .record_inconclusive_trial(self.request, &self.admission);
-                    if chosen.first().record_error(Instant::now()) {
+                        .record_inconclusive_trial(self.request, &attempt.admission);
+                    if first.record_error(Instant::now()) {
                         // Each other host would find out by requests of its own.
                         self.gateway.urgent_change.notify_one();
                     }
+                    next = self.kept.pop();
                     let may_retry = is_resumable
                         && !self.is_head_sent
                         && head.status == INTERNAL_ERROR_STATUS
                         && self.first_engines.len() < self.request.route.attempts_max as usize;
-                    if !may_retry || !self.gateway.try_retry(self.request.service_id) {
+                    let may_continue = next.is_some()
+                        || may_retry && self.gateway.try_retry(self.request.service_id);
+                    if !may_continue {
                         return self.relay_error_status(caller, &head, &body).await;
                     }
-                    may_have_run = true;
-                    trace.record_failure(format!("{}: error status", chosen.first().id));
-                    self.failed.push(Rc::clone(chosen.first()));
+                    self.may_have_run = true;
+                    trace.record_failure(format!("{}: error status", first.id));
+                    self.failed.push(first);
                     continue;
                 }
                 AttemptResult::NotRun(failure, at_fault) => {
-                    self.gateway.release_trial(&self.admission);
+                    self.gateway.release_trial(&attempt.admission);
                     let engine_at_fault = match self.engine {
                         Some(engine) => {
-                            faults::record_refusal(self.gateway, engine, &chosen, at_fault)
+                            faults::record_refusal(self.gateway, engine, &attempt.chosen, at_fault)
                         }
-                        None => Rc::clone(chosen.first()),
+                        None => Rc::clone(&first),
                     };
                     trace
                         .record_failure(format!("{failure}, attributed to {}", engine_at_fault.id));
                     self.failed.push(engine_at_fault);
                     refusals += 1;
-                    if refusals >= REFUSALS_MAX {
-                        return self.give_up(ErrorReason::Overloaded, may_have_run, failure);
+                    if refusals >= REFUSALS_MAX && self.kept.is_empty() {
+                        return self.give_up(ErrorReason::Overloaded, failure);
                     }
                     failure
                 }
                 AttemptResult::Lost(failure) => {
-                    may_have_run = true;
-                    self.handle_lost_stream(chosen.first(), failure).await;
+                    self.may_have_run = true;
+                    self.handle_lost_stream(&attempt, failure).await;
                     // Some engine of the path failed, and it is unknown which. The first one is
                     // blamed; further attempts show whether another one is at fault.
-                    self.failed.push(Rc::clone(chosen.first()));
+                    self.failed.push(Rc::clone(&first));
                     failure
                 }
-                AttemptResult::Stalled => {
-                    may_have_run = true;
-                    if self.progress.early() == Some(Progress::Unanswered) {
-                        chosen.first().pool.doubt(&chosen.first().id);
+                AttemptResult::Stalled(upstream) => {
+                    self.may_have_run = true;
+                    if attempt.progress.early() == Some(Progress::Unanswered) {
+                        first.pool.doubt(&first.id);
                     }
-                    match self.engine {
-                        Some(_) => faults::record_stall(&chosen),
-                        // It may be at work, and slow with this request alone.
-                        None => self.failed.push(Rc::clone(chosen.first())),
+                    trace.record_failure(format!("{}: stalled", first.id));
+                    if self.engine.is_some() {
+                        faults::record_stall(&attempt.chosen);
                     }
-                    "stalled"
+                    self.kept.push(Kept {
+                        attempt,
+                        upstream: *upstream,
+                    });
+                    continue;
                 }
             };
-            trace.record_failure(format!("{}: {failure}", chosen.first().id));
-            if self.has_unnumbered_bytes || may_have_run && !is_resumable {
-                return self.give_up(ErrorReason::AnswerLost, true, failure);
+            trace.record_failure(format!("{}: {failure}", first.id));
+            next = self.kept.pop();
+            if next.is_some() {
+                continue;
             }
-            let is_retry = trace.sends > 0 && !std::mem::take(&mut self.has_reserved_retry);
-            if is_retry && !self.gateway.try_retry(self.request.service_id) {
+            if self.has_unnumbered_bytes || self.may_have_run && !is_resumable {
+                self.may_have_run = true;
+                return self.give_up(ErrorReason::AnswerLost, failure);
+            }
+            if trace.sends > 0 && !self.gateway.try_retry(self.request.service_id) {
                 trace.record_failure("retry budget exhausted");
-                return self.give_up(ErrorReason::Overloaded, may_have_run, failure);
+                return self.give_up(ErrorReason::Overloaded, failure);
             }
         }
     }
 
+    /// Records that an attempt is no longer waited for.
+    fn abandon(&self, attempt: &Attempt) {
+        if attempt.progress.early().is_some() {
+            self.gateway
+                .record_abandoned(self.request, &attempt.admission, attempt.chosen.first());
+        }
+    }
+
+    /// Ends the attempts that are kept beside the current one.
+    fn end_kept(&mut self) {
+        for kept in std::mem::take(&mut self.kept) {
+            self.abandon(&kept.attempt);
+        }
+    }
+
+    /// Ends the kept attempts because the current one has an event before them. Their engines are less
+    /// likely to answer soon than others.
+    fn end_overtaken(&mut self, trace: &mut RequestTrace) {
+        for kept in &self.kept {
+            trace.record_failure(format!("{}: overtaken", kept.attempt.chosen.first().id));
+        }
+        self.end_kept();
+    }
+
     /// Chooses where to send the request next.
     ///
     /// # Errors
@@ -340,13 +428,14 @@
 
     /// Logs a lost stream. If it was lost at the start of its answer or before, finds out whether the
     /// engine ended, and records that as evidence against the request and the parts of its prompt.
-    async fn handle_lost_stream(&self, engine: &Target, failure: &'static str) {
-        let progress = self.progress.name();
+    async fn handle_lost_stream(&self, attempt: &Attempt, failure: &'static str) {
+        let engine = attempt.chosen.first();
+        let progress = attempt.progress.name();
         let mut state = "not checked";
-        if let Some(early) = self.progress.early() {
+        if let Some(early) = attempt.progress.early() {
             let process_state = faults::check_state(self.gateway, engine).await;
             state = process_state.as_str();
-            let (request, admission) = (self.request, &self.admission);
+            let (request, admission) = (self.request, &attempt.admission);
             self.gateway
                 .record_lost_target(request, admission, engine, early, process_state);
         }
@@ -356,24 +445,19 @@
             target = engine.id.as_str(),
             failure,
             progress,
-            events = self.progress.events,
-            writing_ms = self.progress.writing_time().as_millis() as u64,
+            events = attempt.progress.events,
+            writing_ms = attempt.progress.writing_time().as_millis() as u64,
             parts = self.request.metadata.shared_parts.join(",").as_str(),
             digest: = self.request.digest(),
             target_state = state,
         });
     }
 
-    fn give_up(
-        &self,
-        reason: ErrorReason,
-        may_have_run: bool,
-        failure: &'static str,
-    ) -> RequestOutcome {
+    fn give_up(&self, reason: ErrorReason, failure: &'static str) -> RequestOutcome {
         if self.is_head_sent {
             return RequestOutcome::Aborted { reason: failure };
         }
-        if may_have_run {
+        if self.may_have_run {
             return RequestOutcome::Error(ErrorResponse::unknown(reason));
         }
         let retry_after = match self.engine {
@@ -385,10 +469,10 @@
 
     /// Refuses a request, or gives it up after it was sent, because it or a part of its prompt is
     /// quarantined.
-    fn refuse_quarantined(&self, may_have_run: bool, refusal: &Refusal) -> RequestOutcome {
+    fn refuse_quarantined(&self, refusal: &Refusal) -> RequestOutcome {
         let reason = ErrorReason::from(&refusal.suspect);
-        if may_have_run || self.is_head_sent {
-            return self.give_up(reason, may_have_run, "request ends engines");
+        if self.may_have_run || self.is_head_sent {
+            return self.give_up(reason, "request ends engines");
         }
         RequestOutcome::Error(ErrorResponse::not_run(reason, Some(refusal.retry_after)))
     }
@@ -426,46 +510,83 @@
         }
     }
 
-    /// Sends the request along one path and relays its answer.
+    /// Sends the request along the path of an attempt and relays its answer.
     async fn send(
         &mut self,
         caller: &mut Connection,
-        chosen: &mut ChosenPath,
+        attempt: &mut Attempt,
         trace: &mut RequestTrace,
     ) -> AttemptResult {
+        let (gateway, request) = (self.gateway, self.request);
+        let mut kept = std::mem::take(&mut self.kept);
+        let opened = {
+            let mut opened = pin!(self.open_upstream(attempt, trace));
+            loop {
+                tokio::select! {
+                    biased;
+                    opened = &mut opened => break Ok(opened),
+                    (index, result) = attempt::wait_for_kept(&mut kept, gateway, request) => match result {
+                        KeptResult::Progressed => break Err(index),
+                        KeptResult::Failed => drop(kept.swap_remove(index)),
+                    }
+                }
+            }
+        };
+        self.kept = kept;
+        match opened {
+            Ok(Ok(upstream)) => self.receive(caller, attempt, upstream, trace).await,
+            Ok(Err(result)) => result,
+            Err(index) => AttemptResult::Overtaken(index),
+        }
+    }
+
+    /// Takes a connection to the first engine of an attempt's path and writes the request on it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the result of the attempt if it was not written.
+    async fn open_upstream(
+        &mut self,
+        attempt: &Attempt,
+        trace: &mut RequestTrace,
+    ) -> Result<Upstream, AttemptResult> {
         let gateway = self.gateway;
-        let first = &Rc::clone(chosen.first());
-        let mut in_flight = chosen.begin_requests(self.engine, self.request);
+        let chosen = &attempt.chosen;
+        let first = chosen.first();
+        let in_flight = chosen.begin_requests(self.engine, self.request);
         let limits = link::Limits {
             direct: CONNECT_TIMEOUT.min(self.time_left()),
             through_peer: THROUGH_PEER_TIMEOUT.min(self.time_left()),
         };
-        let mut acquired =
-            match link::acquire(gateway, first, &self.request.metadata.id, limits).await {
-                Ok(acquired) => acquired,
-                Err(error @ ConnectError::CutOff { .. }) => {
-                    trace.record_failure(error.to_string());
-                    return AttemptResult::CutOff;
-                }
-                Err(error) => {
-                    match self.engine {
-                        Some(_) => first.record_unresponsive(Instant::now()),
-                        None => first.record_failure(Instant::now()),
-                    }
-                    trace.record_failure(error.to_string());
-                    return AttemptResult::NotRun("no connection", Some(first.address()));
+        let acquired = match link::acquire(gateway, first, &self.request.metadata.id, limits).await
+        {
+            Ok(acquired) => acquired,
+            Err(error @ ConnectError::CutOff { .. }) => {
+                trace.record_failure(error.to_string());
+                return Err(AttemptResult::CutOff);
+            }
+            Err(error) => {
+                match self.engine {
+                    Some(_) => first.record_unresponsive(Instant::now()),
+                    None => first.record_failure(Instant::now()),
                 }
-            };
+                trace.record_failure(error.to_string());
+                return Err(AttemptResult::NotRun(
+                    "no connection",
+                    Some(first.address()),
+                ));
+            }
+        };
         if !first.accepts(Instant::now()) {
-            return AttemptResult::NotRun("engine takes no requests", None);
+            return Err(AttemptResult::NotRun("engine takes no requests", None));
         }
-        if gateway.is_admission_void(&self.admission, self.request) {
-            return AttemptResult::Quarantined;
+        if gateway.is_admission_void(&attempt.admission, self.request) {
+            return Err(AttemptResult::Quarantined);
         }
         // Keys are checked only before the first send: a request that was accepted continues under
         // the key that it came with.
         if trace.sends == 0 && self.request.team.is_some() && are_keys_stale(gateway) {
-            return AttemptResult::KeysStale;
+            return Err(AttemptResult::KeysStale);
         }
         let stages: Vec<Stage> = chosen.stages();
         let forwarding = Forwarding {
@@ -494,78 +615,108 @@
             self.first_engines.push(Rc::clone(first));
         }
         let sent_at = Instant::now();
-        self.progress = SendProgress::default();
         if acquired.connection.write_all(&out).await.is_err() {
             first.record_failure(Instant::now());
-            return AttemptResult::Lost("connection failed while sending");
+            return Err(AttemptResult::Lost("connection failed while sending"));
         }
-        let upstream = &mut acquired.connection;
-        let mut stall_timer = StallTimer::start(sent_at, gateway.run_clock.lost_time());
-        let mut crossed_answers = 0;
-        let (head, metadata) = loop {
-            let head = tokio::select! {
+        Ok(Upstream {
+            acquired,
+            in_flight,
+            stall_timer: StallTimer::start(sent_at, gateway.run_clock.lost_time()),
+            answer: Answer::none(),
+        })
+    }
+
+    /// Reads the answer of an attempt and relays it, until it ends, fails or is silent for so long that
+    /// the request must be sent again.
+    async fn receive(
+        &mut self,
+        caller: &mut Connection,
+        attempt: &mut Attempt,
+        mut upstream: Upstream,
+        trace: &mut RequestTrace,
+    ) -> AttemptResult {
+        let gateway = self.gateway;
+        let first = &Rc::clone(attempt.chosen.first());
+        while let Answer::Awaited { crossed_answers } = &mut upstream.answer {
+            let mut kept = std::mem::take(&mut self.kept);
+            let step = tokio::select! {
                 biased;
-                head = timeout_at(self.request.deadline, upstream.read_response()) => head,
-                () = caller.closed_by_peer(READ_AHEAD_LIMIT_BYTES) => return AttemptResult::CallerDisconnected,
-                () = self.wait_for_stall(chosen, &stall_timer) => {
-                    match self.repair(chosen, &mut in_flight, &mut stall_timer, trace).await {
-                        StallAction::KeepWaiting => continue,
-                        StallAction::Resend => return AttemptResult::Stalled,
-                    }
-                }
+                head = timeout_at(self.request.deadline, upstream.acquired.connection.read_response()) => Step::Read(head),
+                () = caller.closed_by_peer(READ_AHEAD_LIMIT_BYTES) => Step::CallerDisconnected,
+                (index, result) = attempt::wait_for_kept(&mut kept, gateway, self.request) => Step::Kept(index, result),
+                () = self.wait_for_stall(&attempt.chosen, &upstream.stall_timer) => Step::Silent,
             };
-            let head = match head {
-                Err(_) => return AttemptResult::DeadlineExceeded,
-                Ok(Err(_)) => {
+            self.kept = kept;
+            let head = match step {
+                Step::Read(Err(_)) => return AttemptResult::DeadlineExceeded,
+                Step::Read(Ok(Err(_))) => {
                     first.record_failure(Instant::now());
                     return AttemptResult::Lost("connection ended before the answer");
                 }
-                Ok(Ok(head)) => head,
+                Step::Read(Ok(Ok(head))) => head,
+                Step::CallerDisconnected => return AttemptResult::CallerDisconnected,
+                Step::Kept(index, KeptResult::Progressed) => {
+                    return AttemptResult::Overtaken(index);
+                }
+                Step::Kept(index, KeptResult::Failed) => {
+                    self.drop_failed(index);
+                    continue;
+                }
+                Step::Silent => match self.repair(attempt, &mut upstream, trace).await {
+                    StallAction::KeepWaiting => continue,
+                    StallAction::Resend => return AttemptResult::Stalled(Box::new(upstream)),
+                },
             };
             let metadata = gateway.parse_answer(first, &head);
-            if metadata.id.is_none() && acquired.is_reused {
+            if metadata.id.is_none() && upstream.acquired.is_reused {
                 return AttemptResult::Lost(UNNAMED_ANSWER);
             }
-            if is_response_to(&metadata, &self.request.metadata.id) {
-                break (head, metadata);
+            if !is_response_to(&metadata, &self.request.metadata.id) {
+                spdlog::warn!("answer.crossed", kv: {
+                    request = self.request.metadata.id.as_str(),
+                    answers = metadata.id.as_deref().unwrap_or_default(),
+                });
+                *crossed_answers += 1;
+                if *crossed_answers > CROSSED_ANSWERS_MAX {
+                    return AttemptResult::Lost("too many answers to other requests");
+                }
+                let mut decoder = BodyDecoder::new(head.framing);
+                // The answer belongs to another request. It is skipped if it is short; otherwise the
+                // connection is given up rather than waited for.
+                const MISMATCH_LIMIT_BYTES: usize = 64 << 10;
+                const MISMATCH_TIMEOUT: Duration = Duration::from_millis(300);
+                let connection = &mut upstream.acquired.connection;
+                let skipped = tokio::time::timeout(
+                    MISMATCH_TIMEOUT,
+                    connection.read_whole_body(&mut decoder, MISMATCH_LIMIT_BYTES),
+                );
+                if !matches!(skipped.await, Ok(Ok(Some(_)))) {
+                    return AttemptResult::Lost("crossed answer");
+                }
+                continue;
             }
-            spdlog::warn!("answer.crossed", kv: {
-                request = self.request.metadata.id.as_str(),
-                answers = metadata.id.as_deref().unwrap_or_default(),
-            });
-            crossed_answers += 1;
-            if crossed_answers > CROSSED_ANSWERS_MAX {
-                return AttemptResult::Lost("too many answers to other requests");
+            if !(200..300).contains(&head.status) {
+                let acquired = upstream.acquired;
+                let result = self
+                    .handle_error_status(acquired, first, &head, &metadata)
+                    .await;
+                trace.refused_sends += u32::from(matches!(result, AttemptResult::NotRun(..)));
+                return result;
             }
-            let mut decoder = BodyDecoder::new(head.framing);
-            // The answer belongs to another request. It is skipped if it is short; otherwise the
-            // connection is given up rather than waited for.
-            const MISMATCH_LIMIT_BYTES: usize = 64 << 10;
-            const MISMATCH_TIMEOUT: Duration = Duration::from_millis(300);
-            let skipped = tokio::time::timeout(
-                MISMATCH_TIMEOUT,
-                upstream.read_whole_body(&mut decoder, MISMATCH_LIMIT_BYTES),
-            )
-            .await;
-            if !matches!(skipped, Ok(Ok(Some(_)))) {
-                return AttemptResult::Lost("crossed answer");
+            if !metadata.is_sealed {
+                return AttemptResult::Lost("unsealed answer");
             }
-        };
-        if !(200..300).contains(&head.status) {
-            let result = self
-                .handle_error_status(acquired, first, &head, &metadata)
-                .await;
-            trace.refused_sends += u32::from(matches!(result, AttemptResult::NotRun(..)));
-            return result;
-        }
-        if !metadata.is_sealed {
-            return AttemptResult::Lost("unsealed answer");
+            attempt.progress.record_head();
+            let method = self.request.head.method.as_str();
+            upstream.answer = Answer::Begun(Begun::new(head, metadata, method));
         }
-        self.progress.record_head();
-        if !self.is_head_sent {
+        if let Answer::Begun(begun) = &upstream.answer
+            && !self.is_head_sent
+        {
             self.request.is_answer_begun.set(true);
             let out = render_head(
-                &head,
+                &begun.head,
                 RelayedBody::Chunked,
                 self.request.announce_keep_alive(gateway),
             );
@@ -574,24 +725,13 @@
             }
             self.is_head_sent = true;
         }
-        let mut decoder = match self.request.head.method.as_str() {
-            "HEAD" => BodyDecoder::new(Framing::Length(0)),
-            _ => BodyDecoder::new(head.framing),
-        };
-        let result = self
-            .relay(
-                caller,
-                upstream,
-                &mut decoder,
-                (chosen, &mut in_flight),
-                stall_timer,
-                trace,
-            )
-            .await;
-        if matches!(result, AttemptResult::Complete) && head.keep_alive {
-            first.pool.release(acquired, metadata.idle_timeout);
-        }
-        result
+        self.relay(caller, attempt, upstream, trace).await
+    }
+
+    /// Drops a kept attempt that failed.
+    fn drop_failed(&mut self, index: usize) {
+        let failed = self.kept.swap_remove(index);
+        self.abandon(&failed.attempt);
     }
 
     /// Reads an answer with an error status, and returns what it says of the request.
@@ -633,16 +773,10 @@
     async fn relay(
         &mut self,
         caller: &mut Connection,
-        upstream: &mut Connection,
-        decoder: &mut BodyDecoder,
-        (chosen, in_flight): (&mut ChosenPath, &mut Vec<InFlightGuard>),
-        mut stall_timer: StallTimer,
+        attempt: &mut Attempt,
+        mut upstream: Upstream,
         trace: &mut RequestTrace,
     ) -> AttemptResult {
-        let mut event_decoder = EventDecoder::default();
-        let is_framed = *decoder != BodyDecoder::new(Framing::UntilClose);
-        let mut is_answer_recorded = false;
-        let mut is_first = true;
         let mut out = Vec::new();
         loop {
             // While bytes are always available, the timeout below never fires, and no other task runs.
@@ -650,72 +784,66 @@
                 return AttemptResult::DeadlineExceeded;
             }
             tokio::task::consume_budget().await;
-            let piece = tokio::select! {
-                biased;
-                piece = timeout_at(self.request.deadline, upstream.read_body(decoder)) => piece,
-                () = caller.closed_by_peer(READ_AHEAD_LIMIT_BYTES) => return AttemptResult::CallerDisconnected,
-                () = self.wait_for_stall(chosen, &stall_timer) => {
-                    match self.repair(chosen, in_flight, &mut stall_timer, trace).await {
-                        StallAction::KeepWaiting => continue,
-                        StallAction::Resend => return AttemptResult::Stalled,
-                    }
-                }
+            let Answer::Begun(begun) = &mut upstream.answer else {
+                return AttemptResult::Lost("answer without a head");
             };
-            let piece = match piece {
-                Err(_) => return AttemptResult::DeadlineExceeded,
-                Ok(Err(_)) => return AttemptResult::Lost("stream broke off"),
-                // A target that is no engine may answer with something else than events. Its framing
-                // tells that the answer is whole.
-                Ok(Ok(None))
-                    if is_framed && self.engine.is_none() && event_decoder.has_partial_event() =>
-                {
-                    out.clear();
-                    push_chunk(&mut out, &event_decoder.take_rest());
-                    if caller.write_all(&out).await.is_err() {
-                        return AttemptResult::CallerDisconnected;
+            // A kept attempt may have read events already.
+            if !begun.event_decoder.has_event() {
+                let mut kept = std::mem::take(&mut self.kept);
+                let connection = &mut upstream.acquired.connection;
+                let step = tokio::select! {
+                    biased;
+                    piece = timeout_at(self.request.deadline, connection.read_body(&mut begun.decoder)) => Step::Read(piece),
+                    () = caller.closed_by_peer(READ_AHEAD_LIMIT_BYTES) => Step::CallerDisconnected,
+                    (index, result) = attempt::wait_for_kept(&mut kept, self.gateway, self.request) => Step::Kept(index, result),
+                    () = self.wait_for_stall(&attempt.chosen, &upstream.stall_timer) => Step::Silent,
+                };
+                self.kept = kept;
+                let piece = match step {
+                    Step::Read(Err(_)) => return AttemptResult::DeadlineExceeded,
+                    Step::Read(Ok(Err(_))) => return AttemptResult::Lost("stream broke off"),
+                    Step::Read(Ok(Ok(piece))) => piece,
+                    Step::CallerDisconnected => return AttemptResult::CallerDisconnected,
+                    Step::Kept(index, KeptResult::Progressed) => {
+                        return AttemptResult::Overtaken(index);
                     }
-                    if !is_answer_recorded {
-                        self.record_answer(chosen);
+                    Step::Kept(index, KeptResult::Failed) => {
+                        self.drop_failed(index);
+                        continue;
                     }
-                    return AttemptResult::Complete;
-                }
-                Ok(Ok(None)) if event_decoder.has_partial_event() => {
-                    return AttemptResult::Lost("torn event");
-                }
-                // An engine that ends closes its connections too.
-                Ok(Ok(None)) if !is_framed && self.progress.events == 0 => {
-                    return AttemptResult::Lost("stream ended without events");
-                }
-                Ok(Ok(None)) => {
-                    if is_framed && !is_answer_recorded {
-                        self.record_answer(chosen);
+                    Step::Silent => match self.repair(attempt, &mut upstream, trace).await {
+                        StallAction::KeepWaiting => continue,
+                        StallAction::Resend => return AttemptResult::Stalled(Box::new(upstream)),
+                    },
+                };
+                let Some(piece) = piece else {
+                    return self.end(caller, attempt, upstream).await;
+                };
+                out.clear();
+                if self.has_unnumbered_bytes || begun.event_decoder.push(&piece).is_err() {
+                    if self.engine.is_some() {
+                        return AttemptResult::Lost("event is too large");
+                    }
+                    // No event is that large: the answer is passed on as it is, without being held.
+                    if !self.has_unnumbered_bytes {
+                        spdlog::info!("stream.without_events", kv: {
+                            request = self.request.metadata.id.as_str(),
+                            target = attempt.chosen.first().id.as_str(),
+                        });
                     }
-                    return AttemptResult::Complete;
+                    self.has_unnumbered_bytes = true;
+                    push_chunk(&mut out, &begun.event_decoder.take_rest());
+                    push_chunk(&mut out, &piece);
                 }
-                Ok(Ok(Some(piece))) => piece,
-            };
+            }
             let now = Instant::now();
-            out.clear();
             let mut events = 0;
-            if self.has_unnumbered_bytes || event_decoder.push(&piece).is_err() {
-                if self.engine.is_some() {
-                    return AttemptResult::Lost("event is too large");
-                }
-                // No event is that large: the answer is passed on as it is, without being held.
-                if !self.has_unnumbered_bytes {
-                    spdlog::info!("stream.without_events", kv: {
-                        request = self.request.metadata.id.as_str(),
-                        target = chosen.first().id.as_str(),
-                    });
-                }
-                self.has_unnumbered_bytes = true;
-                push_chunk(&mut out, &event_decoder.take_rest());
-                push_chunk(&mut out, &piece);
+            if !out.is_empty() {
                 events = 1;
-                self.progress.record_event(now);
+                attempt.progress.record_event(now);
             }
-            while let Some(event) = event_decoder.take_event() {
-                self.progress.record_event(now);
+            while let Some(event) = begun.event_decoder.take_event() {
+                attempt.progress.record_event(now);
                 // A resumed stream may repeat events that were already sent; they are skipped.
                 if let (Some(id), Some(last_id)) = (event.id, self.last_event_id)
                     && id <= last_id
@@ -728,19 +856,22 @@
                 events += 1;
                 push_chunk(&mut out, &event.bytes);
             }
-            if !is_answer_recorded && self.progress.early().is_none() {
-                is_answer_recorded = true;
-                self.record_answer(chosen);
+            if !begun.is_recorded && attempt.progress.early().is_none() {
+                begun.is_recorded = true;
+                self.record_answer(attempt);
             }
             if events == 0 {
                 continue;
             }
-            chosen.record_progress(now, stall_timer.started_at, is_first);
-            if is_first {
+            self.end_overtaken(trace);
+            let chosen = &attempt.chosen;
+            let silent_since = upstream.stall_timer.started_at;
+            chosen.record_progress(now, silent_since, begun.is_first);
+            if begun.is_first {
                 chosen.first().record_begun();
             }
-            if !is_first && self.engine.is_some() {
-                let pause = now.duration_since(stall_timer.started_at);
+            if !begun.is_first && self.engine.is_some() {
+                let pause = now.saturating_duration_since(silent_since);
                 faults::query_slow_engine(self.gateway, chosen, pause);
             }
             if trace.events == 0 {
@@ -750,24 +881,64 @@
                 trace.longest_pause_ms = trace.longest_pause_ms.max(pause);
             }
             trace.events += events;
-            is_first = false;
+            begun.is_first = false;
             let longest_pause = Duration::from_millis(trace.longest_pause_ms);
             let lost = self.gateway.run_clock.lost_time();
-            stall_timer = match self.engine {
+            upstream.stall_timer = match self.engine {
                 Some(_) => StallTimer::start_at_event(now, lost, chosen, longest_pause),
                 None => StallTimer::start(now, lost),
             };
             self.last_sent_at = now;
+            let written = caller.write_all(&out).await;
+            out.clear();
+            if written.is_err() {
+                return AttemptResult::CallerDisconnected;
+            }
+        }
+    }
+
+    /// Passes on the end of an answer, or returns why it can't be the end of the stream.
+    async fn end(
+        &mut self,
+        caller: &mut Connection,
+        attempt: &Attempt,
+        upstream: Upstream,
+    ) -> AttemptResult {
+        let Answer::Begun(mut begun) = upstream.answer else {
+            return AttemptResult::Lost("answer without a head");
+        };
+        let is_framed = begun.is_framed();
+        if begun.event_decoder.has_partial_event() {
+            if !is_framed || self.engine.is_some() {
+                return AttemptResult::Lost("torn event");
+            }
+            // A target that is no engine may answer with something else than events. Its framing tells
+            // that the answer is whole.
+            let mut out = Vec::new();
+            push_chunk(&mut out, &begun.event_decoder.take_rest());
             if caller.write_all(&out).await.is_err() {
                 return AttemptResult::CallerDisconnected;
             }
+        } else if !is_framed && attempt.progress.events == 0 {
+            // An engine that ends closes its connections too.
+            return AttemptResult::Lost("stream ended without events");
+        }
+        if is_framed && !begun.is_recorded {
+            self.record_answer(attempt);
+        }
+        if begun.head.keep_alive {
+            let first = attempt.chosen.first();
+            first
+                .pool
+                .release(upstream.acquired, begun.metadata.idle_timeout);
         }
+        AttemptResult::Complete
     }
 
-    fn record_answer(&self, chosen: &ChosenPath) {
-        let (request, admission) = (self.request, &self.admission);
+    fn record_answer(&self, attempt: &Attempt) {
+        let first = attempt.chosen.first();
         self.gateway
-            .record_target_answer(request, admission, chosen.first(), OK_STATUS);
+            .record_target_answer(self.request, &attempt.admission, first, OK_STATUS);
     }
 
     fn time_left(&self) -> Duration {
--- a/crates/anvil_gateway/src/stream/repair.rs
+++ b/crates/anvil_gateway/src/stream/repair.rs
@@ -24,18 +24,20 @@
         self,
         ChosenPath, //
     },
-    plain,
     port::{
         RepathOrder,
         RepathResponse, //
     },
-    target::{
-        InFlightGuard,
-        Target, //
-    },
+    target::Target, //
 };
 
-use super::Relay;
+use super::{
+    Relay,
+    attempt::{
+        Attempt,
+        Upstream, //
+    },
+};
 
 #[cfg(test)]
 mod tests;
@@ -49,7 +51,7 @@
 /// Time between two such queries. A report of an engine is a few hundred ms old, so that asking
 /// more often tells little.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Time without events after which the request is sent again. Callers disconnect after two
+/// Time without events after which the request is sent again beside the first attempt. Callers disconnect after two
 /// seconds without events, and resuming takes a few hundred ms.
 const STALL_RESEND_DELAY: Duration = Duration::from_millis(1300);
 /// Time from a repair until the request is sent again if no event arrives. The new engines first
@@ -74,6 +76,8 @@
     checked_at: Option<Instant>,
     /// When the stream was last repaired; `None` without a repair in this period.
     repaired_at: Option<Instant>,
+    /// When it may be sent again after the request was, or could not be; `None` before that.
+    resend_after: Option<Instant>,
 }
 
 impl StallTimer {
@@ -86,6 +90,7 @@
             probe_at: None,
             checked_at: None,
             repaired_at: None,
+            resend_after: None,
         }
     }
 
@@ -113,10 +118,14 @@
         self.probe_at.map_or(report_at, |at| at.min(report_at))
     }
 
-    /// Returns when to give up waiting and send the request again.
+    /// Returns when to send the request again beside this attempt.
     fn resend_at(&self) -> Instant {
         let after_repair = self.repaired_at.map(|at| at + REPAIR_RESEND_DELAY);
-        (self.started_at + STALL_RESEND_DELAY).max(after_repair.unwrap_or(self.started_at))
+        let after_stall = self.started_at + STALL_RESEND_DELAY;
+        [after_repair, self.resend_after]
+            .into_iter()
+            .flatten()
+            .fold(after_stall, Instant::max)
     }
 }
 
@@ -124,7 +133,7 @@
 pub(super) enum StallAction {
     /// Keep waiting for events on the current path.
     KeepWaiting,
-    /// Send the request again.
+    /// Send the request again on the path that was reserved, beside the current attempt.
     Resend,
 }
 
@@ -152,40 +161,41 @@
     /// Finds the engine that a stalled stream waits for, by a probe of its path first and by the first
     /// engine's report later, and moves the stream to a path without it.
     /// The engines that still work keep the memory of the stream, and the request isn't sent again.
-    /// Returns [`StallAction::Resend`] without a check if a resumable stream has stalled so long
-    /// that its request must be sent again.
+    /// Returns [`StallAction::Resend`] if a resumable stream has stalled so long that its request is to
+    /// be sent again, and it may be.
     pub(super) async fn repair(
         &mut self,
-        chosen: &mut ChosenPath,
-        in_flight: &mut Vec<InFlightGuard>,
-        stall_timer: &mut StallTimer,
+        attempt: &mut Attempt,
+        upstream: &mut Upstream,
         trace: &mut RequestTrace,
     ) -> StallAction {
         let is_resumable = self.request.route.semantics == RequestSemantics::ResumableStream;
         let Some(engine) = self.engine else {
-            return self.check_target(chosen, stall_timer, is_resumable).await;
+            return self.check_target(attempt, upstream, is_resumable).await;
         };
+        let stall_timer = &mut upstream.stall_timer;
         if is_resumable && Instant::now() >= stall_timer.resend_at() {
-            self.log_silence(chosen.first(), stall_timer, "silence", "sent again");
-            return StallAction::Resend;
+            return self.resend(attempt, stall_timer, "silence");
         }
+        let chosen = &mut attempt.chosen;
         let is_probe = stall_timer.probe_at.take().is_some();
         let result = match is_probe {
             true => match self.probe(chosen, stall_timer.started_at).await {
                 Some(lost)
                     if is_resumable && lost.iter().any(|lost| Rc::ptr_eq(lost, chosen.first())) =>
                 {
-                    return StallAction::Resend;
+                    return self.resend(attempt, stall_timer, "probe");
                 }
                 Some(lost) => {
-                    tokio::time::timeout(REPAIR_TIMEOUT, self.order_path(engine, chosen, lost))
-                        .await
+                    let order = self.order_path(engine, chosen, lost);
+                    tokio::time::timeout(REPAIR_TIMEOUT, order).await
                 }
                 None => return StallAction::KeepWaiting,
             },
             false => {
                 stall_timer.checked_at = Some(Instant::now());
-                tokio::time::timeout(REPAIR_TIMEOUT, self.order_repair(engine, chosen)).await
+                let order = self.order_repair(engine, chosen);
+                tokio::time::timeout(REPAIR_TIMEOUT, order).await
             }
         };
         let outcome = match result {
@@ -193,7 +203,7 @@
                 trace
                     .via
                     .push(format!("repaired {}", repaired.to_log_string()));
-                *in_flight = repaired.begin_requests(self.engine, self.request);
+                upstream.in_flight = repaired.begin_requests(self.engine, self.request);
                 *chosen = repaired;
                 stall_timer.repaired_at = Some(Instant::now());
                 "repaired"
@@ -212,12 +222,52 @@
         StallAction::KeepWaiting
     }
 
+    /// Decides whether the request of a silent attempt is sent again beside it, and reserves the path and
+    /// the retry if so. The attempt goes on in either case.
+    fn resend(
+        &mut self,
+        attempt: &Attempt,
+        stall_timer: &mut StallTimer,
+        evidence: &str,
+    ) -> StallAction {
+        let (outcome, delay) = match self.reserve_path(attempt) {
+            Ok(reserved) => {
+                self.reserved = Some(reserved);
+                ("sent again", STALL_RESEND_DELAY)
+            }
+            Err(reason) => (reason, STALL_CHECK_INTERVAL),
+        };
+        stall_timer.resend_after = Some(Instant::now() + delay);
+        self.log_silence(attempt.chosen.first(), stall_timer, evidence, outcome);
+        match self.reserved {
+            Some(_) => StallAction::Resend,
+            None => StallAction::KeepWaiting,
+        }
+    }
+
+    /// Chooses a path for another send beside a silent attempt, and takes a retry from the budget.
+    ///
+    /// # Errors
+    ///
+    /// Returns a text for the log if no other send may be made, or none has a better chance.
+    fn reserve_path(&mut self, attempt: &Attempt) -> Result<ChosenPath, &'static str> {
+        if self.has_unnumbered_bytes {
+            return Err("kept: not resumable");
+        }
+        self.failed.push(Rc::clone(attempt.chosen.first()));
+        let chosen = self.choose().map_err(|_| "kept: no other path")?;
+        if !self.gateway.try_retry(self.request.service_id) {
+            return Err("kept: retry budget exhausted");
+        }
+        Ok(chosen)
+    }
+
     /// Logs what was found about a silent stream, with what else is silent.
     fn log_silence(&self, first: &Target, stall_timer: &StallTimer, evidence: &str, outcome: &str) {
         let gateway = self.gateway;
+        let host_late = gateway.run_clock.lost_time() - stall_timer.lost_before;
         let extent =
             faults::silence_extent(gateway, self.request.service_id, stall_timer.started_at);
-        let host_late = gateway.run_clock.lost_time() - stall_timer.lost_before;
         spdlog::info!("stream.silent", kv: {
             request = self.request.metadata.id.as_str(),
             first = first.id.as_str(),
@@ -235,41 +285,27 @@
     /// connection that may have gone silent. A pause alone says nothing.
     async fn check_target(
         &mut self,
-        chosen: &ChosenPath,
-        stall_timer: &mut StallTimer,
+        attempt: &Attempt,
+        upstream: &mut Upstream,
         is_resumable: bool,
     ) -> StallAction {
-        let target = chosen.first();
+        let target = attempt.chosen.first();
         let check = faults::check_state(self.gateway, target);
         let state = tokio::time::timeout(REPAIR_TIMEOUT, check)
             .await
             .unwrap_or(ProcessState::Unreachable);
+        let stall_timer = &mut upstream.stall_timer;
         stall_timer.checked_at = Some(Instant::now());
-        let is_unanswered = self.progress.early() == Some(Progress::Unanswered);
+        let is_unanswered = attempt.progress.early() == Some(Progress::Unanswered);
         let is_lost = state != ProcessState::Alive;
         if is_lost {
             target.record_failure(Instant::now());
         }
-        let may_resend = is_resumable
-            && (is_lost || is_unanswered)
-            && !self.has_unnumbered_bytes
-            && self.has_other_target(target)
-            && self.gateway.try_retry(self.request.service_id);
-        let outcome = if may_resend { "sent again" } else { "kept" };
-        self.log_silence(target, stall_timer, state.as_str(), outcome);
-        if !may_resend {
-            return StallAction::KeepWaiting;
+        if is_resumable && (is_lost || is_unanswered) {
+            return self.resend(attempt, stall_timer, state.as_str());
         }
-        self.has_reserved_retry = true;
-        StallAction::Resend
-    }
-
-    /// Returns whether the request may be sent to a target beside those that it was sent to.
-    fn has_other_target(&self, current: &Rc<Target>) -> bool {
-        let is_allowed = self.first_engines.len() < self.request.route.attempts_max as usize;
-        let mut tried = [self.first_engines.as_slice(), self.failed.as_slice()].concat();
-        tried.push(Rc::clone(current));
-        is_allowed && plain::choose(self.gateway, self.request, &tried).is_some()
+        self.log_silence(target, stall_timer, state.as_str(), "kept");
+        StallAction::KeepWaiting
     }
 
     /// Probes the engines of a path whose stream is silent. Returns those that are lost, or `None` if
--- a/crates/anvil_gateway/src/stream/tests.rs
+++ b/crates/anvil_gateway/src/stream/tests.rs
@@ -246,13 +246,72 @@
             });
         }
         let start = Instant::now();
-        let result = host.call(&["part"]).await;
+        let result = host.call_within(Duration::from_secs(3)).await;
         expect_that!(result, eq(CallerResult::Broken));
         // Before the deadline of the route.
         expect_that!(start.elapsed(), lt(Duration::from_secs(20)));
     });
 }
 
+/// Longer than a stream is waited for before it is sent again, and shorter than callers wait.
+const LONG_PAUSE: Duration = Duration::from_millis(1900);
+
+/// Guards against a sound stream that is cut because its engine pauses (LOST).
+#[gtest]
+fn serve_completes_stream_whose_engines_pause() {
+    run(async {
+        let fleet = Fleet::start(121, 2).await;
+        let host = fleet.start_host(0).await;
+        for engine in &fleet.engines {
+            engine.behaviour.set(Behaviour::PausesOnce {
+                events: 8,
+                before: 4,
+                pause: LONG_PAUSE,
+            });
+        }
+        expect_that!(host.call(&["part"]).await, eq(CallerResult::Complete));
+        expect_that!(fleet.run_count(&host.last_id()), le(2));
+    });
+}
+
+/// The same where the engines pause before the head of their answers.
+#[gtest]
+fn serve_completes_stream_whose_engines_answer_late() {
+    run(async {
+        let fleet = Fleet::start(122, 2).await;
+        let host = fleet.start_host(0).await;
+        for engine in &fleet.engines {
+            engine.head_delay.set(LONG_PAUSE);
+        }
+        expect_that!(host.call(&["part"]).await, eq(CallerResult::Complete));
+        expect_that!(fleet.run_count(&host.last_id()), le(2));
+    });
+}
+
+/// Guards against streams that are cut when all engines pause and the retry budget is spent (LOST).
+#[gtest]
+fn serve_completes_streams_when_all_engines_pause_at_once() {
+    run(async {
+        let fleet = Fleet::start(123, 3).await;
+        let hosts = [fleet.start_host(0).await, fleet.start_host(1).await];
+        wait_for_peers(&[&hosts[0], &hosts[1]]).await;
+        for engine in &fleet.engines {
+            engine.behaviour.set(Behaviour::PausesOnce {
+                events: 8,
+                before: 4,
+                pause: LONG_PAUSE,
+            });
+        }
+        let service = "model".into();
+        for host in &hosts {
+            while host.gateway.try_retry(&service) {}
+        }
+        let calls = (0..40).map(|index| hosts[index % 2].call(&["part"]));
+        let results = futures::future::join_all(calls).await;
+        expect_that!(results, each(eq(&CallerResult::Complete)));
+    });
+}
+
 /// Guards against an engine that fails each request at once, and gets most of them because it has the
 /// fewest in flight.
 #[gtest]
--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -180,6 +180,8 @@
     pub(crate) silent_request_count: Cell<u32>,
     /// How it answers requests that don't end it.
     pub(crate) behaviour: Cell<Behaviour>,
+    /// Time before the head of a stream.
+    pub(crate) head_delay: Cell<Duration>,
     /// Event that it wrote last, of any stream.
     pub(crate) last_event: Cell<u32>,
     /// Bytes of its last answer that was cut from which on a caller may see a success.
@@ -223,6 +225,12 @@
     Late(Duration),
     /// A stream of some events, each after a pause.
     Slow { events: u32, pause: Duration },
+    /// A stream of some events at short intervals, with one long pause before one of them.
+    PausesOnce {
+        events: u32,
+        before: u32,
+        pause: Duration,
+    },
     /// A stream of one event and the start of a second one, of which a byte comes after each pause.
     Stalled { pause: Duration },
 }
@@ -250,6 +258,7 @@
             silent_connections: RefCell::default(),
             silent_request_count: Cell::new(0),
             behaviour: Cell::default(),
+            head_delay: Cell::default(),
             last_event: Cell::default(),
             success_bytes: Cell::default(),
         });
@@ -308,11 +317,21 @@
 
     /// Writes a stream from its event `first` on.
     async fn write_stream(&self, connection: &Connection, first: u32) -> io::Result<()> {
-        let Behaviour::Slow { events, pause } = self.behaviour.get() else {
-            return write_events(connection, self.behaviour.get()).await;
+        const SHORT_PAUSE: Duration = Duration::from_millis(10);
+        let (events, pause_before): (u32, &dyn Fn(u32) -> Duration) = match self.behaviour.get() {
+            Behaviour::Slow { events, pause } => (events, &move |_| pause),
+            Behaviour::PausesOnce {
+                events,
+                before,
+                pause,
+            } => (events, &move |id| match id == before {
+                true => pause,
+                false => SHORT_PAUSE,
+            }),
+            behaviour => return write_events(connection, behaviour).await,
         };
         for id in first..=events {
-            sleep(pause).await;
+            sleep(pause_before(id)).await;
             let event = format!("id: {id}\ndata: a\n\n");
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             connection.write_all(chunk.as_bytes()).await?;
@@ -417,6 +436,7 @@
                     | Behaviour::BreaksOff
                     | Behaviour::Cut { .. }
                     | Behaviour::Slow { .. }
+                    | Behaviour::PausesOnce { .. }
                     | Behaviour::Stalled { .. } => {
                         written.push_str(&answer);
                     }
@@ -443,6 +463,7 @@
                     .write_cut(&connection, &answer, bytes, answer.len())
                     .await;
             }
+            sleep(self.head_delay.get()).await;
             if connection.write_all(begun.as_bytes()).await.is_err() {
                 return;
             }
@@ -472,7 +493,7 @@
     fn is_stream(self) -> bool {
         matches!(
             self,
-            Self::Slow { .. } | Self::BreaksOff | Self::Stalled { .. }
+            Self::Slow { .. } | Self::PausesOnce { .. } | Self::BreaksOff | Self::Stalled { .. }
         )
     }
 }
@@ -483,7 +504,9 @@
 
 async fn write_events(connection: &Connection, behaviour: Behaviour) -> io::Result<()> {
     match behaviour {
-        Behaviour::Slow { .. } => unreachable!("its events are counted"),
+        Behaviour::Slow { .. } | Behaviour::PausesOnce { .. } => {
+            unreachable!("its events are counted")
+        }
         Behaviour::BreaksOff => {
             connection.write_all(b"f\r\nid: 1\ndata: a\n\n\r\n").await?;
             Err(io::ErrorKind::ConnectionReset.into())
@@ -546,6 +569,9 @@
             prompt_tokens: 10,
             answer_limit_tokens: 10,
             shared_parts: parts_of(head),
+            budget: (head.headers.text("budget-ms"))
+                .and_then(|text| text.parse().ok())
+                .map(Duration::from_millis),
             ..RequestMetadata::default()
         })
     }
@@ -867,6 +893,12 @@
         self.exchange(path, &headers, body).await
     }
 
+    /// Sends a request to the model that is given up by its caller after `budget`.
+    pub(crate) async fn call_within(&self, budget: Duration) -> CallerResult {
+        let headers = format!("budget-ms: {}\r\n", budget.as_millis());
+        self.exchange(MODEL_PATH, &headers, "").await
+    }
+
     /// Sends a request to a plain service and reads its answer.
     pub(crate) async fn call_plain(&self, path: &str, key: &str, body: &str) -> CallerResult {
         self.exchange(path, &format!("key: {key}\r\n"), body).await
