--- a/crates/anvil_gateway/src/faults.rs
+++ b/crates/anvil_gateway/src/faults.rs
@@ -46,8 +46,6 @@
 /// Time after the last event of a stream within which events of other streams may be of the same
 /// pass of the engines.
 const SAME_PASS_TIME: Duration = Duration::from_millis(20);
-/// Largest number of engines of a stalled path that are all recorded as unresponsive.
-const SUSPECTS_MAX: usize = 2;
 
 /// Records a refusal, so that the engine at fault is avoided, or the first engine of the path if
 /// none is named or the named one is not listed. Returns that engine.
@@ -133,23 +131,22 @@
     used > MAYBE_FULL_USED_SHARE_MIN * engine.capacity_token_layers(*kind, layers.count())
 }
 
-/// Records a stall: engines that made no recent progress with other requests either are avoided. If
-/// there are more than `SUSPECTS_MAX`, most of them are healthy, so none is reported to peers.
-pub fn record_stall(chosen: &ChosenPath) {
+/// Returns the engines of a path that have made no progress with any request since `silent_since`.
+pub fn silent_engines(
+    chosen: &ChosenPath,
+    silent_since: Instant,
+) -> impl Iterator<Item = &Rc<Target>> {
+    let targets = chosen.hops.iter().map(|hop| &hop.target);
+    targets.filter(move |target| !target.progressed_since(silent_since + SAME_PASS_TIME))
+}
+
+/// Records that a stream went on along another path before this one had an event: the engines without
+/// progress are used only where there is no path without them. Silence alone is no reason to avoid an
+/// engine, since it may be that of one sequence or of this host.
+pub fn record_overtaken(chosen: &ChosenPath, silent_since: Instant) {
     let now = Instant::now();
-    let suspects: Vec<&Rc<Target>> = chosen
-        .hops
-        .iter()
-        .map(|hop| &hop.target)
-        .filter(|target| !target.progressed_since(now - LIVENESS_WINDOW))
-        .collect();
-    let is_certain = suspects.len() <= SUSPECTS_MAX;
-    for target in suspects {
-        if is_certain {
-            target.record_unresponsive(now);
-        } else {
-            target.record_failure(now);
-        }
+    for target in silent_engines(chosen, silent_since) {
+        target.record_slower(now);
     }
 }
 
--- a/crates/anvil_gateway/src/paths.rs
+++ b/crates/anvil_gateway/src/paths.rs
@@ -222,20 +222,25 @@
     pub failed: &'a [Rc<Target>],
 }
 
-/// Chooses a path for a request. Excludes engines that failed it, unless there is no path without
-/// them.
+/// Chooses a path for a request. Excludes engines that failed it, and engines at which a silent stream
+/// was overtaken, unless there is no path without them.
 ///
 /// # Errors
 ///
-/// Returns [`Blocked`] if there is no path even with the engines that failed the request.
+/// Returns [`Blocked`] if there is no path even with these engines.
 pub fn choose(
     gateway: &Gateway,
     request: &RequestContext<'_>,
     engine: &EngineProfile,
     attempts: &PriorAttempts<'_>,
 ) -> Result<ChosenPath, Blocked> {
-    choose_excluding(gateway, request, engine, attempts, attempts.failed).or_else(|error| {
-        if attempts.failed.is_empty() {
+    let now = Instant::now();
+    let targets = gateway.targets.of_service(request.service_id);
+    let slower = targets.into_iter().filter(|target| target.is_slower(now));
+    let mut excluded = attempts.failed.to_vec();
+    excluded.extend(slower);
+    choose_excluding(gateway, request, engine, attempts, &excluded).or_else(|error| {
+        if excluded.is_empty() {
             return Err(error);
         }
         choose_excluding(gateway, request, engine, attempts, &[])
@@ -418,7 +423,8 @@
                 let data_centre = index_or_insert(&mut data_centres, &entry.data_centre);
                 let (layers, _) = entry.layers?;
                 let kind = *engine.kinds.get(entry.kind.as_ref()?)?;
-                let is_avoided = target.is_avoided(now) || !target.closed_for(now).is_zero();
+                let is_avoided = target.is_avoided(now) && !target.is_slower(now)
+                    || !target.closed_for(now).is_zero();
                 let is_excluded = excluded.iter().any(|other| Rc::ptr_eq(other, target));
                 let is_avoided_by_peers = trusts_avoidance
                     && peers_view.avoided.contains_key(&target.id_hash)
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -353,9 +353,6 @@
                         first.pool.doubt(&first.id);
                     }
                     trace.record_failure(format!("{}: stalled", first.id));
-                    if self.engine.is_some() {
-                        faults::record_stall(&attempt.chosen);
-                    }
                     self.kept.push(Kept {
                         attempt,
                         upstream: *upstream,
@@ -399,6 +396,7 @@
     fn end_overtaken(&mut self, trace: &mut RequestTrace) {
         for kept in &self.kept {
             trace.record_failure(format!("{}: overtaken", kept.attempt.chosen.first().id));
+            faults::record_overtaken(&kept.attempt.chosen, kept.silent_since());
         }
         self.end_kept();
     }
--- a/crates/anvil_gateway/src/stream/attempt.rs
+++ b/crates/anvil_gateway/src/stream/attempt.rs
@@ -2,6 +2,7 @@
 
 use anvil_core::quarantine::Admission;
 use futures::future;
+use tokio::time::Instant;
 
 use crate::{
     events::EventDecoder,
@@ -157,6 +158,11 @@
         }
         KeptResult::Progressed
     }
+
+    /// Returns since when the attempt has been silent.
+    pub(super) fn silent_since(&self) -> Instant {
+        self.upstream.stall_timer.started_at
+    }
 }
 
 /// Waits until a kept attempt has an event or fails. Returns its index. Waits forever without any. May be
--- a/crates/anvil_gateway/src/stream/repair.rs
+++ b/crates/anvil_gateway/src/stream/repair.rs
@@ -230,7 +230,7 @@
         stall_timer: &mut StallTimer,
         evidence: &str,
     ) -> StallAction {
-        let (outcome, delay) = match self.reserve_path(attempt) {
+        let (outcome, delay) = match self.reserve_path(attempt, stall_timer.started_at) {
             Ok(reserved) => {
                 self.reserved = Some(reserved);
                 ("sent again", STALL_RESEND_DELAY)
@@ -250,11 +250,16 @@
     /// # Errors
     ///
     /// Returns a text for the log if no other send may be made, or none has a better chance.
-    fn reserve_path(&mut self, attempt: &Attempt) -> Result<ChosenPath, &'static str> {
+    fn reserve_path(
+        &mut self,
+        attempt: &Attempt,
+        silent_since: Instant,
+    ) -> Result<ChosenPath, &'static str> {
         if self.has_unnumbered_bytes {
             return Err("kept: not resumable");
         }
-        self.failed.push(Rc::clone(attempt.chosen.first()));
+        let silent = faults::silent_engines(&attempt.chosen, silent_since);
+        self.failed.extend(silent.map(Rc::clone));
         let chosen = self.choose().map_err(|_| "kept: no other path")?;
         if !self.gateway.try_retry(self.request.service_id) {
             return Err("kept: retry budget exhausted");
--- a/crates/anvil_gateway/src/stream/tests.rs
+++ b/crates/anvil_gateway/src/stream/tests.rs
@@ -312,6 +312,36 @@
     });
 }
 
+/// Guards against engines that take no requests because one stream was silent there.
+#[gtest]
+fn serve_uses_engines_of_silent_stream_for_other_requests() {
+    run(async {
+        let fleet = Fleet::start(124, 2).await;
+        let host = fleet.start_host(0).await;
+        let set_all = |behaviour| {
+            for engine in &fleet.engines {
+                engine.behaviour.set(behaviour);
+            }
+        };
+        set_all(Behaviour::PausesOnce {
+            events: 8,
+            before: 4,
+            pause: Duration::from_secs(4),
+        });
+        let others = async {
+            sleep(Duration::from_millis(500)).await;
+            set_all(Behaviour::Sound);
+            // Until the silent stream has been sent again and both of its sends are silent.
+            for _ in 0..30 {
+                expect_that!(host.call(&["part"]).await, eq(CallerResult::Complete));
+                sleep(Duration::from_millis(100)).await;
+            }
+        };
+        let (silent, ()) = tokio::join!(host.call(&["silent"]), others);
+        expect_that!(silent, eq(CallerResult::Complete));
+    });
+}
+
 /// Guards against an engine that fails each request at once, and gets most of them because it has the
 /// fewest in flight.
 #[gtest]
--- a/crates/anvil_gateway/src/target.rs
+++ b/crates/anvil_gateway/src/target.rs
@@ -63,6 +63,9 @@
     /// It refuses new requests although it is alive and has capacity: it is leaving, or gives up
     /// its layers.
     Refusing,
+    /// A stream that was silent there went on elsewhere. It is used where there is no path without it,
+    /// and peers are not informed.
+    Slower,
 }
 
 /// State of one run of a target. A target that restarts gets a new one.
@@ -256,6 +259,16 @@
         self.avoid(now, AVOID_UNRESPONSIVE_MIN, AvoidReason::Unresponsive);
     }
 
+    /// Records that a stream which was silent at the target went on elsewhere.
+    pub fn record_slower(&self, now: Instant) {
+        self.avoid(now, AVOID_MIN, AvoidReason::Slower);
+    }
+
+    /// Returns whether the target is avoided only in favour of others.
+    pub fn is_slower(&self, now: Instant) -> bool {
+        self.is_avoided(now) && self.avoid_reason.get() == AvoidReason::Slower
+    }
+
     /// Records that the target refused a request although it is alive and has capacity.
     pub fn record_refusing(&self, now: Instant) {
         self.avoid(now, AVOID_UNRESPONSIVE_MIN, AvoidReason::Refusing);
@@ -282,7 +295,7 @@
     }
 
     fn avoid(&self, now: Instant, min: Duration, reason: AvoidReason) {
-        if self.is_avoided(now) {
+        if self.is_avoided(now) && !self.is_slower(now) {
             // Requests that are in flight together fail together and count once.
             return;
         }
