Bound the sends of a silent stream by the route's attempts (BUDGET)

The trial showed six sends and more for one request of a route with MaxAttempts 2: engines that had it before could be tried again without end.

A silent request is sent again only while its sends are fewer than the route allows, and a request whose sends are lost, as engines end under it, is given up after four. The test failed before.

--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -103,6 +103,8 @@
 const OK_STATUS: u16 = 200;
 /// Refusals without execution after which a request is given up.
 const REFUSALS_MAX: u32 = 4;
+/// Lost sends after which a request is given up.
+const LOSSES_MAX: u32 = 4;
 
 /// The result of sending a request along one path.
 enum AttemptResult {
@@ -204,6 +206,7 @@
     async fn run(&mut self, caller: &mut Connection, trace: &mut RequestTrace) -> RequestOutcome {
         let is_resumable = self.request.route.semantics == RequestSemantics::ResumableStream;
         let mut refusals = 0;
+        let mut losses = 0;
         let mut no_path_since: Option<Instant> = None;
         let mut next: Option<Kept> = None;
         loop {
@@ -369,6 +372,10 @@
                 self.may_have_run = true;
                 return self.give_up(ErrorReason::AnswerLost, failure);
             }
+            losses += u32::from(self.may_have_run);
+            if losses > LOSSES_MAX {
+                return self.give_up(ErrorReason::AnswerLost, failure);
+            }
             if trace.sends > 0 && !self.gateway.try_retry(self.request.service_id) {
                 trace.record_failure("retry budget exhausted");
                 return self.give_up(ErrorReason::Overloaded, failure);
--- a/crates/anvil_gateway/src/stream/repair.rs
+++ b/crates/anvil_gateway/src/stream/repair.rs
@@ -171,11 +171,13 @@
     ) -> StallAction {
         let is_resumable = self.request.route.semantics == RequestSemantics::ResumableStream;
         let Some(engine) = self.engine else {
-            return self.check_target(attempt, upstream, is_resumable).await;
+            return self
+                .check_target(attempt, upstream, is_resumable, trace)
+                .await;
         };
         let stall_timer = &mut upstream.stall_timer;
         if is_resumable && Instant::now() >= stall_timer.resend_at() {
-            return self.resend(attempt, stall_timer, "silence");
+            return self.resend(attempt, stall_timer, "silence", trace);
         }
         let chosen = &mut attempt.chosen;
         let is_probe = stall_timer.probe_at.take().is_some();
@@ -184,7 +186,7 @@
                 Some(lost)
                     if is_resumable && lost.iter().any(|lost| Rc::ptr_eq(lost, chosen.first())) =>
                 {
-                    return self.resend(attempt, stall_timer, "probe");
+                    return self.resend(attempt, stall_timer, "probe", trace);
                 }
                 Some(lost) => {
                     let order = self.order_path(engine, chosen, lost);
@@ -229,8 +231,9 @@
         attempt: &Attempt,
         stall_timer: &mut StallTimer,
         evidence: &str,
+        trace: &RequestTrace,
     ) -> StallAction {
-        let (outcome, delay) = match self.reserve_path(attempt, stall_timer.started_at) {
+        let (outcome, delay) = match self.reserve_path(attempt, stall_timer.started_at, trace) {
             Ok(reserved) => {
                 self.reserved = Some(reserved);
                 ("sent again", STALL_RESEND_DELAY)
@@ -254,10 +257,14 @@
         &mut self,
         attempt: &Attempt,
         silent_since: Instant,
+        trace: &RequestTrace,
     ) -> Result<ChosenPath, &'static str> {
         if self.has_unnumbered_bytes {
             return Err("kept: not resumable");
         }
+        if trace.sends - trace.refused_sends >= self.request.route.attempts_max {
+            return Err("kept: as many sends as the route allows");
+        }
         let silent = faults::silent_engines(&attempt.chosen, silent_since);
         self.failed.extend(silent.map(Rc::clone));
         let chosen = self.choose().map_err(|_| "kept: no other path")?;
@@ -293,6 +300,7 @@
         attempt: &Attempt,
         upstream: &mut Upstream,
         is_resumable: bool,
+        trace: &RequestTrace,
     ) -> StallAction {
         let target = attempt.chosen.first();
         let check = faults::check_state(self.gateway, target);
@@ -307,7 +315,7 @@
             target.record_failure(Instant::now());
         }
         if is_resumable && (is_lost || is_unanswered) {
-            return self.resend(attempt, stall_timer, state.as_str());
+            return self.resend(attempt, stall_timer, state.as_str(), trace);
         }
         self.log_silence(target, stall_timer, state.as_str(), "kept");
         StallAction::KeepWaiting
--- a/crates/anvil_gateway/src/stream/tests.rs
+++ b/crates/anvil_gateway/src/stream/tests.rs
@@ -342,6 +342,23 @@
     });
 }
 
+/// Guards against a silent stream that is sent again and again (BUDGET).
+#[gtest]
+fn serve_sends_silent_stream_as_often_as_route_allows() {
+    run(async {
+        let fleet = Fleet::start(126, 4).await;
+        let host = fleet.start_host(0).await;
+        for engine in &fleet.engines {
+            engine.behaviour.set(Behaviour::Stalled {
+                pause: Duration::from_millis(50),
+            });
+        }
+        let result = host.call_within(Duration::from_secs(5)).await;
+        expect_that!(result, eq(CallerResult::Broken));
+        expect_that!(fleet.run_count(&host.last_id()), le(2));
+    });
+}
+
 /// Guards against an engine that fails each request at once, and gets most of them because it has the
 /// fewest in flight.
 #[gtest]
