Count no time in which the host did not run as silence (LOST)

Cause: on its return the timers of all streams fire before the events that wait in the sockets are read: a wait that was stopped ends without reporting any socket as readable. Each process of a machine that has no processor time for a second does the same at once.

The timer of a silent stream, and the limits of its repair, are postponed by the time in which the host did not run.

The test failed before: streams were sent twice after the host's thread had been blocked for 1.6 s.

--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -650,7 +650,7 @@
                 head = timeout_at(self.request.deadline, upstream.acquired.connection.read_response()) => Step::Read(head),
                 () = caller.closed_by_peer(READ_AHEAD_LIMIT_BYTES) => Step::CallerDisconnected,
                 (index, result) = attempt::wait_for_kept(&mut kept, gateway, self.request) => Step::Kept(index, result),
-                () = self.wait_for_stall(&attempt.chosen, &upstream.stall_timer) => Step::Silent,
+                () = self.wait_for_stall(&attempt.chosen, &mut upstream.stall_timer) => Step::Silent,
             };
             self.kept = kept;
             let head = match step {
@@ -692,7 +692,7 @@
                 const MISMATCH_LIMIT_BYTES: usize = 64 << 10;
                 const MISMATCH_TIMEOUT: Duration = Duration::from_millis(300);
                 let connection = &mut upstream.acquired.connection;
-                let skipped = tokio::time::timeout(
+                let skipped = gateway.run_clock.timeout(
                     MISMATCH_TIMEOUT,
                     connection.read_whole_body(&mut decoder, MISMATCH_LIMIT_BYTES),
                 );
@@ -801,7 +801,7 @@
                     piece = timeout_at(self.request.deadline, connection.read_body(&mut begun.decoder)) => Step::Read(piece),
                     () = caller.closed_by_peer(READ_AHEAD_LIMIT_BYTES) => Step::CallerDisconnected,
                     (index, result) = attempt::wait_for_kept(&mut kept, self.gateway, self.request) => Step::Kept(index, result),
-                    () = self.wait_for_stall(&attempt.chosen, &upstream.stall_timer) => Step::Silent,
+                    () = self.wait_for_stall(&attempt.chosen, &mut upstream.stall_timer) => Step::Silent,
                 };
                 self.kept = kept;
                 let piece = match step {
--- a/crates/anvil_gateway/src/stream/repair.rs
+++ b/crates/anvil_gateway/src/stream/repair.rs
@@ -68,8 +68,10 @@
 pub(super) struct StallTimer {
     /// When the period began: the last event, or the send.
     pub(super) started_at: Instant,
-    /// Sum of the gaps in which this host had not run until then.
+    /// Sum of the gaps in which this host had not run until then, or until the last postponement.
     lost_before: Duration,
+    /// Time by which the period was postponed.
+    postponed: Duration,
     /// When to probe the engines of the path; `None` if they are not to be probed, or were.
     probe_at: Option<Instant>,
     /// When the first engine was last asked for the cause; `None` before the first query.
@@ -87,6 +89,7 @@
         Self {
             started_at,
             lost_before,
+            postponed: Duration::ZERO,
             probe_at: None,
             checked_at: None,
             repaired_at: None,
@@ -127,6 +130,21 @@
             .flatten()
             .fold(after_stall, Instant::max)
     }
+
+    /// Postpones all that is due by the time in which this host did not run since the period began.
+    /// `lost` is the lost time of the host's clock now. Returns whether there was such a time.
+    fn postpone(&mut self, lost: Duration) -> bool {
+        let by = lost.saturating_sub(self.lost_before);
+        self.lost_before = lost;
+        self.postponed += by;
+        self.started_at += by;
+        let later = |at: &mut Option<Instant>| *at = at.map(|at| at + by);
+        later(&mut self.probe_at);
+        later(&mut self.checked_at);
+        later(&mut self.repaired_at);
+        later(&mut self.resend_after);
+        !by.is_zero()
+    }
 }
 
 /// What to do after a stall check.
@@ -139,7 +157,17 @@
 
 impl Relay<'_> {
     /// Waits until the cause of a stall must be checked, or the request must be sent again.
-    pub(super) async fn wait_for_stall(&self, chosen: &ChosenPath, stall_timer: &StallTimer) {
+    pub(super) async fn wait_for_stall(&self, chosen: &ChosenPath, stall_timer: &mut StallTimer) {
+        loop {
+            self.wait_for_check(chosen, stall_timer).await;
+            // What came while this host did not run has to be read first.
+            if !stall_timer.postpone(self.gateway.run_clock.lost_time()) {
+                return;
+            }
+        }
+    }
+
+    async fn wait_for_check(&self, chosen: &ChosenPath, stall_timer: &StallTimer) {
         if self.engine.is_none() {
             let since = stall_timer.checked_at.unwrap_or(stall_timer.started_at);
             return tokio::time::sleep_until(since + TARGET_CHECK_INTERVAL).await;
@@ -181,6 +209,7 @@
         }
         let chosen = &mut attempt.chosen;
         let is_probe = stall_timer.probe_at.take().is_some();
+        let clock = &self.gateway.run_clock;
         let result = match is_probe {
             true => match self.probe(chosen, stall_timer.started_at).await {
                 Some(lost)
@@ -190,14 +219,14 @@
                 }
                 Some(lost) => {
                     let order = self.order_path(engine, chosen, lost);
-                    tokio::time::timeout(REPAIR_TIMEOUT, order).await
+                    clock.timeout(REPAIR_TIMEOUT, order).await
                 }
                 None => return StallAction::KeepWaiting,
             },
             false => {
                 stall_timer.checked_at = Some(Instant::now());
                 let order = self.order_repair(engine, chosen);
-                tokio::time::timeout(REPAIR_TIMEOUT, order).await
+                clock.timeout(REPAIR_TIMEOUT, order).await
             }
         };
         let outcome = match result {
@@ -277,14 +306,13 @@
     /// Logs what was found about a silent stream, with what else is silent.
     fn log_silence(&self, first: &Target, stall_timer: &StallTimer, evidence: &str, outcome: &str) {
         let gateway = self.gateway;
-        let host_late = gateway.run_clock.lost_time() - stall_timer.lost_before;
         let extent =
             faults::silence_extent(gateway, self.request.service_id, stall_timer.started_at);
         spdlog::info!("stream.silent", kv: {
             request = self.request.metadata.id.as_str(),
             first = first.id.as_str(),
             silent_ms = stall_timer.started_at.elapsed().as_millis() as u64,
-            host_late_ms = host_late.as_millis() as u64,
+            host_late_ms = stall_timer.postponed.as_millis() as u64,
             engines_in_use = extent.in_use,
             engines_silent = extent.silent,
             evidence,
@@ -304,7 +332,8 @@
     ) -> StallAction {
         let target = attempt.chosen.first();
         let check = faults::check_state(self.gateway, target);
-        let state = tokio::time::timeout(REPAIR_TIMEOUT, check)
+        let state = (self.gateway.run_clock)
+            .timeout(REPAIR_TIMEOUT, check)
             .await
             .unwrap_or(ProcessState::Unreachable);
         let stall_timer = &mut upstream.stall_timer;
--- a/crates/anvil_gateway/src/stream/tests.rs
+++ b/crates/anvil_gateway/src/stream/tests.rs
@@ -1,4 +1,7 @@
-use std::time::Duration;
+use std::{
+    collections::HashSet,
+    time::Duration, //
+};
 
 use googletest::prelude::*;
 use rand::{
@@ -342,6 +345,35 @@
     });
 }
 
+/// Guards against a host that takes all streams for silent after it did not run for a while (LOST).
+#[gtest]
+fn serve_sends_no_stream_again_after_host_did_not_run() {
+    run(async {
+        let fleet = Fleet::start(125, 2).await;
+        let hosts = [fleet.start_host(0).await, fleet.start_host(1).await];
+        wait_for_peers(&[&hosts[0], &hosts[1]]).await;
+        for engine in &fleet.engines {
+            engine.behaviour.set(Behaviour::Slow {
+                events: 10,
+                pause: Duration::from_millis(50),
+            });
+        }
+        let calls = (0..12).map(|index| hosts[index % 2].call(&["part"]));
+        let stop = async {
+            sleep(Duration::from_millis(200)).await;
+            std::thread::sleep(Duration::from_millis(1600));
+        };
+        let (results, ()) = tokio::join!(futures::future::join_all(calls), stop);
+        expect_that!(results, each(eq(&CallerResult::Complete)));
+        let ids: HashSet<_> = (fleet.engines.iter())
+            .flat_map(|engine| engine.run_ids.borrow().clone())
+            .collect();
+        expect_that!(ids.len(), eq(12));
+        let run_counts: Vec<usize> = ids.iter().map(|id| fleet.run_count(id)).collect();
+        expect_that!(run_counts, each(eq(&1)));
+    });
+}
+
 /// Guards against a silent stream that is sent again and again (BUDGET).
 #[gtest]
 fn serve_sends_silent_stream_as_often_as_route_allows() {
