--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -524,6 +524,7 @@
     ) -> AttemptResult {
         let (gateway, request) = (self.gateway, self.request);
         let mut kept = std::mem::take(&mut self.kept);
+        let mut failed = Vec::new();
         let opened = {
             let mut opened = pin!(self.open_upstream(attempt, trace));
             loop {
@@ -532,12 +533,15 @@
                     opened = &mut opened => break Ok(opened),
                     (index, result) = attempt::wait_for_kept(&mut kept, gateway, request) => match result {
                         KeptResult::Progressed => break Err(index),
-                        KeptResult::Failed => drop(kept.swap_remove(index)),
+                        KeptResult::Failed => failed.push(kept.swap_remove(index)),
                     }
                 }
             }
         };
         self.kept = kept;
+        for failed in &failed {
+            self.abandon(&failed.attempt);
+        }
         match opened {
             Ok(Ok(upstream)) => self.receive(caller, attempt, upstream, trace).await,
             Ok(Err(result)) => result,
