--- a/crates/anvil_gateway/src/run_clock.rs
+++ b/crates/anvil_gateway/src/run_clock.rs
@@ -6,13 +6,16 @@
 
 use std::{
     cell::Cell,
+    pin::pin,
     rc::Rc,
     time::Duration, //
 };
 
 use tokio::time::{
     Instant,
-    sleep_until, //
+    error::Elapsed,
+    sleep_until,
+    timeout_at, //
 };
 
 use crate::gateway::Gateway;
@@ -43,6 +46,34 @@
         self.lost.get()
     }
 
+    /// Waits for a future for as long as `limit`, without the time in which this host does not run.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Elapsed`] if the future is not ready by then.
+    pub async fn timeout<F: Future>(
+        &self,
+        limit: Duration,
+        future: F,
+    ) -> Result<F::Output, Elapsed> {
+        let mut future = pin!(future);
+        let lost_before = self.lost_time();
+        let started_at = Instant::now();
+        let mut deadline = started_at + limit;
+        loop {
+            match timeout_at(deadline, future.as_mut()).await {
+                Ok(output) => return Ok(output),
+                Err(elapsed) => {
+                    let postponed = started_at + limit + (self.lost_time() - lost_before);
+                    if postponed <= deadline {
+                        return Err(elapsed);
+                    }
+                    deadline = postponed;
+                }
+            }
+        }
+    }
+
     /// Records that the host runs at `now`.
     fn observe(&self, now: Instant) {
         let Some(last_run) = self.last_run.get() else {
