--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -6,6 +6,7 @@
         Cell,
         RefCell, //
     },
+    fmt::Display,
     pin::pin,
     rc::Rc,
     time::Duration, //
@@ -15,13 +16,21 @@
     id::RequestId,
     quarantine::{
         Admission,
-        Progress, //
+        Progress,
+        Refusal, //
     },
 };
 use bytes::Bytes;
-use tokio::time::{
-    Instant,
-    timeout_at, //
+use futures::{
+    StreamExt,
+    stream::FuturesUnordered, //
+};
+use tokio::{
+    sync::Notify,
+    time::{
+        Instant,
+        timeout_at, //
+    }, //
 };
 
 use crate::{
@@ -74,7 +83,7 @@
 pub const READ_AHEAD_LIMIT_BYTES: usize = 64 << 10;
 /// Cost of choosing a target in another data centre, in requests in flight.
 const REMOTE_COST_REQUESTS: f64 = 0.5;
-/// Shortest time that a repeatable request waits for a target before it is sent to another one,
+/// Shortest time that a repeatable request waits for a target before it is sent to another one as well,
 /// unless half of the time left is shorter.
 const ATTEMPT_TIMEOUT_MIN: Duration = Duration::from_millis(150);
 
@@ -93,8 +102,6 @@
     NotRun(&'static str),
     /// The connection failed after the request may have run.
     Lost(&'static str),
-    /// No answer had begun in the time for the attempt, and a retry was taken from the budget.
-    GivenUp,
     /// No answer arrived before the deadline of the request.
     TimedOut,
 }
@@ -106,21 +113,23 @@
     request: &RequestContext<'_>,
     trace: &mut RequestTrace,
 ) -> RequestOutcome {
-    let sent = RefCell::new(None);
+    let attempts = Attempts {
+        gateway,
+        request,
+        trace: RefCell::new(trace),
+        sent: RefCell::default(),
+        silent: Notify::new(),
+    };
     let result = tokio::select! {
         biased;
-        result = try_targets(gateway, request, trace, &sent) => Some(result),
+        result = attempts.try_targets() => Some(result),
         () = connection.closed_by_peer(READ_AHEAD_LIMIT_BYTES) => None,
     };
-    let Some(result) = result else {
-        if let Some((target, admission)) = sent.take() {
-            gateway.record_abandoned(request, &admission, &target);
-        }
-        return RequestOutcome::CallerDisconnected;
-    };
+    attempts.close(matches!(result, Some(Ok(_))));
     match result {
-        Err(error_response) => RequestOutcome::Error(error_response),
-        Ok((head, body)) => {
+        None => RequestOutcome::CallerDisconnected,
+        Some(Err(error_response)) => RequestOutcome::Error(error_response),
+        Some(Ok((head, body))) => {
             request.is_answer_begun.set(true);
             let mut out = render_head(
                 &head,
@@ -141,129 +150,327 @@
 }
 
 /// A request that is on its way to a target, or runs there.
-type Sent = (Rc<Target>, Admission);
+struct Sent {
+    target: Rc<Target>,
+    admission: Admission,
+    /// Whether the connection had carried requests before.
+    is_reused: bool,
+    has_begun: Rc<Cell<bool>>,
+}
 
-/// Sends a request to targets one after another until one answers. Returns the answer, or the error
-/// response for the caller. `sent` holds the target that the request was sent to, for as long as it has
-/// not answered.
-async fn try_targets(
-    gateway: &Gateway,
-    request: &RequestContext<'_>,
-    trace: &mut RequestTrace,
-    sent: &RefCell<Option<Sent>>,
-) -> Result<(ResponseHead, Bytes), ErrorResponse> {
-    let is_repeatable = request.route.semantics.is_repeatable();
-    let mut tried: Vec<Rc<Target>> = Vec::new();
-    let mut last_response: Option<(ResponseHead, Bytes)> = None;
-    let mut may_have_run = false;
-    let mut refusal = None;
-    let mut has_reserved_retry = false;
-    while trace.sends < request.route.attempts_max {
-        let admission = match gateway.admit(request) {
-            Ok(admission) => admission,
-            Err(refused) => {
-                trace.record_failure(refused.to_string());
-                refusal = Some(refused);
+/// The end of one attempt.
+struct EndedAttempt {
+    target: Rc<Target>,
+    admission: Admission,
+    result: AttemptResult,
+}
+
+/// The attempts of one request. Several run at once where a target is silent and the request may be
+/// repeated.
+struct Attempts<'a> {
+    gateway: &'a Gateway,
+    request: &'a RequestContext<'a>,
+    trace: RefCell<&'a mut RequestTrace>,
+    /// Invariant: the attempts that were sent and have not ended.
+    sent: RefCell<Vec<Sent>>,
+    /// Notified when no answer to an attempt began in the time after which another one may be sent.
+    silent: Notify,
+}
+
+impl<'a> Attempts<'a> {
+    /// Sends the request to targets until one answers. Returns the first whole answer, or the error
+    /// response for the caller.
+    async fn try_targets(&self) -> Result<(ResponseHead, Bytes), ErrorResponse> {
+        let (gateway, request) = (self.gateway, self.request);
+        let is_repeatable = request.route.semantics.is_repeatable();
+        let mut tried: Vec<Rc<Target>> = Vec::new();
+        let mut running = FuturesUnordered::new();
+        let mut last_response: Option<(ResponseHead, Bytes)> = None;
+        let mut may_have_run = false;
+        let mut refusal = None;
+        let mut is_cut_off = false;
+        loop {
+            // At most one attempt has not been sent yet, so that sends stay within their limits.
+            let may_begin =
+                running.is_empty() || is_repeatable && running.len() == self.sent.borrow().len();
+            if may_begin && !is_cut_off {
+                match self.admit_attempt(&tried) {
+                    Ok(Some((target, admission))) => {
+                        tried.push(Rc::clone(&target));
+                        running.push(self.attempt(target, admission));
+                    }
+                    Ok(None) => {}
+                    Err(refused) => refusal = Some(refused),
+                }
+            }
+            let ended = tokio::select! {
+                biased;
+                ended = running.next() => ended,
+                () = self.silent.notified() => continue,
+            };
+            let Some(EndedAttempt {
+                target,
+                admission,
+                result,
+            }) = ended
+            else {
                 break;
+            };
+            match result {
+                AttemptResult::Response(head, metadata, body) => {
+                    if metadata.is_sealed {
+                        gateway.record_target_answer(request, &admission, &target, head.status);
+                    }
+                    let is_failure = head.status >= 500;
+                    let is_success = (200..300).contains(&head.status);
+                    if metadata.is_sealed && !(is_failure && is_repeatable) {
+                        target.record_progress(Instant::now());
+                        self.trace.borrow_mut().first_ms =
+                            request.arrived.elapsed().as_millis() as u64;
+                        return Ok((head, body));
+                    }
+                    may_have_run = true;
+                    if metadata.is_sealed {
+                        self.record_failure(&target, format_args!("status {}", head.status));
+                        last_response = Some((head, body));
+                    } else {
+                        // An answer without a seal is not passed on, since no target vouches for it.
+                        let failure = format_args!("unsealed status {}", head.status);
+                        self.record_failure(&target, failure);
+                        if is_success {
+                            target.record_failure(Instant::now());
+                        }
+                    }
+                }
+                AttemptResult::Quarantined => gateway.release_trial(&admission),
+                AttemptResult::CutOff => {
+                    gateway.release_trial(&admission);
+                    is_cut_off = true;
+                }
+                AttemptResult::NotRun(failure) => {
+                    gateway.release_trial(&admission);
+                    self.record_failure(&target, format_args!("{failure}, not run"));
+                }
+                AttemptResult::Lost(failure) => {
+                    self.record_failure(&target, format_args!("{failure}"));
+                    may_have_run = true;
+                }
+                AttemptResult::TimedOut => {
+                    gateway.record_abandoned(request, &admission, &target);
+                    let failure = format_args!("no answer within the time for this attempt");
+                    self.record_failure(&target, failure);
+                    may_have_run = true;
+                }
             }
+            if may_have_run && !is_repeatable {
+                break;
+            }
+        }
+        if let Some(response) = last_response {
+            return Ok(response);
+        }
+        let is_late = Instant::now() >= request.deadline;
+        if may_have_run {
+            return Err(ErrorResponse::unknown(match is_late {
+                true => ErrorReason::Timeout,
+                false => ErrorReason::AnswerLost,
+            }));
+        }
+        if let Some(refusal) = refusal {
+            let reason = ErrorReason::from(&refusal.suspect);
+            return Err(ErrorResponse::not_run(reason, Some(refusal.retry_after)));
+        }
+        Err(ErrorResponse::not_run(
+            ErrorReason::NoTarget,
+            Some(retry_after(gateway, request)),
+        ))
+    }
+
+    /// Chooses a target that is not among `tried` for another attempt. Returns `None` if there is none, or
+    /// if the limits of the request or the retry budget allow no other send.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Refusal`] if the request is quarantined.
+    fn admit_attempt(
+        &self,
+        tried: &[Rc<Target>],
+    ) -> Result<Option<(Rc<Target>, Admission)>, Refusal> {
+        let (gateway, request) = (self.gateway, self.request);
+        let sends = self.trace.borrow().sends;
+        if sends >= request.route.attempts_max || Instant::now() >= request.deadline {
+            return Ok(None);
+        }
+        let admission = gateway.admit(request).inspect_err(|refused| {
+            self.trace.borrow_mut().record_failure(refused.to_string());
+        })?;
+        let Some(target) = choose(gateway, request, tried) else {
+            gateway.release_trial(&admission);
+            return Ok(None);
         };
-        let Some(target) = choose(gateway, request, &tried) else {
+        if sends > 0 && !gateway.try_retry(request.service_id) {
             gateway.release_trial(&admission);
-            break;
+            let failure = "retry budget exhausted";
+            self.trace.borrow_mut().record_failure(failure);
+            return Ok(None);
+        }
+        Ok(Some((target, admission)))
+    }
+
+    /// Sends the request to one target and waits for the end of that.
+    async fn attempt(&self, target: Rc<Target>, admission: Admission) -> EndedAttempt {
+        let _in_flight = InFlightGuard::begin(&target, 0.0, true);
+        let result = self.send(&target, &admission).await;
+        if let AttemptResult::Lost(failure) = result {
+            let (gateway, request) = (self.gateway, self.request);
+            handle_lost_connection(gateway, request, &admission, &target, failure).await;
+        }
+        let mut sent = self.sent.borrow_mut();
+        sent.retain(|other| !Rc::ptr_eq(&other.target, &target));
+        drop(sent);
+        EndedAttempt {
+            target,
+            admission,
+            result,
+        }
+    }
+
+    /// Sends the request to one target and reads its complete answer. If no answer has begun in the time
+    /// for the attempt, another one may be sent beside it: the target may be at work.
+    async fn send(&self, target: &Rc<Target>, admission: &Admission) -> AttemptResult {
+        let (gateway, request) = (self.gateway, self.request);
+        let now = Instant::now();
+        let time_left = request.deadline.saturating_duration_since(now);
+        let limits = link::Limits {
+            direct: CONNECT_TIMEOUT.min(time_left),
+            through_peer: THROUGH_PEER_TIMEOUT.min(time_left),
         };
-        tried.push(Rc::clone(&target));
-        let is_last = trace.sends + 1 >= request.route.attempts_max;
-        let may_resend = || {
-            is_repeatable
-                && !is_last
-                && choose(gateway, request, &tried).is_some()
-                && gateway.try_retry(request.service_id)
+        let acquired = link::acquire(gateway, target, &request.metadata.id, limits).await;
+        let mut acquired = match acquired {
+            Ok(acquired) => acquired,
+            Err(error @ ConnectError::CutOff { .. }) => {
+                self.trace.borrow_mut().record_failure(error.to_string());
+                return AttemptResult::CutOff;
+            }
+            Err(error) => {
+                target.record_failure(Instant::now());
+                self.trace.borrow_mut().record_failure(error.to_string());
+                return AttemptResult::NotRun("no connection");
+            }
         };
-        let _in_flight = InFlightGuard::begin(&target, 0.0, true);
-        let result = send(
-            gateway, request, &admission, &target, may_resend, trace, sent,
+        if !target.accepts(Instant::now()) {
+            return AttemptResult::NotRun("target takes no requests");
+        }
+        if gateway.is_admission_void(admission, request) {
+            return AttemptResult::Quarantined;
+        }
+        if request.team.is_some() && are_keys_stale(gateway) {
+            return AttemptResult::NotRun("keys may be outdated");
+        }
+        let forwarding = Forwarding {
+            budget: request.deadline.saturating_duration_since(Instant::now()),
+            target: &target.id,
+            team: request.team.as_ref(),
+            path: &[],
+            resume_after: None,
+        };
+        let mut out = Vec::with_capacity(1024 + request.body.len());
+        gateway.platform.header_codec.write_forwarded(
+            request.head,
+            request.body.len(),
+            &forwarding,
+            &mut out,
         );
-        let result = result.await;
-        sent.take();
-        has_reserved_retry |= matches!(result, AttemptResult::GivenUp);
-        match result {
-            AttemptResult::Response(head, metadata, body) => {
-                if metadata.is_sealed {
-                    gateway.record_target_answer(request, &admission, &target, head.status);
-                }
-                let is_failure = head.status >= 500;
-                let is_success = (200..300).contains(&head.status);
-                if metadata.is_sealed && !(is_failure && is_repeatable) {
-                    target.record_progress(Instant::now());
-                    trace.first_ms = request.arrived.elapsed().as_millis() as u64;
-                    return Ok((head, body));
-                }
-                may_have_run = true;
-                if metadata.is_sealed {
-                    trace.record_failure(format!("{}: status {}", target.id, head.status));
-                    last_response = Some((head, body));
-                } else {
-                    // An answer without a seal is not passed on, since no target vouches for it.
-                    trace.record_failure(format!("{}: unsealed status {}", target.id, head.status));
-                    if is_success {
-                        target.record_failure(Instant::now());
+        out.extend_from_slice(&request.body);
+        target.charge_limit(Instant::now());
+        let has_begun = Rc::new(Cell::new(false));
+        let is_reused = acquired.is_reused;
+        self.record_send(target, admission, is_reused, &has_begun);
+        let received = {
+            let mut receive = pin!(send_and_receive(
+                gateway,
+                request,
+                target,
+                &mut acquired,
+                &out,
+                &has_begun
+            ));
+            let answered = gateway
+                .run_clock
+                .timeout(attempt_timeout(request), receive.as_mut());
+            match answered.await {
+                Ok(received) => Ok(received),
+                Err(_) => {
+                    if !has_begun.get() {
+                        self.silent.notify_one();
                     }
+                    timeout_at(request.deadline, receive).await
                 }
             }
-            AttemptResult::Quarantined => {
-                gateway.release_trial(&admission);
-                continue;
-            }
-            AttemptResult::CutOff => {
-                gateway.release_trial(&admission);
-                break;
-            }
-            AttemptResult::NotRun(failure) => {
-                gateway.release_trial(&admission);
-                trace.record_failure(format!("{}: {failure}, not run", target.id))
+        };
+        match received {
+            Err(_) => {
+                if is_reused {
+                    target.pool.doubt(&target.id);
+                }
+                AttemptResult::TimedOut
             }
-            AttemptResult::Lost(failure) => {
-                handle_lost_connection(gateway, request, &admission, &target, failure).await;
-                trace.record_failure(format!("{}: {failure}", target.id));
-                may_have_run = true;
+            Ok(Err(failure)) => {
+                if !is_reused {
+                    target.record_failure(Instant::now());
+                }
+                AttemptResult::Lost(failure)
             }
-            AttemptResult::GivenUp | AttemptResult::TimedOut => {
-                let failure = "no answer within the time for this attempt";
-                gateway.record_abandoned(request, &admission, &target);
-                trace.record_failure(format!("{}: {failure}", target.id));
-                may_have_run = true;
+            Ok(Ok((head, metadata, body))) => {
+                if metadata.did_not_run || head.status >= 500 {
+                    acquired.record_unanswered(&request.metadata.id);
+                }
+                if head.keep_alive {
+                    target.pool.release(acquired, metadata.idle_timeout);
+                }
+                if metadata.did_not_run {
+                    self.trace.borrow_mut().refused_sends += 1;
+                    gateway.record_inconclusive_trial(request, admission);
+                    return AttemptResult::NotRun("refused");
+                }
+                AttemptResult::Response(head, metadata, body)
             }
         }
-        if may_have_run && !is_repeatable {
-            break;
-        }
-        if Instant::now() >= request.deadline || trace.sends >= request.route.attempts_max {
-            break;
-        }
-        let is_retry = trace.sends > 0 && !std::mem::take(&mut has_reserved_retry);
-        if is_retry && !gateway.try_retry(request.service_id) {
-            trace.record_failure("retry budget exhausted");
-            break;
-        }
     }
-    if let Some(response) = last_response {
-        return Ok(response);
+
+    fn record_send(
+        &self,
+        target: &Rc<Target>,
+        admission: &Admission,
+        is_reused: bool,
+        has_begun: &Rc<Cell<bool>>,
+    ) {
+        let mut trace = self.trace.borrow_mut();
+        trace.sends += 1;
+        trace.via.push(target.id.to_string());
+        self.sent.borrow_mut().push(Sent {
+            target: Rc::clone(target),
+            admission: admission.clone(),
+            is_reused,
+            has_begun: Rc::clone(has_begun),
+        });
     }
-    let is_late = Instant::now() >= request.deadline;
-    if may_have_run {
-        return Err(ErrorResponse::unknown(match is_late {
-            true => ErrorReason::Timeout,
-            false => ErrorReason::AnswerLost,
-        }));
+
+    fn record_failure(&self, target: &Target, failure: impl Display) {
+        let failure = format!("{}: {failure}", target.id);
+        self.trace.borrow_mut().record_failure(failure);
     }
-    if let Some(refusal) = refusal {
-        let reason = ErrorReason::from(&refusal.suspect);
-        return Err(ErrorResponse::not_run(reason, Some(refusal.retry_after)));
+
+    /// Ends the attempts that still run: the request was answered, or its caller is gone.
+    fn close(self, is_answered: bool) {
+        for sent in self.sent.into_inner() {
+            if is_answered && sent.is_reused && !sent.has_begun.get() {
+                sent.target.pool.doubt(&sent.target.id);
+            }
+            self.gateway
+                .record_abandoned(self.request, &sent.admission, &sent.target);
+        }
     }
-    Err(ErrorResponse::not_run(
-        ErrorReason::NoTarget,
-        Some(retry_after(gateway, request)),
-    ))
 }
 
 /// Returns a random `Retry-After` for requests that no target could take.
@@ -297,12 +504,12 @@
     gateway.record_lost_target(request, admission, target, Progress::Begun, state);
 }
 
-/// Returns when to give up on a target if the request may be sent to another one: early enough that the
-/// other one can answer before the deadline.
-fn attempt_deadline(request: &RequestContext<'_>) -> Instant {
+/// Returns the time after which the request may be sent to another target if no answer has begun: early
+/// enough that the other one can answer before the deadline.
+fn attempt_timeout(request: &RequestContext<'_>) -> Duration {
     let time_left = request.deadline.saturating_duration_since(Instant::now());
     let attempt_timeout = request.route.latency_objective.max(ATTEMPT_TIMEOUT_MIN);
-    Instant::now() + attempt_timeout.min(time_left / 2)
+    attempt_timeout.min(time_left / 2)
 }
 
 /// Returns the time until the first target of the service wants requests again and takes one of this
@@ -355,117 +562,6 @@
         .map(|(_, target)| target)
 }
 
-/// Sends a request to one target and reads its complete answer. If no answer has begun in the time for
-/// the attempt, `may_resend` tells whether the request is given up here and sent to another target: the
-/// target may be at work, so that it is not given up for nothing.
-async fn send(
-    gateway: &Gateway,
-    request: &RequestContext<'_>,
-    admission: &Admission,
-    target: &Rc<Target>,
-    may_resend: impl Fn() -> bool,
-    trace: &mut RequestTrace,
-    sent: &RefCell<Option<Sent>>,
-) -> AttemptResult {
-    let now = Instant::now();
-    let time_left = request.deadline.saturating_duration_since(now);
-    let limits = link::Limits {
-        direct: CONNECT_TIMEOUT.min(time_left),
-        through_peer: THROUGH_PEER_TIMEOUT.min(time_left),
-    };
-    let acquired = link::acquire(gateway, target, &request.metadata.id, limits).await;
-    let mut acquired = match acquired {
-        Ok(acquired) => acquired,
-        Err(error @ ConnectError::CutOff { .. }) => {
-            trace.record_failure(error.to_string());
-            return AttemptResult::CutOff;
-        }
-        Err(error) => {
-            target.record_failure(Instant::now());
-            trace.record_failure(error.to_string());
-            return AttemptResult::NotRun("no connection");
-        }
-    };
-    if !target.accepts(Instant::now()) {
-        return AttemptResult::NotRun("target takes no requests");
-    }
-    if gateway.is_admission_void(admission, request) {
-        return AttemptResult::Quarantined;
-    }
-    if request.team.is_some() && are_keys_stale(gateway) {
-        return AttemptResult::NotRun("keys may be outdated");
-    }
-    let forwarding = Forwarding {
-        budget: request.deadline.saturating_duration_since(Instant::now()),
-        target: &target.id,
-        team: request.team.as_ref(),
-        path: &[],
-        resume_after: None,
-    };
-    let mut out = Vec::with_capacity(1024 + request.body.len());
-    gateway.platform.header_codec.write_forwarded(
-        request.head,
-        request.body.len(),
-        &forwarding,
-        &mut out,
-    );
-    out.extend_from_slice(&request.body);
-    target.charge_limit(Instant::now());
-    trace.sends += 1;
-    trace.via.push(target.id.to_string());
-    sent.replace(Some((Rc::clone(target), admission.clone())));
-    let has_begun = Cell::new(false);
-    let is_reused = acquired.is_reused;
-    let received = {
-        let mut receive = pin!(send_and_receive(
-            gateway,
-            request,
-            target,
-            &mut acquired,
-            &out,
-            &has_begun
-        ));
-        match timeout_at(attempt_deadline(request), &mut receive).await {
-            Err(_) if !has_begun.get() && may_resend() => {
-                if is_reused {
-                    target.pool.doubt(&target.id);
-                }
-                return AttemptResult::GivenUp;
-            }
-            Err(_) => timeout_at(request.deadline, receive).await,
-            received => received,
-        }
-    };
-    match received {
-        Err(_) => {
-            if is_reused {
-                target.pool.doubt(&target.id);
-            }
-            AttemptResult::TimedOut
-        }
-        Ok(Err(failure)) => {
-            if !acquired.is_reused {
-                target.record_failure(Instant::now());
-            }
-            AttemptResult::Lost(failure)
-        }
-        Ok(Ok((head, metadata, body))) => {
-            if metadata.did_not_run || head.status >= 500 {
-                acquired.record_unanswered(&request.metadata.id);
-            }
-            if head.keep_alive {
-                target.pool.release(acquired, metadata.idle_timeout);
-            }
-            if metadata.did_not_run {
-                trace.refused_sends += 1;
-                gateway.record_inconclusive_trial(request, admission);
-                return AttemptResult::NotRun("refused");
-            }
-            AttemptResult::Response(head, metadata, body)
-        }
-    }
-}
-
 /// Failure of an attempt whose answer names no request, on a connection that carried others. It may be a
 /// copy of an answer to one of these.
 pub const UNNAMED_ANSWER: &str = "answer names no request";
--- a/crates/anvil_gateway/src/plain/tests.rs
+++ b/crates/anvil_gateway/src/plain/tests.rs
@@ -328,6 +328,147 @@
     });
 }
 
+/// Lets a host send its next request to the first target of the fleet. The second one takes a second send.
+fn prefer_first_target(fleet: &Fleet, host: &Host) {
+    let listed = host.gateway.targets.by_id(&fleet.engines[1].id);
+    listed.unwrap().record_failure(Instant::now());
+}
+
+/// Records requests of other callers, from which the retry budget follows.
+fn earn_retries(host: &Host) {
+    for _ in 0..100 {
+        host.gateway.record_request(&"plain".into());
+    }
+}
+
+fn in_flight(host: &Host) -> f64 {
+    let targets = host.gateway.targets.all();
+    targets.iter().map(|target| target.sequences.get()).sum()
+}
+
+/// Guards against a target at work that is given up for another one which has no answer either (LOST).
+#[gtest]
+fn serve_keeps_silent_target_beside_second_one() {
+    run(async {
+        let fleet = Fleet::start_plain(141, 2, None).await;
+        let host = fleet.start_host(0).await;
+        earn_retries(&host);
+        let late = [Duration::from_millis(1500), Duration::from_secs(60)];
+        for (target, delay) in fleet.engines.iter().zip(late) {
+            target.behaviour.set(Behaviour::Late(delay));
+        }
+        prefer_first_target(&fleet, &host);
+        let (id, body) = host.answer_of(SAFE_PATH).await;
+        expect_that!(body, some(eq(id.as_str())));
+        expect_that!(fleet.run_count(&id), eq(2));
+        expect_that!(in_flight(&host), eq(0.0));
+    });
+}
+
+#[gtest]
+fn serve_takes_answer_of_second_target_beside_silent_one() {
+    run(async {
+        let fleet = Fleet::start_plain(142, 2, None).await;
+        let host = fleet.start_host(0).await;
+        earn_retries(&host);
+        let late = Behaviour::Late(Duration::from_secs(60));
+        fleet.engines[0].behaviour.set(late);
+        prefer_first_target(&fleet, &host);
+        let (id, body) = host.answer_of(SAFE_PATH).await;
+        expect_that!(body, some(eq(id.as_str())));
+        expect_that!(fleet.run_count(&id), eq(2));
+        expect_that!(in_flight(&host), eq(0.0));
+    });
+}
+
+/// Guards against a failed second send that ends the first one.
+#[gtest]
+fn serve_keeps_silent_target_when_second_one_fails() {
+    for behaviour in [Behaviour::Fails, Behaviour::LosesAnswer] {
+        run(async {
+            let fleet = Fleet::start_plain(143, 2, None).await;
+            let host = fleet.start_host(0).await;
+            earn_retries(&host);
+            let late = Behaviour::Late(Duration::from_millis(1500));
+            fleet.engines[0].behaviour.set(late);
+            fleet.engines[1].behaviour.set(behaviour);
+            prefer_first_target(&fleet, &host);
+            let (id, body) = host.answer_of(SAFE_PATH).await;
+            expect_that!(body, some(eq(id.as_str())), "{behaviour:?}");
+            expect_that!(fleet.run_count(&id), eq(2));
+        });
+    }
+}
+
+/// Guards against a second send beside a silent one where the request may run once (TWICE), or where its
+/// attempts are used up (BUDGET).
+#[gtest]
+fn serve_sends_beside_silent_targets_within_limits() {
+    for (path, sends_max) in [(UNSAFE_PATH, 1), (SAFE_PATH, 2)] {
+        run(async {
+            let fleet = Fleet::start_plain(144, 4, None).await;
+            let host = fleet.start_host(0).await;
+            earn_retries(&host);
+            for target in &fleet.engines {
+                let late = Behaviour::Late(Duration::from_millis(2500));
+                target.behaviour.set(late);
+            }
+            let (id, body) = host.answer_of(path).await;
+            expect_that!(body, some(eq(id.as_str())));
+            expect_that!(fleet.run_count(&id), eq(sends_max), "{path}");
+        });
+    }
+}
+
+/// Guards against work that goes on at both targets after the caller has gone (GONE).
+#[gtest]
+fn serve_ends_all_attempts_of_caller_that_leaves() {
+    run(async {
+        let fleet = Fleet::start_plain(145, 2, None).await;
+        let host = fleet.start_host(0).await;
+        earn_retries(&host);
+        for target in &fleet.engines {
+            let late = Behaviour::Late(Duration::from_secs(60));
+            target.behaviour.set(late);
+        }
+        let left = Duration::from_millis(1200);
+        host.call_plain_and_leave(SAFE_PATH, SOUND_KEY, "", left)
+            .await;
+        while in_flight(&host) > 0.0 {
+            sleep(Duration::from_millis(10)).await;
+        }
+        expect_that!(
+            fleet
+                .engines
+                .iter()
+                .map(|target| target.request_count.get())
+                .sum::<u32>(),
+            eq(2)
+        );
+    });
+}
+
+/// Guards against a target that is called silent by a host which did not run itself.
+#[gtest]
+fn serve_sends_once_when_host_did_not_run() {
+    run(async {
+        let fleet = Fleet::start_plain(146, 2, None).await;
+        let host = fleet.start_host(0).await;
+        earn_retries(&host);
+        for target in &fleet.engines {
+            let late = Behaviour::Late(Duration::from_millis(400));
+            target.behaviour.set(late);
+        }
+        let stop = async {
+            sleep(Duration::from_millis(200)).await;
+            std::thread::sleep(Duration::from_millis(1500));
+        };
+        let ((id, body), ()) = tokio::join!(host.answer_of(SAFE_PATH), stop);
+        expect_that!(body, some(eq(id.as_str())));
+        expect_that!(fleet.run_count(&id), eq(1));
+    });
+}
+
 /// Guards against work that is run again, or said not to have run, after its answer was lost.
 #[gtest]
 fn serve_does_not_repeat_or_deny_unsafe_request_whose_answer_was_lost() {
--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -152,7 +152,7 @@
 
 /// An engine that holds the whole model, and answers requests to plain services as well.
 pub(crate) struct Engine {
-    id: TargetId,
+    pub(crate) id: TargetId,
     address: SocketAddr,
     /// Address at which requests for connections are not answered.
     unanswered_address: SocketAddr,
