Keep connections whose peers read late (LOST)

Callers got a cut answer, and targets a cut body, when the process at the other end did not read for about two seconds although its system acknowledged everything. TCP_USER_TIMEOUT of 1.8 s also ends a connection whose peer announces no room: the system takes the same silence for a dead machine and for a late process.

While more bytes have been sent than a peer takes without reading, the time-out is now 15 s, until the peer sends something. Tunnels pass on bytes that are not counted, and have it always. A dead peer is still told by the short time-out where little was sent.

--- a/crates/anvil_gateway/src/http1/connection.rs
+++ b/crates/anvil_gateway/src/http1/connection.rs
@@ -1,6 +1,7 @@
 //! A TCP connection with a buffer of bytes that were received but not consumed yet.
 
 use std::{
+    cell::Cell,
     io,
     net::SocketAddr,
     time::Duration, //
@@ -49,6 +50,11 @@
 /// Time without acknowledgement of sent bytes after which a connection counts as dead. It is
 /// shorter than the two seconds without events after which callers disconnect.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1800);
+/// The same while more bytes are sent than a peer must take without reading. The system also applies it
+/// to a peer that acknowledges everything but has no room, because its process is late.
+const CLOSED_WINDOW_TIMEOUT: Duration = Duration::from_secs(15);
+/// Bytes that a peer takes without reading.
+const WINDOW_MIN_BYTES: usize = 32 << 10;
 /// Idle time after which TCP keepalive probes begin. A connection may break without a reset.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
 /// Time between two keepalive probes. With a `TCP_USER_TIMEOUT`, the system gives a connection up when
@@ -107,6 +113,8 @@
     buffer: BytesMut,
     /// Whether another host passes the bytes on. Its end can't be told from the end of the peer.
     is_tunnel: bool,
+    /// Bytes that were sent since the peer last sent some. It may not have read them.
+    unread_bytes: Cell<usize>,
 }
 
 impl Connection {
@@ -120,6 +128,7 @@
             stream,
             buffer: BytesMut::new(),
             is_tunnel: false,
+            unread_bytes: Cell::new(0),
         }
     }
 
@@ -134,6 +143,7 @@
 
     /// Returns the stream. Bytes that were received but not consumed are dropped.
     pub fn into_stream(self) -> TcpStream {
+        self.set_unacknowledged_timeout(CLOSED_WINDOW_TIMEOUT);
         self.stream
     }
 
@@ -276,6 +286,7 @@
     ///
     /// Returns an error if the connection fails.
     pub async fn write_all(&self, data: &[u8]) -> io::Result<()> {
+        self.record_written(data.len());
         let mut remaining = data;
         while !remaining.is_empty() {
             match self.stream.try_write(remaining) {
@@ -336,11 +347,36 @@
                     }
                     self.stream.readable().await?;
                 }
-                result => return result,
+                result => {
+                    self.record_read();
+                    return result;
+                }
             }
         }
     }
 
+    fn record_written(&self, bytes: usize) {
+        let before = self.unread_bytes.get();
+        let after = before.saturating_add(bytes);
+        self.unread_bytes.set(after);
+        if before <= WINDOW_MIN_BYTES && after > WINDOW_MIN_BYTES {
+            self.set_unacknowledged_timeout(CLOSED_WINDOW_TIMEOUT);
+        }
+    }
+
+    fn record_read(&self) {
+        if self.unread_bytes.replace(0) > WINDOW_MIN_BYTES {
+            self.set_unacknowledged_timeout(UNACKNOWLEDGED_TIMEOUT);
+        }
+    }
+
+    fn set_unacknowledged_timeout(&self, timeout: Duration) {
+        let socket = SockRef::from(&self.stream);
+        if let Err(error) = socket.set_tcp_user_timeout(Some(timeout)) {
+            spdlog::debug!("connection.options_failed", kv: { error: });
+        }
+    }
+
     /// Shuts the connection down for writing, and waits up to `limit` until the peer closes it.
     /// Bytes that arrive meanwhile are read and discarded, since unread ones could cause a reset
     /// that destroys the last answer.
--- a/crates/anvil_gateway/src/http1/tests.rs
+++ b/crates/anvil_gateway/src/http1/tests.rs
@@ -1,15 +1,20 @@
 use std::{
     future::Future,
     io::Write,
+    net::Ipv4Addr,
     time::Duration, //
 };
 
 use bytes::BytesMut;
 use googletest::prelude::*;
 use socket2::SockRef;
-use tokio::net::{
-    TcpListener,
-    TcpStream, //
+use tokio::{
+    io::AsyncReadExt,
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    time::sleep, //
 };
 
 use super::*;
@@ -237,3 +242,37 @@
     expect_that!(user_timeout, some(gt(SILENCE)));
     expect_that!(interval, gt(SILENCE));
 }
+
+/// Guards against a connection that the system ends because the peer is late in reading (LOST).
+#[gtest]
+fn write_all_waits_for_peer_that_reads_late() {
+    const LATENESS: Duration = Duration::from_secs(4);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    runtime.block_on(async {
+        for bytes in [200_000, 2_000_000] {
+            let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let connection = Connection::open(address, LATENESS).await.unwrap();
+            let (mut peer, _) = listener.accept().await.unwrap();
+            let data = vec![b'a'; bytes];
+            let write = async {
+                let written = connection.write_all(&data).await;
+                sleep(LATENESS).await;
+                drop(connection);
+                written
+            };
+            let read = async {
+                sleep(LATENESS).await;
+                let mut received = Vec::new();
+                let ended = peer.read_to_end(&mut received).await;
+                (received.len(), ended.is_ok())
+            };
+            let (written, received) = tokio::join!(write, read);
+            expect_that!(written, ok(anything()), "{bytes}");
+            expect_that!(received, eq((bytes, true)), "{bytes}");
+        }
+    });
+}
