Follow the review of silent attempts of streams

- A second attempt that was refused or lost left the silent one alone for another 1.3 s, and callers left.
Another send is made at once where the route, the budget and the paths allow one, and looked for each 60 ms.
- A request could be sent a second time to the engine that was at work on it.
- Engines of an overtaken attempt counted as failures in a row, so that a real one was avoided for 4 s in place of 1.5 s.
They are kept apart, and only come last.
- A report that was not answered in 400 ms marked the first engine for the whole fleet.
It is marked only if it accepts no connection.
- The caller was not watched while a connection for another send was opened.
- Reasons against another send were logged each time, the list of failed engines grew, and a reserved path could outlive its refusal.

--- a/crates/anvil_gateway/src/paths.rs
+++ b/crates/anvil_gateway/src/paths.rs
@@ -239,12 +239,14 @@
     let slower = targets.into_iter().filter(|target| target.is_slower(now));
     let mut excluded = attempts.failed.to_vec();
     excluded.extend(slower);
-    choose_excluding(gateway, request, engine, attempts, &excluded).or_else(|error| {
-        if excluded.is_empty() {
-            return Err(error);
-        }
-        choose_excluding(gateway, request, engine, attempts, &[])
-    })
+    let mut chosen = choose_excluding(gateway, request, engine, attempts, &excluded);
+    if chosen.is_err() && excluded.len() > attempts.failed.len() {
+        chosen = choose_excluding(gateway, request, engine, attempts, attempts.failed);
+    }
+    if chosen.is_err() && !attempts.failed.is_empty() {
+        chosen = choose_excluding(gateway, request, engine, attempts, &[]);
+    }
+    chosen
 }
 
 fn choose_excluding(
@@ -423,8 +425,7 @@
                 let data_centre = index_or_insert(&mut data_centres, &entry.data_centre);
                 let (layers, _) = entry.layers?;
                 let kind = *engine.kinds.get(entry.kind.as_ref()?)?;
-                let is_avoided = target.is_avoided(now) && !target.is_slower(now)
-                    || !target.closed_for(now).is_zero();
+                let is_avoided = target.is_avoided(now) || !target.closed_for(now).is_zero();
                 let is_excluded = excluded.iter().any(|other| Rc::ptr_eq(other, target));
                 let is_avoided_by_peers = trusts_avoidance
                     && peers_view.avoided.contains_key(&target.id_hash)
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -211,8 +211,11 @@
         let mut next: Option<Kept> = None;
         loop {
             if Instant::now() >= self.request.deadline {
+                self.end_kept();
                 return self.give_up(ErrorReason::Timeout, "timeout");
             }
+            let sends_before = trace.sends;
+            let is_continued = next.is_some();
             let (attempt, result) = match next.take() {
                 Some(Kept {
                     mut attempt,
@@ -226,7 +229,8 @@
                         Ok(admission) => admission,
                         Err(refusal) => {
                             trace.record_failure(refusal.to_string());
-                            next = self.kept.pop();
+                            self.reserved = None;
+                            next = self.take_kept();
                             if next.is_some() {
                                 continue;
                             }
@@ -238,7 +242,7 @@
                         Err(error) => {
                             self.gateway.release_trial(&admission);
                             trace.record_failure(error);
-                            next = self.kept.pop();
+                            next = self.take_kept();
                             if next.is_some() {
                                 continue;
                             }
@@ -269,18 +273,25 @@
             };
             let first = Rc::clone(attempt.chosen.first());
             let failure = match result {
-                AttemptResult::Complete => return self.finish(caller).await,
+                AttemptResult::Complete => {
+                    self.end_kept();
+                    return self.finish(caller).await;
+                }
                 AttemptResult::CallerDisconnected => {
                     self.abandon(&attempt);
                     self.end_kept();
                     return RequestOutcome::CallerDisconnected;
                 }
                 AttemptResult::DeadlineExceeded => {
+                    self.end_kept();
                     self.may_have_run = true;
                     return self.give_up(ErrorReason::Timeout, "timeout");
                 }
                 AttemptResult::Overtaken(index) => {
-                    self.abandon(&attempt);
+                    match is_continued || trace.sends > sends_before {
+                        true => self.abandon(&attempt),
+                        false => self.gateway.release_trial(&attempt.admission),
+                    }
                     trace.record_failure(format!("{}: overtaken", first.id));
                     next = Some(self.kept.swap_remove(index));
                     self.end_kept();
@@ -288,12 +299,12 @@
                 }
                 AttemptResult::Quarantined => {
                     self.gateway.release_trial(&attempt.admission);
-                    next = self.kept.pop();
+                    next = self.take_kept();
                     continue;
                 }
                 AttemptResult::CutOff => {
                     self.gateway.release_trial(&attempt.admission);
-                    next = self.kept.pop();
+                    next = self.take_kept();
                     if next.is_some() {
                         continue;
                     }
@@ -310,7 +321,7 @@
                         // Each other host would find out by requests of its own.
                         self.gateway.urgent_change.notify_one();
                     }
-                    next = self.kept.pop();
+                    next = self.take_kept();
                     let may_retry = is_resumable
                         && !self.is_head_sent
                         && head.status == INTERNAL_ERROR_STATUS
@@ -364,8 +375,12 @@
                 }
             };
             trace.record_failure(format!("{}: {failure}", first.id));
-            next = self.kept.pop();
-            if next.is_some() {
+            if !self.kept.is_empty() {
+                // The silent attempt is no better than before, so that another one is made at once.
+                match self.reserve_path(None, trace) {
+                    Ok(reserved) => self.reserved = Some(reserved),
+                    Err(_) => next = self.take_kept(),
+                }
                 continue;
             }
             if self.has_unnumbered_bytes || self.may_have_run && !is_resumable {
@@ -383,6 +398,13 @@
         }
     }
 
+    /// Returns the attempt that was kept last, which is waited for again.
+    fn take_kept(&mut self) -> Option<Kept> {
+        let mut kept = self.kept.pop()?;
+        kept.upstream.stall_timer.allow_resend();
+        Some(kept)
+    }
+
     /// Records that an attempt is no longer waited for.
     fn abandon(&self, attempt: &Attempt) {
         if attempt.progress.early().is_some() {
@@ -530,9 +552,10 @@
             loop {
                 tokio::select! {
                     biased;
-                    opened = &mut opened => break Ok(opened),
+                    opened = &mut opened => break opened,
+                    () = caller.closed_by_peer(READ_AHEAD_LIMIT_BYTES) => break Err(AttemptResult::CallerDisconnected),
                     (index, result) = attempt::wait_for_kept(&mut kept, gateway, request) => match result {
-                        KeptResult::Progressed => break Err(index),
+                        KeptResult::Progressed => break Err(AttemptResult::Overtaken(index)),
                         KeptResult::Failed => failed.push(kept.swap_remove(index)),
                     }
                 }
@@ -543,9 +566,8 @@
             self.abandon(&failed.attempt);
         }
         match opened {
-            Ok(Ok(upstream)) => self.receive(caller, attempt, upstream, trace).await,
-            Ok(Err(result)) => result,
-            Err(index) => AttemptResult::Overtaken(index),
+            Ok(upstream) => self.receive(caller, attempt, upstream, trace).await,
+            Err(result) => result,
         }
     }
 
--- a/crates/anvil_gateway/src/stream/repair.rs
+++ b/crates/anvil_gateway/src/stream/repair.rs
@@ -32,7 +32,7 @@
 };
 
 use super::{
-    Relay,
+    PATH_RETRY_DELAY, Relay,
     attempt::{
         Attempt,
         Upstream, //
@@ -63,6 +63,9 @@
 /// Most paths that are ordered in one repair.
 const REPAIR_ORDERS_MAX: u32 = 3;
 
+/// Outcome of a silence, for the log, if there is no path for another send.
+const NO_OTHER_PATH: &str = "kept: no other path";
+
 /// A period without events, with the last check for its cause and the last repair.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct StallTimer {
@@ -80,6 +83,8 @@
     repaired_at: Option<Instant>,
     /// When it may be sent again after the request was, or could not be; `None` before that.
     resend_after: Option<Instant>,
+    /// Why it was last not sent again; `None` if it never was due.
+    denied: Option<&'static str>,
 }
 
 impl StallTimer {
@@ -94,6 +99,7 @@
             checked_at: None,
             repaired_at: None,
             resend_after: None,
+            denied: None,
         }
     }
 
@@ -131,6 +137,11 @@
             .fold(after_stall, Instant::max)
     }
 
+    /// Allows to send the request again as soon as there is a path.
+    pub(super) fn allow_resend(&mut self) {
+        self.resend_after = Some(Instant::now() + PATH_RETRY_DELAY);
+    }
+
     /// Postpones all that is due by the time in which this host did not run since the period began.
     /// `lost` is the lost time of the host's clock now. Returns whether there was such a time.
     fn postpone(&mut self, lost: Duration) -> bool {
@@ -242,8 +253,14 @@
             Ok(Ok(None)) => "nothing lost",
             Ok(Err(failure)) => failure,
             Err(_) => {
-                // The first engine itself did not answer in time.
-                chosen.first().record_unresponsive(Instant::now());
+                // The first engine itself did not answer in time. It may be late as the stream is.
+                let first = chosen.first();
+                match faults::check_state(self.gateway, first).await {
+                    ProcessState::Alive => first.record_slower(Instant::now()),
+                    ProcessState::Ended | ProcessState::Unreachable => {
+                        first.record_unresponsive(Instant::now());
+                    }
+                }
                 "first engine is silent"
             }
         };
@@ -254,7 +271,8 @@
     }
 
     /// Decides whether the request of a silent attempt is sent again beside it, and reserves the path and
-    /// the retry if so. The attempt goes on in either case.
+    /// the retry if so. The attempt goes on in either case. A decision against it is only logged when its
+    /// reason is new.
     fn resend(
         &mut self,
         attempt: &Attempt,
@@ -262,30 +280,42 @@
         evidence: &str,
         trace: &RequestTrace,
     ) -> StallAction {
-        let (outcome, delay) = match self.reserve_path(attempt, stall_timer.started_at, trace) {
+        for silent in faults::silent_engines(&attempt.chosen, stall_timer.started_at) {
+            if !self.failed.iter().any(|other| Rc::ptr_eq(other, silent)) {
+                self.failed.push(Rc::clone(silent));
+            }
+        }
+        let first = attempt.chosen.first();
+        match self.reserve_path(Some(attempt), trace) {
             Ok(reserved) => {
                 self.reserved = Some(reserved);
-                ("sent again", STALL_RESEND_DELAY)
+                stall_timer.resend_after = Some(Instant::now() + STALL_RESEND_DELAY);
+                self.log_silence(first, stall_timer, evidence, "sent again");
+                StallAction::Resend
+            }
+            Err(reason) => {
+                let delay = match reason {
+                    NO_OTHER_PATH => PATH_RETRY_DELAY,
+                    _ => STALL_CHECK_INTERVAL,
+                };
+                stall_timer.resend_after = Some(Instant::now() + delay);
+                if stall_timer.denied.replace(reason) != Some(reason) {
+                    self.log_silence(first, stall_timer, evidence, reason);
+                }
+                StallAction::KeepWaiting
             }
-            Err(reason) => (reason, STALL_CHECK_INTERVAL),
-        };
-        stall_timer.resend_after = Some(Instant::now() + delay);
-        self.log_silence(attempt.chosen.first(), stall_timer, evidence, outcome);
-        match self.reserved {
-            Some(_) => StallAction::Resend,
-            None => StallAction::KeepWaiting,
         }
     }
 
-    /// Chooses a path for another send beside a silent attempt, and takes a retry from the budget.
+    /// Chooses a path for another send beside the silent attempts that are kept and the current one, and
+    /// takes a retry from the budget.
     ///
     /// # Errors
     ///
     /// Returns a text for the log if no other send may be made, or none has a better chance.
-    fn reserve_path(
-        &mut self,
-        attempt: &Attempt,
-        silent_since: Instant,
+    pub(super) fn reserve_path(
+        &self,
+        current: Option<&Attempt>,
         trace: &RequestTrace,
     ) -> Result<ChosenPath, &'static str> {
         if self.has_unnumbered_bytes {
@@ -294,9 +324,17 @@
         if trace.sends - trace.refused_sends >= self.request.route.attempts_max {
             return Err("kept: as many sends as the route allows");
         }
-        let silent = faults::silent_engines(&attempt.chosen, silent_since);
-        self.failed.extend(silent.map(Rc::clone));
-        let chosen = self.choose().map_err(|_| "kept: no other path")?;
+        let chosen = self.choose().map_err(|_| NO_OTHER_PATH)?;
+        // A second run of a request beside the first one at the same engine gains nothing, unless the
+        // connection is silent.
+        let is_at_work = |attempt: &Attempt| {
+            Rc::ptr_eq(attempt.chosen.first(), chosen.first())
+                && attempt.progress.early() != Some(Progress::Unanswered)
+        };
+        let kept = self.kept.iter().map(|kept| &kept.attempt);
+        if kept.chain(current).any(is_at_work) {
+            return Err(NO_OTHER_PATH);
+        }
         if !self.gateway.try_retry(self.request.service_id) {
             return Err("kept: retry budget exhausted");
         }
--- a/crates/anvil_gateway/src/target.rs
+++ b/crates/anvil_gateway/src/target.rs
@@ -42,6 +42,8 @@
 /// Time for which a target without capacity is avoided. It covers a few events of a stream, each of
 /// which may be the last and free capacity.
 const AVOID_NO_CAPACITY: Duration = Duration::from_millis(120);
+/// Time for which other targets are preferred to one at which a silent stream was overtaken.
+const SLOWER_TIME: Duration = Duration::from_millis(400);
 /// Errors in a row after which a target, and not the requests, is taken to be at fault.
 const CONSECUTIVE_ERRORS_MIN: u32 = 2;
 /// Longest time for which a target is avoided, because a crashed one may be back within seconds.
@@ -63,9 +65,6 @@
     /// It refuses new requests although it is alive and has capacity: it is leaving, or gives up
     /// its layers.
     Refusing,
-    /// A stream that was silent there went on elsewhere. It is used where there is no path without it,
-    /// and peers are not informed.
-    Slower,
 }
 
 /// State of one run of a target. A target that restarts gets a new one.
@@ -90,6 +89,8 @@
     /// When a request through the target last made progress.
     last_progress: Cell<Option<Instant>>,
     avoided_until: Cell<Option<Instant>>,
+    /// Time until which other targets are preferred; `None` if they never were.
+    slower_until: Cell<Option<Instant>>,
     /// Why the target was last avoided.
     pub(crate) avoid_reason: Cell<AvoidReason>,
     consecutive_failures: Cell<u32>,
@@ -124,6 +125,7 @@
             last_heartbeat: Cell::new(Instant::now()),
             last_progress: Cell::new(None),
             avoided_until: Cell::new(None),
+            slower_until: Cell::new(None),
             avoid_reason: Cell::new(AvoidReason::Failure),
             consecutive_failures: Cell::new(0),
             consecutive_errors: Cell::new(0),
@@ -259,14 +261,15 @@
         self.avoid(now, AVOID_UNRESPONSIVE_MIN, AvoidReason::Unresponsive);
     }
 
-    /// Records that a stream which was silent at the target went on elsewhere.
+    /// Records that a stream which was silent at the target went on elsewhere. For a while the target is
+    /// used only where there is no path without it. Peers are not informed.
     pub fn record_slower(&self, now: Instant) {
-        self.avoid(now, AVOID_MIN, AvoidReason::Slower);
+        self.slower_until.set(Some(now + SLOWER_TIME));
     }
 
-    /// Returns whether the target is avoided only in favour of others.
+    /// Returns whether other targets are preferred to this one at `now`.
     pub fn is_slower(&self, now: Instant) -> bool {
-        self.is_avoided(now) && self.avoid_reason.get() == AvoidReason::Slower
+        self.slower_until.get().is_some_and(|until| until > now)
     }
 
     /// Records that the target refused a request although it is alive and has capacity.
@@ -295,7 +298,7 @@
     }
 
     fn avoid(&self, now: Instant, min: Duration, reason: AvoidReason) {
-        if self.is_avoided(now) && !self.is_slower(now) {
+        if self.is_avoided(now) {
             // Requests that are in flight together fail together and count once.
             return;
         }
