--- a/crates/anvil_gateway/src/http1/connection.rs
+++ b/crates/anvil_gateway/src/http1/connection.rs
@@ -158,14 +158,22 @@
     ///
     /// Returns a [`ConnectError`] if the connection can't be established in time.
     pub async fn open(address: SocketAddr, limit: Duration) -> Result<Self, ConnectError> {
-        match timeout(limit, TcpStream::connect(address)).await {
-            Ok(Ok(stream)) => Ok(Self::new(stream)),
-            Ok(Err(source)) => Err(ConnectError::Failed { address, source }),
-            Err(_) => Err(ConnectError::Timeout {
-                address,
-                timeout: limit,
-            }),
-        }
+        let opened = timeout(limit, Self::connect(address)).await;
+        opened.unwrap_or(Err(ConnectError::Timeout {
+            address,
+            timeout: limit,
+        }))
+    }
+
+    /// Opens a connection, for as long as the operating system tries.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`ConnectError`] if the connection can't be established.
+    pub async fn connect(address: SocketAddr) -> Result<Self, ConnectError> {
+        let stream = TcpStream::connect(address).await;
+        let stream = stream.map_err(|source| ConnectError::Failed { address, source })?;
+        Ok(Self::new(stream))
     }
 
     /// Reads a request's head. Returns `None` if the peer closed the connection or sent nothing
--- a/crates/anvil_gateway/src/link.rs
+++ b/crates/anvil_gateway/src/link.rs
@@ -281,7 +281,13 @@
     target: &Target,
     limit: Duration,
 ) -> Result<Connection, ConnectError> {
-    let opened = Connection::open(target.address(), limit).await;
+    let address = target.address();
+    let opened = Connection::connect(address);
+    let opened = gateway.run_clock.timeout(limit, opened).await;
+    let opened = opened.unwrap_or(Err(ConnectError::Timeout {
+        address,
+        timeout: limit,
+    }));
     let outcome = match &opened {
         Ok(_) => "opened",
         Err(ConnectError::Failed { .. }) => "failed",
--- a/crates/anvil_gateway/src/link/tests.rs
+++ b/crates/anvil_gateway/src/link/tests.rs
@@ -1,4 +1,7 @@
-use std::time::Duration;
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
 
 use anvil_core::reachability::Belief;
 use googletest::prelude::*;
@@ -7,6 +10,7 @@
     sleep, //
 };
 
+use super::open_directly;
 use crate::tests::fleet::{
     CallerResult,
     Fleet,
@@ -55,6 +59,31 @@
     });
 }
 
+/// Guards against targets that a host can't reach in time because it did not run itself.
+#[gtest]
+fn open_directly_waits_for_time_in_which_host_runs() {
+    const LIMIT: Duration = Duration::from_millis(600);
+    const STOP_TIME: Duration = Duration::from_millis(900);
+    run(async {
+        let fleet = Fleet::start_plain(147, 1, None).await;
+        let host = fleet.start_host(0).await;
+        fleet.cut_off_silently(&host);
+        let target = Rc::clone(&host.gateway.targets.all()[0]);
+        sleep(POLL_INTERVAL * 10).await;
+        let stop = async {
+            sleep(POLL_INTERVAL).await;
+            fleet.answer_unanswered(0);
+            std::thread::sleep(STOP_TIME);
+        };
+        let (opened, ()) = tokio::join!(open_directly(&host.gateway, &target, LIMIT), stop);
+        expect_that!(opened.is_ok(), eq(true));
+        expect_that!(
+            host.gateway.link.belief(&"plain".into()),
+            eq(Belief::Connected)
+        );
+    });
+}
+
 /// Guards against the same for plain services, and against a request that runs twice on its way through
 /// another host.
 #[gtest]
