--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -262,6 +262,7 @@
     tokio::select! {
         biased;
         head = connection.read_request(
+            &gateway.run_clock,
             limits.header_limit_bytes,
             limits.idle_timeout,
             limits.header_timeout,
@@ -274,6 +275,7 @@
     let idle_timeout = LATE_REQUEST_TIMEOUT.min(limits.idle_timeout);
     connection
         .read_request(
+            &gateway.run_clock,
             limits.header_limit_bytes,
             idle_timeout,
             limits.header_timeout,
@@ -400,7 +402,7 @@
     };
     let body = tokio::select! {
         biased;
-        body = read_body(connection, head, limits.body_limit_bytes) => body,
+        body = read_body(gateway, connection, head, limits.body_limit_bytes) => body,
         () = gateway.reached(Phase::Ending) => return (metadata, stopping(), false),
     };
     let body = match body {
@@ -521,6 +523,7 @@
 }
 
 async fn read_body(
+    gateway: &Gateway,
     connection: &mut Connection,
     head: &RequestHead,
     limit_bytes: usize,
@@ -532,15 +535,9 @@
             .map_err(ReadError::Io)?;
     }
     let mut decoder = BodyDecoder::new(head.framing);
-    match tokio::time::timeout(
-        BODY_TIMEOUT,
-        connection.read_whole_body(&mut decoder, limit_bytes),
-    )
-    .await
-    {
-        Ok(result) => result,
-        Err(_) => Err(ReadError::Closed),
-    }
+    let body = connection.read_whole_body(&mut decoder, limit_bytes);
+    let body = gateway.run_clock.timeout(BODY_TIMEOUT, body).await;
+    body.unwrap_or(Err(ReadError::Closed))
 }
 
 fn log_outcome(
--- a/crates/anvil_gateway/src/exchange/tests.rs
+++ b/crates/anvil_gateway/src/exchange/tests.rs
@@ -9,6 +9,7 @@
     Fleet,
     SAFE_PATH,
     SOUND_KEY,
+    read_answer,
     run, //
 };
 
@@ -38,6 +39,28 @@
     });
 }
 
+/// Guards against requests on kept connections that are closed because the host itself did not run.
+#[gtest]
+fn serve_keeps_connections_of_callers_when_host_did_not_run() {
+    const STOP_TIME: Duration = Duration::from_millis(800);
+    run(async {
+        let fleet = Fleet::start_plain(148, 1, None).await;
+        let host = fleet.start_host(0).await;
+        let head = format!("POST {SAFE_PATH} HTTP/1.1\r\nHost: test\r\n");
+        let rest = format!("id: 1\r\nkey: {SOUND_KEY}\r\nContent-Length: 0\r\n\r\n");
+        let whole = format!("{head}{rest}");
+        for (first, second) in [("", whole.as_str()), (head.as_str(), rest.as_str())] {
+            let mut caller = host.open_silent_connection(first.as_bytes()).await;
+            sleep(Duration::from_millis(150)).await;
+            std::thread::sleep(STOP_TIME);
+            sleep(Duration::from_millis(50)).await;
+            expect_that!(caller.write_all(second.as_bytes()).await, ok(anything()));
+            let answer = read_answer(&mut caller).await;
+            expect_that!(answer.map(|(status, _)| status), some(eq(200)), "{first}");
+        }
+    });
+}
+
 /// Guards against callers that are refused by one host after the other while all of them start.
 #[gtest]
 fn serve_answers_request_that_arrives_before_first_table() {
--- a/crates/anvil_gateway/src/http1/connection.rs
+++ b/crates/anvil_gateway/src/http1/connection.rs
@@ -21,12 +21,11 @@
 };
 use tokio::{
     net::TcpStream,
-    time::{
-        Instant,
-        timeout, //
-    }, //
+    time::timeout, //
 };
 
+use crate::run_clock::RunClock;
+
 use super::{
     body::{
         BodyDecoder,
@@ -179,7 +178,8 @@
     /// Reads a request's head. Returns `None` if the peer closed the connection or sent nothing
     /// within `idle_timeout` before a request began.
     ///
-    /// `head_timeout` limits the time from the first byte to the end of the head.
+    /// `head_timeout` limits the time from the first byte to the end of the head. Time in which this
+    /// host does not run, by `clock`, counts for neither.
     ///
     /// # Errors
     ///
@@ -187,28 +187,30 @@
     /// malformed or exceeds `limit_bytes`.
     pub async fn read_request(
         &mut self,
+        clock: &RunClock,
         limit_bytes: usize,
         idle_timeout: Duration,
         head_timeout: Duration,
     ) -> Result<Option<RequestHead>, ReadError> {
         if self.buffer.is_empty() {
-            match timeout(idle_timeout, self.fill()).await {
+            match clock.timeout(idle_timeout, self.fill()).await {
                 Ok(Ok(0)) | Err(_) => return Ok(None),
                 Ok(Ok(_)) => {}
                 Ok(Err(error)) => return Err(ReadError::Io(error)),
             }
         }
-        let deadline = Instant::now() + head_timeout;
+        let read = clock.timeout(head_timeout, self.read_head(limit_bytes));
+        read.await.unwrap_or(Err(ReadError::Closed)).map(Some)
+    }
+
+    async fn read_head(&mut self, limit_bytes: usize) -> Result<RequestHead, ReadError> {
         loop {
-            if let Some(head) =
-                RequestHead::take(&mut self.buffer, limit_bytes).map_err(ReadError::Head)?
-            {
-                return Ok(Some(head));
+            let head = RequestHead::take(&mut self.buffer, limit_bytes);
+            if let Some(head) = head.map_err(ReadError::Head)? {
+                return Ok(head);
             }
-            match tokio::time::timeout_at(deadline, self.fill()).await {
-                Ok(Ok(0)) | Err(_) => return Err(ReadError::Closed),
-                Ok(Ok(_)) => {}
-                Ok(Err(error)) => return Err(ReadError::Io(error)),
+            if self.fill().await.map_err(ReadError::Io)? == 0 {
+                return Err(ReadError::Closed);
             }
         }
     }
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -355,6 +355,7 @@
     let mut connection = Connection::new(stream);
     while let Ok(Some(head)) = connection
         .read_request(
+            &gateway.run_clock,
             READINESS_HEAD_LIMIT_BYTES,
             READINESS_TIMEOUT,
             READINESS_TIMEOUT,
--- a/crates/anvil_gateway/src/peers/table.rs
+++ b/crates/anvil_gateway/src/peers/table.rs
@@ -123,7 +123,12 @@
     let count = CountGuard::begin(&gateway.table_questions);
     let mut connection = Connection::new(stream);
     let question = connection
-        .read_request(QUESTION_LIMIT_BYTES, QUESTION_TIMEOUT, QUESTION_TIMEOUT)
+        .read_request(
+            &gateway.run_clock,
+            QUESTION_LIMIT_BYTES,
+            QUESTION_TIMEOUT,
+            QUESTION_TIMEOUT,
+        )
         .await;
     let Ok(Some(head)) = question else {
         return;
--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -235,6 +235,7 @@
     let mut connection = Connection::new(stream);
     while let Ok(Some(head)) = connection
         .read_request(
+            &gateway.run_clock,
             READINESS_HEAD_LIMIT_BYTES,
             READINESS_TIMEOUT,
             READINESS_TIMEOUT,
