--- a/crates/anvil_gateway/src/stream/tests.rs
+++ b/crates/anvil_gateway/src/stream/tests.rs
@@ -1,4 +1,7 @@
-use std::time::Duration;
+use std::{
+    collections::HashSet,
+    time::Duration, //
+};
 
 use googletest::prelude::*;
 use rand::{
@@ -246,13 +249,154 @@
             });
         }
         let start = Instant::now();
-        let result = host.call(&["part"]).await;
+        let result = host.call_within(Duration::from_secs(3)).await;
         expect_that!(result, eq(CallerResult::Broken));
         // Before the deadline of the route.
         expect_that!(start.elapsed(), lt(Duration::from_secs(20)));
     });
 }
 
+/// Longer than a stream is waited for before it is sent again, and shorter than callers wait.
+const LONG_PAUSE: Duration = Duration::from_millis(1900);
+
+/// Guards against a sound stream that is cut because its engine pauses (LOST).
+#[gtest]
+fn serve_completes_stream_whose_engines_pause() {
+    run(async {
+        let fleet = Fleet::start(121, 2).await;
+        let host = fleet.start_host(0).await;
+        for engine in &fleet.engines {
+            engine.behaviour.set(Behaviour::PausesOnce {
+                events: 8,
+                before: 4,
+                pause: LONG_PAUSE,
+            });
+        }
+        expect_that!(host.call(&["part"]).await, eq(CallerResult::Complete));
+        expect_that!(fleet.run_count(&host.last_id()), le(2));
+    });
+}
+
+/// The same where the engines pause before the head of their answers.
+#[gtest]
+fn serve_completes_stream_whose_engines_answer_late() {
+    run(async {
+        let fleet = Fleet::start(122, 2).await;
+        let host = fleet.start_host(0).await;
+        for engine in &fleet.engines {
+            engine.head_delay.set(LONG_PAUSE);
+        }
+        expect_that!(host.call(&["part"]).await, eq(CallerResult::Complete));
+        expect_that!(fleet.run_count(&host.last_id()), le(2));
+    });
+}
+
+/// Guards against streams that are cut when all engines pause and the retry budget is spent (LOST).
+#[gtest]
+fn serve_completes_streams_when_all_engines_pause_at_once() {
+    run(async {
+        let fleet = Fleet::start(123, 3).await;
+        let hosts = [fleet.start_host(0).await, fleet.start_host(1).await];
+        wait_for_peers(&[&hosts[0], &hosts[1]]).await;
+        for engine in &fleet.engines {
+            engine.behaviour.set(Behaviour::PausesOnce {
+                events: 8,
+                before: 4,
+                pause: LONG_PAUSE,
+            });
+        }
+        let service = "model".into();
+        for host in &hosts {
+            while host.gateway.try_retry(&service) {}
+        }
+        let calls = (0..40).map(|index| hosts[index % 2].call(&["part"]));
+        let results = futures::future::join_all(calls).await;
+        expect_that!(results, each(eq(&CallerResult::Complete)));
+    });
+}
+
+/// Guards against engines that take no requests because the streams of one host are silent there.
+#[gtest]
+fn serve_uses_engines_of_silent_streams_for_other_requests() {
+    run(async {
+        let fleet = Fleet::start(124, 2).await;
+        let hosts = [fleet.start_host(0).await, fleet.start_host(1).await];
+        wait_for_peers(&[&hosts[0], &hosts[1]]).await;
+        let set_all = |behaviour| {
+            for engine in &fleet.engines {
+                engine.behaviour.set(behaviour);
+            }
+        };
+        set_all(Behaviour::PausesOnce {
+            events: 8,
+            before: 4,
+            pause: Duration::from_secs(3),
+        });
+        let host = &hosts[0];
+        let silent = (0..8).map(|_| host.call(&["silent"]));
+        let others = async {
+            // By then the silent streams have been sent again where they may be.
+            sleep(Duration::from_millis(1700)).await;
+            set_all(Behaviour::Sound);
+            for _ in 0..10 {
+                expect_that!(host.call(&["part"]).await, eq(CallerResult::Complete));
+            }
+        };
+        let (silent, ()) = tokio::join!(futures::future::join_all(silent), others);
+        expect_that!(silent, each(eq(&CallerResult::Complete)));
+    });
+}
+
+/// Guards against a host that takes all streams for silent after it did not run for a while (LOST).
+#[gtest]
+fn serve_sends_no_stream_again_after_host_did_not_run() {
+    run(async {
+        let fleet = Fleet::start(125, 2).await;
+        let hosts = [fleet.start_host(0).await, fleet.start_host(1).await];
+        wait_for_peers(&[&hosts[0], &hosts[1]]).await;
+        for engine in &fleet.engines {
+            engine.behaviour.set(Behaviour::Slow {
+                events: 10,
+                pause: Duration::from_millis(50),
+            });
+        }
+        let calls = (0..12).map(|index| hosts[index % 2].call(&["part"]));
+        let stop = async {
+            sleep(Duration::from_millis(200)).await;
+            std::thread::sleep(Duration::from_millis(1600));
+        };
+        let (results, ()) = tokio::join!(futures::future::join_all(calls), stop);
+        expect_that!(results, each(eq(&CallerResult::Complete)));
+        let ids: HashSet<_> = (fleet.engines.iter())
+            .flat_map(|engine| engine.run_ids.borrow().clone())
+            .collect();
+        expect_that!(ids.len(), eq(12));
+        let run_counts: Vec<usize> = ids.iter().map(|id| fleet.run_count(id)).collect();
+        expect_that!(run_counts, each(eq(&1)));
+    });
+}
+
+/// Guards against a silent stream that is sent again and again (BUDGET).
+#[gtest]
+fn serve_sends_silent_stream_as_often_as_route_allows() {
+    run(async {
+        let fleet = Fleet::start(126, 4).await;
+        let hosts = [fleet.start_host(0).await, fleet.start_host(1).await];
+        wait_for_peers(&[&hosts[0], &hosts[1]]).await;
+        // The retry budget grows with the requests.
+        send_sound(&hosts, 60).await;
+        let host = &hosts[0];
+        for engine in &fleet.engines {
+            engine.behaviour.set(Behaviour::Stalled {
+                pause: Duration::from_millis(50),
+            });
+        }
+        let result = host.call_within(Duration::from_secs(6)).await;
+        expect_that!(result, eq(CallerResult::Broken));
+        expect_that!(fleet.run_count(&host.last_id()), le(2));
+    });
+}
+
 /// Guards against an engine that fails each request at once, and gets most of them because it has the
 /// fewest in flight.
 #[gtest]
