Pass evidence against requests on to the hosts that report to a relay

A host sends new evidence to the relays alone, and a relay passed on what is quarantined, not evidence that doesn't suffice yet. A relay now takes evidence that adds to its own as news. It ends there: a relay that has it already doesn't send it on. An end leaves evidence against all requests that had just begun on the engine, so 16 instead of 8 states fit in a digest, those with most evidence first.

--- a/crates/anvil_core/src/quarantine.rs
+++ b/crates/anvil_core/src/quarantine.rs
@@ -13,6 +13,7 @@
 //! their ranks, so that messages may be lost, repeated or reordered.
 
 use std::{
+    cmp::Reverse,
     collections::{
         HashMap,
         HashSet, //
@@ -30,6 +31,7 @@
 pub use suspect::Suspect;
 
 mod suspect;
+
 #[cfg(test)]
 mod tests;
 
@@ -235,6 +237,8 @@
     pub adds_answer: bool,
     /// Whether the host that sent the state refuses for evidence that was refuted or lowered since.
     pub is_outdated: bool,
+    /// Whether this host knew less evidence against the suspect.
+    pub adds_evidence: bool,
 }
 
 /// The states of suspects, as one host knows them.
@@ -556,6 +560,7 @@
             }
         };
         let was_quarantined = entry.is_quarantined();
+        let (round_before, points_before) = (entry.round, entry.points);
         let was_answered = entry.was_answered || state.was_answered || knows_answer;
         let is_same_round = merged.round == entry.round;
         let ended_targets = std::mem::take(&mut entry.ended_targets);
@@ -588,11 +593,20 @@
             is_newly_quarantined: entry.is_quarantined() && !was_quarantined,
             adds_answer,
             is_outdated,
+            adds_evidence: entry.points > 0
+                && (entry.round, entry.points) > (round_before, points_before),
+        }
+    }
+
+    /// Makes this host tell peers of a state that it has from another one.
+    pub fn relay(&mut self, suspect: &Suspect, now: Instant) {
+        if let Some(entry) = self.entries.get_mut(suspect) {
+            entry.news_at = Some(now);
         }
     }
 
     /// Returns the states to share, at most `count` of parts and `count` of requests: what is
-    /// quarantined, then the latest news of this host.
+    /// quarantined, then the news of this host, with most evidence and the latest first.
     pub fn shared(&self, count: usize, now: Instant) -> Vec<SuspectState> {
         let (mut parts, mut requests): (Vec<_>, Vec<_>) = self
             .entries
@@ -602,7 +616,9 @@
             .partition(|state| matches!(state.suspect, Suspect::Part(_)));
         for states in [&mut parts, &mut requests] {
             states.sort_by(|left, right| {
-                let key = |state: &SuspectState| (!state.is_quarantined(), state.age);
+                let key = |state: &SuspectState| {
+                    (!state.is_quarantined(), Reverse(state.points), state.age)
+                };
                 key(left)
                     .cmp(&key(right))
                     .then_with(|| left.suspect.cmp(&right.suspect))
--- a/crates/anvil_core/src/quarantine/tests.rs
+++ b/crates/anvil_core/src/quarantine/tests.rs
@@ -53,6 +53,22 @@
     }
 }
 
+/// Guards against evidence that a relay keeps from the hosts that report to it.
+#[gtest]
+fn relay_shares_evidence_of_another_host() {
+    let now = Instant::now();
+    let mut sender = Quarantine::default();
+    end(&mut sender, &["lethal"], Progress::Begun, now);
+    let states = sender.shared(8, now);
+    let mut relay = Quarantine::default();
+    let merged = relay.merge(&states[0], now);
+    expect_that!(merged.adds_evidence, eq(true));
+    expect_that!(relay.shared(8, now), is_empty());
+    relay.relay(&states[0].suspect, now);
+    expect_that!(relay.shared(8, now), len(eq(1)));
+    expect_that!(relay.merge(&states[0], now).adds_evidence, eq(false));
+}
+
 /// Guards against blaming the requests of engines that fail together for another reason.
 #[gtest]
 fn record_end_counts_engines_that_end_together_once() {
--- a/crates/anvil_gateway/src/quarantine.rs
+++ b/crates/anvil_gateway/src/quarantine.rs
@@ -39,7 +39,9 @@
 };
 
 /// Most parts, and most requests, whose state is shared with peers in one digest.
-const SHARED_STATES_MAX: usize = 8;
+const SHARED_STATES_MAX: usize = 16;
+/// Most requests that a host quarantines on its own evidence while it hears no peer.
+const ISOLATED_REQUESTS_MAX: usize = 8;
 /// Time for which one host may try a suspect before another one may: not every host gets requests with
 /// it.
 const TRIAL_SLOT: Duration = Duration::from_secs(4);
@@ -185,7 +187,7 @@
         }
         let now = Instant::now().into_std();
         let mut quarantine = self.quarantine.borrow_mut();
-        quarantine.quarantine_request(suspect, SHARED_STATES_MAX, now)
+        quarantine.quarantine_request(suspect, ISOLATED_REQUESTS_MAX, now)
     }
 
     /// Records that a target answered a request with `status` and kept running. An error tells nothing of
@@ -260,7 +262,11 @@
                 }
             }
             // The hosts that report to a relay hear of it only through the relay.
-            let is_relayed = merged.is_newly_quarantined && peers::is_relay(self);
+            let is_relayed =
+                (merged.is_newly_quarantined || merged.adds_evidence) && peers::is_relay(self);
+            if is_relayed {
+                self.quarantine.borrow_mut().relay(&state.suspect, now);
+            }
             if merged.adds_answer || merged.is_outdated || is_relayed {
                 self.urgent_change.notify_one();
             }
