Send requests under suspicion where an engine can be spared

A stream that was lost at the start of its answer was resumed at any engine, and so was an equal request of a caller; quarantine needs three ends, more than the layer had to spare.

A request is under suspicion after one end under an equal one, or two in sequence under a part, until an answer refutes the evidence. It passes only engines of which each layer has two other available holders, begins at one engine that all hosts choose alike, one suspect of a host at a time, and is otherwise refused with the time that loading takes, or waits 1.5 s if it has run. Other requests stay away from these engines. Streams that were written for long give no evidence and go on at once.

serve_keeps_engines_for_others_when_request_ends_them failed with the restriction switched off: 4 of 4 engines ended (2 are allowed), and later sound requests got 503. It holds now.

--- a/crates/anvil_core/src/quarantine.rs
+++ b/crates/anvil_core/src/quarantine.rs
@@ -31,6 +31,7 @@
 pub use suspect::Suspect;
 
 mod suspect;
+pub mod trial_place;
 
 #[cfg(test)]
 mod tests;
@@ -68,6 +69,10 @@
 /// Time after which a generation of answered parts ends.
 const ANSWERED_GENERATION_TIME: Duration = Duration::from_secs(60);
 
+/// Evidence from which on requests with a part are under suspicion: two ends in sequence. Most requests
+/// on an engine that ends have parts which others share.
+const PART_SUSPICION_POINTS: u32 = 4;
+
 /// How far a target had come with a request when it ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Progress {
@@ -294,6 +299,24 @@
         quarantined.count()
     }
 
+    /// Returns whether targets ended under requests equal to one with `suspects`, or several under a part of
+    /// its prompt, without an answer since.
+    pub fn is_under_suspicion(&self, suspects: &[Suspect]) -> bool {
+        suspects.iter().any(|suspect| {
+            let points = self.entries.get(suspect).map_or(0, |entry| entry.points);
+            match suspect {
+                Suspect::Part(_) => points >= PART_SUSPICION_POINTS,
+                Suspect::Request(_) => points > 0,
+            }
+        })
+    }
+
+    /// Returns whether a process of a target, given by its hash, ended under a request with a state.
+    pub fn has_ended(&self, process_hash: u32) -> bool {
+        let mut entries = self.entries.values();
+        entries.any(|entry| entry.ended_targets.contains(&process_hash))
+    }
+
     /// Admits a request with `suspects`, or refuses it. `may_try` tells, by the time since the state of
     /// a suspect changed, whether this host is the one to try a suspect whose quarantine time is over;
     /// it admits one request at a time.
--- a/crates/anvil_core/src/quarantine/tests.rs
+++ b/crates/anvil_core/src/quarantine/tests.rs
@@ -53,6 +53,30 @@
     }
 }
 
+#[gtest]
+fn is_under_suspicion_after_one_end_of_request_or_two_of_part() {
+    let mut quarantine = Quarantine::default();
+    let now = Instant::now();
+    let request = Suspect::Request(RequestDigest::of("GET", "host", "/", None, b""));
+    let suspects = [part("lethal"), request.clone()];
+    for (target_hash, part_is_suspect) in [(1, false), (2, true)] {
+        let admission = quarantine.admit(&suspects, now, |_, _| false).unwrap();
+        quarantine.record_end(&suspects, &admission, target_hash, Progress::Begun, now);
+        expect_that!(
+            quarantine.is_under_suspicion(std::slice::from_ref(&request)),
+            eq(true)
+        );
+        expect_that!(
+            quarantine.is_under_suspicion(&parts(&["lethal"])),
+            eq(part_is_suspect)
+        );
+        expect_that!(quarantine.has_ended(target_hash), eq(true));
+    }
+    quarantine.record_answer(&suspects, now);
+    expect_that!(quarantine.is_under_suspicion(&suspects), eq(false));
+    expect_that!(quarantine.has_ended(1), eq(false));
+}
+
 /// Guards against evidence that a relay keeps from the hosts that report to it.
 #[gtest]
 fn relay_shares_evidence_of_another_host() {
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -54,7 +54,8 @@
     run_clock::RunClock,
     settings::Settings,
     target::Target,
-    targets::Targets, //
+    targets::Targets,
+    trial_place::SuspectCounts, //
 };
 
 /// Phase of a host's run, in this order.
@@ -93,6 +94,8 @@
     pub newer_table_notify: Notify,
     /// States of the prompt parts under which engines ended.
     pub quarantine: RefCell<Quarantine>,
+    /// Requests of this host that are under suspicion, by engine.
+    pub suspect_counts: SuspectCounts,
     /// Requests that are no longer waited for, under which targets may end.
     pub abandoned: AbandonedQueue,
     /// Notified when this host has observed what peers must know soon: evidence against a request, or
@@ -142,6 +145,7 @@
             metrics: Metrics::new(),
             newer_table_notify: Notify::new(),
             quarantine: RefCell::new(Quarantine::default()),
+            suspect_counts: SuspectCounts::default(),
             abandoned: AbandonedQueue::default(),
             urgent_change: Notify::new(),
             last_slowdown_query: Cell::new(None),
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod stream;
 pub mod target;
 pub mod targets;
+pub mod trial_place;
 
 #[cfg(test)]
 mod tests;
--- a/crates/anvil_gateway/src/paths.rs
+++ b/crates/anvil_gateway/src/paths.rs
@@ -28,7 +28,11 @@
     exchange::RequestContext,
     gateway::Gateway,
     port::Stage,
-    target::Target, //
+    target::Target,
+    trial_place::{
+        self,
+        Standing, //
+    },
 };
 
 /// Largest random change of an engine's price, relative to the price, so that hosts with the same
@@ -220,6 +224,8 @@
     pub first_engines: &'a [Rc<Target>],
     /// Engines that failed the request. They are excluded if there is a path without them.
     pub failed: &'a [Rc<Target>],
+    /// How the request stands to engines with requests under suspicion.
+    pub(crate) standing: Standing,
 }
 
 /// Chooses a path for a request. Excludes engines that failed it, and engines at which a silent stream
@@ -239,12 +245,21 @@
     let slower = targets.into_iter().filter(|target| target.is_slower(now));
     let mut excluded = attempts.failed.to_vec();
     excluded.extend(slower);
-    choose_excluding(gateway, request, engine, attempts, &excluded).or_else(|error| {
-        if excluded.is_empty() {
-            return Err(error);
+    let chosen = choose_excluding(gateway, request, engine, attempts, &excluded);
+    if chosen.is_ok() || excluded.is_empty() && attempts.standing == Standing::Any {
+        return chosen;
+    }
+    let anywhere = PriorAttempts {
+        standing: attempts.standing.relaxed(),
+        ..*attempts
+    };
+    if anywhere.standing != attempts.standing {
+        let chosen = choose_excluding(gateway, request, engine, &anywhere, &excluded);
+        if chosen.is_ok() || excluded.is_empty() {
+            return chosen;
         }
-        choose_excluding(gateway, request, engine, attempts, &[])
-    })
+    }
+    choose_excluding(gateway, request, engine, &anywhere, &[])
 }
 
 fn choose_excluding(
@@ -284,6 +299,7 @@
     let attempts = PriorAttempts {
         first_engines: &[],
         failed: lost,
+        standing: Standing::Any,
     };
     let snapshot = EngineSnapshot::take(gateway, request, engine, &attempts, lost);
     let is_lost = |target: &Rc<Target>| lost.iter().any(|other| Rc::ptr_eq(other, target));
@@ -416,7 +432,7 @@
         let is_first_limit_reached =
             listed_first_engines.count() >= request.route.attempts_max as usize;
         let mut demand = None;
-        let (targets, workers): (Vec<Rc<Target>>, Vec<Worker>) = ready_targets
+        let (targets, mut workers): (Vec<Rc<Target>>, Vec<Worker>) = ready_targets
             .iter()
             .filter_map(|target| {
                 let entry = target.entry.borrow();
@@ -464,6 +480,7 @@
                 Some((Rc::clone(target), worker))
             })
             .unzip();
+        trial_place::restrict(gateway, engine, attempts.standing, &targets, &mut workers);
         Self {
             targets,
             workers,
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -82,6 +82,7 @@
         InFlightGuard,
         Target, //
     },
+    trial_place,
 };
 
 mod attempt;
@@ -245,6 +246,11 @@
                             if self.engine.is_none() {
                                 return self.give_up(ErrorReason::NoTarget, "no target");
                             }
+                            if !self.may_have_run
+                                && trial_place::is_under_suspicion(self.gateway, self.request)
+                            {
+                                return self.refuse_suspect();
+                            }
                             let since = *no_path_since.get_or_insert_with(Instant::now);
                             if !self.may_have_run || since.elapsed() > RESUME_TIMEOUT {
                                 return self.give_up(ErrorReason::Overloaded, "no path");
@@ -262,7 +268,9 @@
                         trace.predicted_first_ms = chosen.path.first_event_ms;
                         trace.predicted_pause_ms = chosen.path.pause_ms;
                     }
-                    let mut attempt = Attempt::new(chosen, admission);
+                    let suspect_guard =
+                        trial_place::begin(self.gateway, self.request, chosen.first());
+                    let mut attempt = Attempt::new(chosen, admission, suspect_guard);
                     let result = self.send(caller, &mut attempt, trace).await;
                     (attempt, result)
                 }
@@ -426,6 +434,11 @@
         let attempts = PriorAttempts {
             first_engines: &self.first_engines,
             failed: &self.failed,
+            standing: trial_place::standing(
+                self.gateway,
+                self.request,
+                !self.first_engines.is_empty(),
+            ),
         };
         paths::choose(self.gateway, self.request, engine, &attempts)
             .map_err(|error| error.to_string())
@@ -482,6 +495,16 @@
         RequestOutcome::Error(ErrorResponse::not_run(reason, Some(refusal.retry_after)))
     }
 
+    /// Refuses a request that is under suspicion and that no engine may take.
+    fn refuse_suspect(&self) -> RequestOutcome {
+        let retry_after = match self.engine {
+            Some(engine) => trial_place::retry_after(self.gateway, engine),
+            None => plain::retry_after(self.gateway, self.request),
+        };
+        let reason = ErrorReason::QuarantinedRequest;
+        RequestOutcome::Error(ErrorResponse::not_run(reason, Some(retry_after)))
+    }
+
     async fn finish(&mut self, caller: &mut Connection) -> RequestOutcome {
         match caller.write_all(b"0\r\n\r\n").await {
             Ok(()) => RequestOutcome::Answered { status: 200 },
@@ -864,6 +887,7 @@
             if !begun.is_recorded && attempt.progress.early().is_none() {
                 begun.is_recorded = true;
                 self.record_answer(attempt);
+                attempt.suspect_guard = None;
             }
             if events == 0 {
                 continue;
--- a/crates/anvil_gateway/src/stream/attempt.rs
+++ b/crates/anvil_gateway/src/stream/attempt.rs
@@ -16,7 +16,8 @@
     plain::is_response_to,
     pool::PooledConnection,
     port::ResponseMetadata,
-    target::InFlightGuard, //
+    target::InFlightGuard,
+    trial_place::SuspectGuard, //
 };
 
 use super::{
@@ -33,14 +34,21 @@
     pub(super) admission: Admission,
     /// How far the first engine has come.
     pub(super) progress: SendProgress,
+    /// Counts the request at its first engine until it is answered, if it is under suspicion.
+    pub(super) suspect_guard: Option<SuspectGuard>,
 }
 
 impl Attempt {
-    pub(super) fn new(chosen: ChosenPath, admission: Admission) -> Self {
+    pub(super) fn new(
+        chosen: ChosenPath,
+        admission: Admission,
+        suspect_guard: Option<SuspectGuard>,
+    ) -> Self {
         Self {
             chosen,
             admission,
             progress: SendProgress::default(),
+            suspect_guard,
         }
     }
 }
--- a/crates/anvil_gateway/src/stream/tests.rs
+++ b/crates/anvil_gateway/src/stream/tests.rs
@@ -123,6 +123,24 @@
     });
 }
 
+/// Guards against a request that ends engine after engine, as it is resumed and sent again, until its
+/// evidence suffices and none is left for others.
+#[gtest]
+fn serve_keeps_engines_for_others_when_request_ends_them() {
+    run(async {
+        let fleet = Fleet::start(93, 4).await;
+        let hosts = [fleet.start_host(0).await, fleet.start_host(1).await];
+        wait_for_peers(&[&hosts[0], &hosts[1]]).await;
+        send_sound(&hosts, 10).await;
+        for index in 0..6 {
+            let host = &hosts[index % hosts.len()];
+            host.call_model(&[], "/m/lethal", LETHAL_BODY).await;
+        }
+        expect_that!(fleet.ended_count(), le(2));
+        send_sound(&hosts, 10).await;
+    });
+}
+
 /// Sends requests to the hosts in turn, and expects that all are answered.
 async fn send_sound(hosts: &[Host], count: usize) {
     for index in 0..count {
