--- a/crates/anvil_gateway/src/http1/connection.rs
+++ b/crates/anvil_gateway/src/http1/connection.rs
@@ -1,6 +1,7 @@
 //! A TCP connection with a buffer of bytes that were received but not consumed yet.
 
 use std::{
+    cell::Cell,
     io,
     net::SocketAddr,
     time::Duration, //
@@ -20,12 +21,11 @@
 };
 use tokio::{
     net::TcpStream,
-    time::{
-        Instant,
-        timeout, //
-    }, //
+    time::timeout, //
 };
 
+use crate::run_clock::RunClock;
+
 use super::{
     body::{
         BodyDecoder,
@@ -49,6 +49,11 @@
 /// Time without acknowledgement of sent bytes after which a connection counts as dead. It is
 /// shorter than the two seconds without events after which callers disconnect.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1800);
+/// The same while more bytes are sent than a peer must take without reading. The system also applies it
+/// to a peer that acknowledges everything but has no room, because its process is late.
+const CLOSED_WINDOW_TIMEOUT: Duration = Duration::from_secs(15);
+/// Bytes that a peer takes without reading.
+const WINDOW_MIN_BYTES: usize = 32 << 10;
 /// Idle time after which TCP keepalive probes begin. A connection may break without a reset.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
 /// Time between two keepalive probes. With a `TCP_USER_TIMEOUT`, the system gives a connection up when
@@ -107,6 +112,8 @@
     buffer: BytesMut,
     /// Whether another host passes the bytes on. Its end can't be told from the end of the peer.
     is_tunnel: bool,
+    /// Bytes that were sent since the peer last sent some. It may not have read them.
+    unread_bytes: Cell<usize>,
 }
 
 impl Connection {
@@ -120,6 +127,7 @@
             stream,
             buffer: BytesMut::new(),
             is_tunnel: false,
+            unread_bytes: Cell::new(0),
         }
     }
 
@@ -134,6 +142,7 @@
 
     /// Returns the stream. Bytes that were received but not consumed are dropped.
     pub fn into_stream(self) -> TcpStream {
+        self.set_unacknowledged_timeout(CLOSED_WINDOW_TIMEOUT);
         self.stream
     }
 
@@ -148,20 +157,29 @@
     ///
     /// Returns a [`ConnectError`] if the connection can't be established in time.
     pub async fn open(address: SocketAddr, limit: Duration) -> Result<Self, ConnectError> {
-        match timeout(limit, TcpStream::connect(address)).await {
-            Ok(Ok(stream)) => Ok(Self::new(stream)),
-            Ok(Err(source)) => Err(ConnectError::Failed { address, source }),
-            Err(_) => Err(ConnectError::Timeout {
-                address,
-                timeout: limit,
-            }),
-        }
+        let opened = timeout(limit, Self::connect(address)).await;
+        opened.unwrap_or(Err(ConnectError::Timeout {
+            address,
+            timeout: limit,
+        }))
+    }
+
+    /// Opens a connection, for as long as the operating system tries.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`ConnectError`] if the connection can't be established.
+    pub async fn connect(address: SocketAddr) -> Result<Self, ConnectError> {
+        let stream = TcpStream::connect(address).await;
+        let stream = stream.map_err(|source| ConnectError::Failed { address, source })?;
+        Ok(Self::new(stream))
     }
 
     /// Reads a request's head. Returns `None` if the peer closed the connection or sent nothing
     /// within `idle_timeout` before a request began.
     ///
-    /// `head_timeout` limits the time from the first byte to the end of the head.
+    /// `head_timeout` limits the time from the first byte to the end of the head. Time in which this
+    /// host does not run, by `clock`, counts for neither.
     ///
     /// # Errors
     ///
@@ -169,28 +187,30 @@
     /// malformed or exceeds `limit_bytes`.
     pub async fn read_request(
         &mut self,
+        clock: &RunClock,
         limit_bytes: usize,
         idle_timeout: Duration,
         head_timeout: Duration,
     ) -> Result<Option<RequestHead>, ReadError> {
         if self.buffer.is_empty() {
-            match timeout(idle_timeout, self.fill()).await {
+            match clock.timeout(idle_timeout, self.fill()).await {
                 Ok(Ok(0)) | Err(_) => return Ok(None),
                 Ok(Ok(_)) => {}
                 Ok(Err(error)) => return Err(ReadError::Io(error)),
             }
         }
-        let deadline = Instant::now() + head_timeout;
+        let read = clock.timeout(head_timeout, self.read_head(limit_bytes));
+        read.await.unwrap_or(Err(ReadError::Closed)).map(Some)
+    }
+
+    async fn read_head(&mut self, limit_bytes: usize) -> Result<RequestHead, ReadError> {
         loop {
-            if let Some(head) =
-                RequestHead::take(&mut self.buffer, limit_bytes).map_err(ReadError::Head)?
-            {
-                return Ok(Some(head));
+            let head = RequestHead::take(&mut self.buffer, limit_bytes);
+            if let Some(head) = head.map_err(ReadError::Head)? {
+                return Ok(head);
             }
-            match tokio::time::timeout_at(deadline, self.fill()).await {
-                Ok(Ok(0)) | Err(_) => return Err(ReadError::Closed),
-                Ok(Ok(_)) => {}
-                Ok(Err(error)) => return Err(ReadError::Io(error)),
+            if self.fill().await.map_err(ReadError::Io)? == 0 {
+                return Err(ReadError::Closed);
             }
         }
     }
@@ -276,6 +296,7 @@
     ///
     /// Returns an error if the connection fails.
     pub async fn write_all(&self, data: &[u8]) -> io::Result<()> {
+        self.record_written(data.len());
         let mut remaining = data;
         while !remaining.is_empty() {
             match self.stream.try_write(remaining) {
@@ -336,11 +357,36 @@
                     }
                     self.stream.readable().await?;
                 }
-                result => return result,
+                result => {
+                    self.record_read();
+                    return result;
+                }
             }
         }
     }
 
+    fn record_written(&self, bytes: usize) {
+        let before = self.unread_bytes.get();
+        let after = before.saturating_add(bytes);
+        self.unread_bytes.set(after);
+        if before <= WINDOW_MIN_BYTES && after > WINDOW_MIN_BYTES {
+            self.set_unacknowledged_timeout(CLOSED_WINDOW_TIMEOUT);
+        }
+    }
+
+    fn record_read(&self) {
+        if self.unread_bytes.replace(0) > WINDOW_MIN_BYTES {
+            self.set_unacknowledged_timeout(UNACKNOWLEDGED_TIMEOUT);
+        }
+    }
+
+    fn set_unacknowledged_timeout(&self, timeout: Duration) {
+        let socket = SockRef::from(&self.stream);
+        if let Err(error) = socket.set_tcp_user_timeout(Some(timeout)) {
+            spdlog::debug!("connection.options_failed", kv: { error: });
+        }
+    }
+
     /// Shuts the connection down for writing, and waits up to `limit` until the peer closes it.
     /// Bytes that arrive meanwhile are read and discarded, since unread ones could cause a reset
     /// that destroys the last answer.
--- a/crates/anvil_gateway/src/paths.rs
+++ b/crates/anvil_gateway/src/paths.rs
@@ -245,21 +245,21 @@
     let slower = targets.into_iter().filter(|target| target.is_slower(now));
     let mut excluded = attempts.failed.to_vec();
     excluded.extend(slower);
-    let chosen = choose_excluding(gateway, request, engine, attempts, &excluded);
-    if chosen.is_ok() || excluded.is_empty() && attempts.standing == Standing::Any {
-        return chosen;
-    }
     let anywhere = PriorAttempts {
         standing: attempts.standing.relaxed(),
         ..*attempts
     };
-    if anywhere.standing != attempts.standing {
-        let chosen = choose_excluding(gateway, request, engine, &anywhere, &excluded);
-        if chosen.is_ok() || excluded.is_empty() {
-            return chosen;
-        }
+    let mut chosen = choose_excluding(gateway, request, engine, attempts, &excluded);
+    if chosen.is_err() && anywhere.standing != attempts.standing {
+        chosen = choose_excluding(gateway, request, engine, &anywhere, &excluded);
+    }
+    if chosen.is_err() && excluded.len() > attempts.failed.len() {
+        chosen = choose_excluding(gateway, request, engine, &anywhere, attempts.failed);
+    }
+    if chosen.is_err() && !attempts.failed.is_empty() {
+        chosen = choose_excluding(gateway, request, engine, &anywhere, &[]);
     }
-    choose_excluding(gateway, request, engine, &anywhere, &[])
+    chosen
 }
 
 fn choose_excluding(
@@ -439,8 +439,7 @@
                 let data_centre = index_or_insert(&mut data_centres, &entry.data_centre);
                 let (layers, _) = entry.layers?;
                 let kind = *engine.kinds.get(entry.kind.as_ref()?)?;
-                let is_avoided = target.is_avoided(now) && !target.is_slower(now)
-                    || !target.closed_for(now).is_zero();
+                let is_avoided = target.is_avoided(now) || !target.closed_for(now).is_zero();
                 let is_excluded = excluded.iter().any(|other| Rc::ptr_eq(other, target));
                 let is_avoided_by_peers = trusts_avoidance
                     && peers_view.avoided.contains_key(&target.id_hash)
