--- a/crates/anvil_core/src/quarantine.rs
+++ b/crates/anvil_core/src/quarantine.rs
@@ -13,6 +13,7 @@
 //! their ranks, so that messages may be lost, repeated or reordered.
 
 use std::{
+    cmp::Reverse,
     collections::{
         HashMap,
         HashSet, //
@@ -30,6 +31,8 @@
 pub use suspect::Suspect;
 
 mod suspect;
+pub mod trial_place;
+
 #[cfg(test)]
 mod tests;
 
@@ -66,6 +69,10 @@
 /// Time after which a generation of answered parts ends.
 const ANSWERED_GENERATION_TIME: Duration = Duration::from_secs(60);
 
+/// Evidence from which on requests with a part are under suspicion: two ends in sequence. Most requests
+/// on an engine that ends have parts which others share.
+const PART_SUSPICION_POINTS: u32 = 4;
+
 /// How far a target had come with a request when it ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Progress {
@@ -235,6 +242,8 @@
     pub adds_answer: bool,
     /// Whether the host that sent the state refuses for evidence that was refuted or lowered since.
     pub is_outdated: bool,
+    /// Whether this host knew less evidence against the suspect.
+    pub adds_evidence: bool,
 }
 
 /// The states of suspects, as one host knows them.
@@ -290,6 +299,24 @@
         quarantined.count()
     }
 
+    /// Returns whether targets ended under requests equal to one with `suspects`, or several under a part of
+    /// its prompt, without an answer since.
+    pub fn is_under_suspicion(&self, suspects: &[Suspect]) -> bool {
+        suspects.iter().any(|suspect| {
+            let points = self.entries.get(suspect).map_or(0, |entry| entry.points);
+            match suspect {
+                Suspect::Part(_) => points >= PART_SUSPICION_POINTS,
+                Suspect::Request(_) => points > 0,
+            }
+        })
+    }
+
+    /// Returns whether a process of a target, given by its hash, ended under a request with a state.
+    pub fn has_ended(&self, process_hash: u32) -> bool {
+        let mut entries = self.entries.values();
+        entries.any(|entry| entry.ended_targets.contains(&process_hash))
+    }
+
     /// Admits a request with `suspects`, or refuses it. `may_try` tells, by the time since the state of
     /// a suspect changed, whether this host is the one to try a suspect whose quarantine time is over;
     /// it admits one request at a time.
@@ -556,6 +583,7 @@
             }
         };
         let was_quarantined = entry.is_quarantined();
+        let (round_before, points_before) = (entry.round, entry.points);
         let was_answered = entry.was_answered || state.was_answered || knows_answer;
         let is_same_round = merged.round == entry.round;
         let ended_targets = std::mem::take(&mut entry.ended_targets);
@@ -588,11 +616,20 @@
             is_newly_quarantined: entry.is_quarantined() && !was_quarantined,
             adds_answer,
             is_outdated,
+            adds_evidence: entry.points > 0
+                && (entry.round, entry.points) > (round_before, points_before),
+        }
+    }
+
+    /// Makes this host tell peers of a state that it has from another one.
+    pub fn relay(&mut self, suspect: &Suspect, now: Instant) {
+        if let Some(entry) = self.entries.get_mut(suspect) {
+            entry.news_at = Some(now);
         }
     }
 
     /// Returns the states to share, at most `count` of parts and `count` of requests: what is
-    /// quarantined, then the latest news of this host.
+    /// quarantined, then the news of this host, with most evidence and the latest first.
     pub fn shared(&self, count: usize, now: Instant) -> Vec<SuspectState> {
         let (mut parts, mut requests): (Vec<_>, Vec<_>) = self
             .entries
@@ -602,7 +639,9 @@
             .partition(|state| matches!(state.suspect, Suspect::Part(_)));
         for states in [&mut parts, &mut requests] {
             states.sort_by(|left, right| {
-                let key = |state: &SuspectState| (!state.is_quarantined(), state.age);
+                let key = |state: &SuspectState| {
+                    (!state.is_quarantined(), Reverse(state.points), state.age)
+                };
                 key(left)
                     .cmp(&key(right))
                     .then_with(|| left.suspect.cmp(&right.suspect))
--- a/crates/anvil_core/src/quarantine/tests.rs
+++ b/crates/anvil_core/src/quarantine/tests.rs
@@ -53,6 +53,46 @@
     }
 }
 
+#[gtest]
+fn is_under_suspicion_after_one_end_of_request_or_two_of_part() {
+    let mut quarantine = Quarantine::default();
+    let now = Instant::now();
+    let request = Suspect::Request(RequestDigest::of("GET", "host", "/", None, b""));
+    let suspects = [part("lethal"), request.clone()];
+    for (target_hash, part_is_suspect) in [(1, false), (2, true)] {
+        let admission = quarantine.admit(&suspects, now, |_, _| false).unwrap();
+        quarantine.record_end(&suspects, &admission, target_hash, Progress::Begun, now);
+        expect_that!(
+            quarantine.is_under_suspicion(std::slice::from_ref(&request)),
+            eq(true)
+        );
+        expect_that!(
+            quarantine.is_under_suspicion(&parts(&["lethal"])),
+            eq(part_is_suspect)
+        );
+        expect_that!(quarantine.has_ended(target_hash), eq(true));
+    }
+    quarantine.record_answer(&suspects, now);
+    expect_that!(quarantine.is_under_suspicion(&suspects), eq(false));
+    expect_that!(quarantine.has_ended(1), eq(false));
+}
+
+/// Guards against evidence that a relay keeps from the hosts that report to it.
+#[gtest]
+fn relay_shares_evidence_of_another_host() {
+    let now = Instant::now();
+    let mut sender = Quarantine::default();
+    end(&mut sender, &["lethal"], Progress::Begun, now);
+    let states = sender.shared(8, now);
+    let mut relay = Quarantine::default();
+    let merged = relay.merge(&states[0], now);
+    expect_that!(merged.adds_evidence, eq(true));
+    expect_that!(relay.shared(8, now), is_empty());
+    relay.relay(&states[0].suspect, now);
+    expect_that!(relay.shared(8, now), len(eq(1)));
+    expect_that!(relay.merge(&states[0], now).adds_evidence, eq(false));
+}
+
 /// Guards against blaming the requests of engines that fail together for another reason.
 #[gtest]
 fn record_end_counts_engines_that_end_together_once() {
