Fit a digest with many suspects into its datagram

A host that knows of many suspects would have sent nothing: a digest that is too large without loads was dropped (peers.too_large), and with 16 states of parts and of requests it can be. The test failed before: no datagram.

--- a/crates/anvil_gateway/src/peers/datagram.rs
+++ b/crates/anvil_gateway/src/peers/datagram.rs
@@ -145,8 +145,8 @@
 }
 
 /// Encodes a digest into a datagram of at most `limit_bytes`. A larger digest is shortened: first by
-/// the target changes, which the receivers then read from the store, then by loads. Returns `None` if
-/// it is too large without both.
+/// the target changes, which the receivers then read from the store, then by loads, then by the states
+/// of suspects, last ones first. Returns `None` if it is too large without all of them.
 pub(super) fn encode_within(
     limit_bytes: usize,
     digest: &mut Digest,
@@ -183,6 +183,12 @@
             return Ok(Some(encoded));
         }
     }
+    while digest.suspect_states.pop().is_some() {
+        encoded.datagram = encode_authenticated(digest, key)?;
+        if encoded.datagram.len() <= limit_bytes {
+            return Ok(Some(encoded));
+        }
+    }
     Ok(None)
 }
 
--- a/crates/anvil_gateway/src/peers/tests.rs
+++ b/crates/anvil_gateway/src/peers/tests.rs
@@ -214,6 +214,30 @@
     expect_that!(encode(10, &mut large_digest()).is_none(), eq(true));
 }
 
+/// Guards against a host that its peers don't hear because it knows of many suspects.
+#[gtest]
+fn encode_within_shortens_digest_by_states_of_suspects() {
+    let mut large = digest("peer");
+    let state = large.suspect_states[0].clone();
+    large.suspect_states = (0..64)
+        .map(|index| SuspectState {
+            suspect: Suspect::Part(format!("a-part-with-a-long-name-{index:04}").into()),
+            ..state.clone()
+        })
+        .collect();
+    let first = large.suspect_states[0].clone();
+    let order = LoadOrder {
+        is_near: &|_| false,
+        first: 0,
+    };
+    let encoded = datagram::encode_within(DATAGRAM_LIMIT_BYTES, &mut large, &order, &key("a1"));
+    let encoded = encoded.unwrap().unwrap();
+    expect_that!(encoded.datagram.len(), le(DATAGRAM_LIMIT_BYTES));
+    let decoded = datagram::decode_authenticated(&encoded.datagram, &key("a1")).unwrap();
+    expect_that!(decoded.suspect_states.first(), some(eq(&first)));
+    expect_that!(decoded.suspect_states.len(), ge(10));
+}
+
 /// Guards against targets whose load never reaches the peers because there is no room for it.
 #[gtest]
 fn encode_within_sends_each_load_once_in_few_digests() {
