--- a/crates/anvil_core/src/retry/window.rs
+++ b/crates/anvil_core/src/retry/window.rs
@@ -39,6 +39,17 @@
     extra_sends: f64,
 }
 
+/// How much of a budget is used, as a host counts it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Usage {
+    /// Requests in the window.
+    pub requests: f64,
+    /// Extra sends that were taken in the window.
+    pub extra_sends: f64,
+    /// Extra sends that this host may take in the window.
+    pub allowed_sends: f64,
+}
+
 /// Budget of one host's extra sends to one service.
 #[derive(Debug, Default)]
 pub struct Budget {
@@ -62,28 +73,35 @@
         host_count: Option<usize>,
         now: Duration,
     ) -> bool {
+        let usage = self.usage(limits, host_count, now);
+        if usage.extra_sends + 1.0 > usage.allowed_sends {
+            return false;
+        }
+        self.current_sub_window(limits, now).extra_sends += 1.0;
+        true
+    }
+
+    /// Returns how much of the budget is used at `now`.
+    pub fn usage(
+        &mut self,
+        limits: &WindowLimits,
+        host_count: Option<usize>,
+        now: Duration,
+    ) -> Usage {
         self.current_sub_window(limits, now);
-        let requests: f64 = self
-            .sub_windows
-            .iter()
-            .map(|sub_window| sub_window.requests)
-            .sum();
-        let taken: f64 = self
-            .sub_windows
-            .iter()
-            .map(|sub_window| sub_window.extra_sends)
-            .sum();
+        let sum = |value: fn(&SubWindow) -> f64| self.sub_windows.iter().map(value).sum();
+        let requests: f64 = sum(|sub_window| sub_window.requests);
         let slack_sends = match host_count {
             Some(host_count) if now >= limits.window => {
                 limits.slack_sends / host_count.max(1) as f64
             }
             Some(_) | None => 0.0,
         };
-        if taken + 1.0 > USED_FRACTION * (limits.ratio * requests + slack_sends) {
-            return false;
+        Usage {
+            requests,
+            extra_sends: sum(|sub_window| sub_window.extra_sends),
+            allowed_sends: USED_FRACTION * (limits.ratio * requests + slack_sends),
         }
-        self.current_sub_window(limits, now).extra_sends += 1.0;
-        true
     }
 
     /// Returns the current sub-window after dropping those before the window.
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -183,6 +183,8 @@
 pub struct RequestTrace {
     /// Number of times that the request was sent to a target.
     pub sends: u32,
+    /// When it was first sent to a target; `None` before that.
+    pub first_send_at: Option<Instant>,
     /// Number of sends that a target refused without running the request. Invariant: at most `sends`.
     pub refused_sends: u32,
     /// Whether the answer announced that the connection is closed after it.
@@ -206,6 +208,13 @@
 }
 
 impl RequestTrace {
+    /// Counts a send to a target or along a path.
+    pub fn record_send(&mut self, via: String) {
+        self.sends += 1;
+        self.first_send_at.get_or_insert_with(Instant::now);
+        self.via.push(via);
+    }
+
     /// Returns whether a target may have run the request.
     pub fn may_have_run(&self) -> bool {
         self.sends > self.refused_sends
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -118,7 +118,7 @@
     phase: watch::Sender<Phase>,
     rng: RefCell<SmallRng>,
     /// Budget of extra sends (retries), by service.
-    retry_budgets: RefCell<HashMap<ServiceId, window::Budget>>,
+    pub(crate) retry_budgets: RefCell<HashMap<ServiceId, window::Budget>>,
     /// Moving average of the callers' requests.
     request_rate: Cell<RequestRate>,
     /// Budget of tokens on paths that cross between data centres.
@@ -196,6 +196,7 @@
     /// Reads the metadata of a target's answer and applies what the target states about itself.
     pub fn parse_answer(&self, target: &Target, head: &ResponseHead) -> ResponseMetadata {
         let metadata = self.platform.header_codec.parse_response(head);
+        target.record_answer(Instant::now());
         self.targets
             .apply_answer(target, &metadata, Instant::now(), self.random_unit());
         metadata
@@ -252,20 +253,6 @@
         self.request_rate.get().per_s(Instant::now().into_std())
     }
 
-    /// Takes an extra send to a service from the budget. Returns `false` if none is left.
-    pub fn try_retry(&self, service: &ServiceId) -> bool {
-        let now = self.started.elapsed();
-        // Hosts from which nothing is heard may send as well, so every listed host has its share.
-        let host_count = self.peers.borrow().listed_host_count();
-        let mut retry_budgets = self.retry_budgets.borrow_mut();
-        let budget = retry_budgets.entry(service.clone()).or_default();
-        let is_allowed = budget.try_take(&self.settings.bounds.retries, host_count, now);
-        if !is_allowed {
-            self.metrics.record_retry_denied();
-        }
-        is_allowed
-    }
-
     /// Returns whether a path may cross from one data centre to another, where one token takes
     /// `pipe_time_ms` on the link between the two.
     pub fn may_cross(&self, pipe_time_ms: f64) -> bool {
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod pool;
 pub mod port;
 pub mod quarantine;
+pub mod retries;
 pub mod run;
 pub mod run_clock;
 pub mod settings;
--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -308,7 +308,7 @@
             gateway.release_trial(&admission);
             return Ok(None);
         };
-        if sends > 0 && !gateway.try_retry(request.service_id) {
+        if sends > 0 && !gateway.try_retry(request, &self.trace.borrow(), Some(&target)) {
             gateway.release_trial(&admission);
             let failure = "retry budget exhausted";
             self.trace.borrow_mut().record_failure(failure);
@@ -445,9 +445,7 @@
         is_reused: bool,
         has_begun: &Rc<Cell<bool>>,
     ) {
-        let mut trace = self.trace.borrow_mut();
-        trace.sends += 1;
-        trace.via.push(target.id.to_string());
+        self.trace.borrow_mut().record_send(target.id.to_string());
         self.sent.borrow_mut().push(Sent {
             target: Rc::clone(target),
             admission: admission.clone(),
--- a/crates/anvil_gateway/src/plain/tests.rs
+++ b/crates/anvil_gateway/src/plain/tests.rs
@@ -321,7 +321,7 @@
                 .behaviour
                 .set(Behaviour::Late(Duration::from_millis(1500)));
         }
-        while host.gateway.try_retry(&"plain".into()) {}
+        while host.gateway.take_extra_send(&"plain".into()).0 {}
         let (id, body) = host.answer_of(SAFE_PATH).await;
         expect_that!(body, some(eq(id.as_str())));
         expect_that!(fleet.run_count(&id), eq(1));
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -294,7 +294,7 @@
                         && head.status == INTERNAL_ERROR_STATUS
                         && self.first_engines.len() < self.request.route.attempts_max as usize;
                     let may_continue = next.is_some()
-                        || may_retry && self.gateway.try_retry(self.request.service_id);
+                        || may_retry && self.gateway.try_retry(self.request, trace, None);
                     if !may_continue {
                         return self.relay_error_status(caller, &head, &body).await;
                     }
@@ -358,7 +358,7 @@
             if losses > LOSSES_MAX {
                 return self.give_up(ErrorReason::AnswerLost, failure);
             }
-            if trace.sends > 0 && !self.gateway.try_retry(self.request.service_id) {
+            if trace.sends > 0 && !self.gateway.try_retry(self.request, trace, None) {
                 trace.record_failure("retry budget exhausted");
                 return self.give_up(ErrorReason::Overloaded, failure);
             }
--- a/crates/anvil_gateway/src/stream/repair.rs
+++ b/crates/anvil_gateway/src/stream/repair.rs
@@ -335,7 +335,7 @@
         if kept.chain(current).any(is_at_work) {
             return Err(NO_OTHER_PATH);
         }
-        if !self.gateway.try_retry(self.request.service_id) {
+        if !self.gateway.try_retry(self.request, trace, Some(chosen.first())) {
             return Err("kept: retry budget exhausted");
         }
         Ok(chosen)
--- a/crates/anvil_gateway/src/stream/send.rs
+++ b/crates/anvil_gateway/src/stream/send.rs
@@ -179,8 +179,7 @@
         );
         out.extend_from_slice(&self.request.body);
         first.charge_limit(Instant::now());
-        trace.sends += 1;
-        trace.via.push(chosen.to_log_string());
+        trace.record_send(chosen.to_log_string());
         if !self
             .first_engines
             .iter()
--- a/crates/anvil_gateway/src/stream/tests.rs
+++ b/crates/anvil_gateway/src/stream/tests.rs
@@ -325,7 +325,7 @@
         }
         let service = "model".into();
         for host in &hosts {
-            while host.gateway.try_retry(&service) {}
+            while host.gateway.take_extra_send(&service).0 {}
         }
         let calls = (0..40).map(|index| hosts[index % 2].call(&["part"]));
         let results = futures::future::join_all(calls).await;
--- a/crates/anvil_gateway/src/target.rs
+++ b/crates/anvil_gateway/src/target.rs
@@ -88,6 +88,8 @@
     pub last_heartbeat: Cell<Instant>,
     /// When a request through the target last made progress.
     last_progress: Cell<Option<Instant>>,
+    /// When the head of an answer last came from the target, whatever it answers; `None` if none did.
+    last_answer: Cell<Option<Instant>>,
     avoided_until: Cell<Option<Instant>>,
     /// Time until which other targets are preferred; `None` if they never were.
     slower_until: Cell<Option<Instant>>,
@@ -124,6 +126,7 @@
             sent_requests: Cell::new(0.0),
             last_heartbeat: Cell::new(Instant::now()),
             last_progress: Cell::new(None),
+            last_answer: Cell::new(None),
             avoided_until: Cell::new(None),
             slower_until: Cell::new(None),
             avoid_reason: Cell::new(AvoidReason::Failure),
@@ -324,6 +327,16 @@
         }
     }
 
+    /// Records that the head of an answer came from the target.
+    pub fn record_answer(&self, now: Instant) {
+        self.last_answer.set(Some(now));
+    }
+
+    /// Returns when something last came from the target, to this host; `None` if nothing did.
+    pub fn last_heard_at(&self) -> Option<Instant> {
+        self.last_answer.get().max(self.last_progress.get())
+    }
+
     /// Returns whether a request made progress at the target at or after `since`.
     pub fn progressed_since(&self, since: Instant) -> bool {
         self.last_progress.get().is_some_and(|at| at >= since)
