--- a/crates/anvil_core/src/retry/window.rs
+++ b/crates/anvil_core/src/retry/window.rs
@@ -21,6 +21,35 @@
 /// requests than this one.
 const USED_FRACTION: f64 = 0.8;
 
+/// Fraction of `slack_sends` that is kept for [`Need::Resume`], also in a host's first window. Invariant:
+/// an earlier run of the host that used [`USED_FRACTION`] and this one, and the first window of the next
+/// run together use at most `slack_sends`.
+const KEPT_FRACTION: f64 = 0.1;
+/// Share of the budget up to which hedges are sent.
+const HEDGE_SHARE: f64 = 0.5;
+
+/// What an extra send is needed for. Requests with more to lose may use more of the budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Need {
+    /// Another attempt goes on, and may still be answered first.
+    Hedge,
+    /// No attempt goes on, and the caller has nothing of the answer but its head.
+    Replace,
+    /// No attempt goes on, and the caller has part of an answer, which would be cut.
+    Resume,
+}
+
+impl Need {
+    /// Returns the name used in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Hedge => "hedge",
+            Self::Replace => "replace",
+            Self::Resume => "resume",
+        }
+    }
+}
+
 /// Extra sends that operators allow.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WindowLimits {
@@ -46,7 +75,7 @@
     pub requests: f64,
     /// Extra sends that were taken in the window.
     pub extra_sends: f64,
-    /// Extra sends that this host may take in the window.
+    /// Extra sends that this host may take in the window for the need in question.
     pub allowed_sends: f64,
 }
 
@@ -65,15 +94,16 @@
     }
 
     /// Takes one extra send if one is left for this host among `host_count`, and returns whether it
-    /// did. `slack_sends` is not used while the count is unknown, nor in a host's first window,
+    /// did. `slack_sends` is not used while the count is unknown, and hardly in a host's first window,
     /// because an earlier run of the host may have used its part.
     pub fn try_take(
         &mut self,
         limits: &WindowLimits,
         host_count: Option<usize>,
         now: Duration,
+        need: Need,
     ) -> bool {
-        let usage = self.usage(limits, host_count, now);
+        let usage = self.usage(limits, host_count, now, need);
         if usage.extra_sends + 1.0 > usage.allowed_sends {
             return false;
         }
@@ -87,20 +117,27 @@
         limits: &WindowLimits,
         host_count: Option<usize>,
         now: Duration,
+        need: Need,
     ) -> Usage {
         self.current_sub_window(limits, now);
         let sum = |value: fn(&SubWindow) -> f64| self.sub_windows.iter().map(value).sum();
         let requests: f64 = sum(|sub_window| sub_window.requests);
-        let slack_sends = match host_count {
-            Some(host_count) if now >= limits.window => {
-                limits.slack_sends / host_count.max(1) as f64
-            }
-            Some(_) | None => 0.0,
+        let slack_sends = host_count.map_or(0.0, |count| limits.slack_sends / count.max(1) as f64);
+        // An earlier run of this host may have used its part of the same window.
+        let used_slack_sends = match now >= limits.window {
+            true => slack_sends,
+            false => 0.0,
+        };
+        let shared_sends = USED_FRACTION * (limits.ratio * requests + used_slack_sends);
+        let allowed_sends = match need {
+            Need::Hedge => HEDGE_SHARE * shared_sends,
+            Need::Replace => shared_sends,
+            Need::Resume => shared_sends + KEPT_FRACTION * slack_sends,
         };
         Usage {
             requests,
             extra_sends: sum(|sub_window| sub_window.extra_sends),
-            allowed_sends: USED_FRACTION * (limits.ratio * requests + slack_sends),
+            allowed_sends,
         }
     }
 
--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -19,6 +19,7 @@
         Progress,
         Refusal, //
     },
+    retry::window::Need,
 };
 use bytes::Bytes;
 use futures::{
@@ -308,7 +309,11 @@
             gateway.release_trial(&admission);
             return Ok(None);
         };
-        if sends > 0 && !gateway.try_retry(request, &self.trace.borrow(), Some(&target)) {
+        let need = match self.sent.borrow().is_empty() {
+            true => Need::Replace,
+            false => Need::Hedge,
+        };
+        if sends > 0 && !gateway.try_retry(request, &self.trace.borrow(), Some(&target), need) {
             gateway.release_trial(&admission);
             let failure = "retry budget exhausted";
             self.trace.borrow_mut().record_failure(failure);
--- a/crates/anvil_gateway/src/plain/tests.rs
+++ b/crates/anvil_gateway/src/plain/tests.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use anvil_core::retry::window::Need;
 use googletest::prelude::*;
 use rand::{
     RngExt,
@@ -321,7 +322,11 @@
                 .behaviour
                 .set(Behaviour::Late(Duration::from_millis(1500)));
         }
-        while host.gateway.take_extra_send(&"plain".into()).0 {}
+        while host
+            .gateway
+            .take_extra_send(&"plain".into(), Need::Resume)
+            .0
+        {}
         let (id, body) = host.answer_of(SAFE_PATH).await;
         expect_that!(body, some(eq(id.as_str())));
         expect_that!(fleet.run_count(&id), eq(1));
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -15,6 +15,7 @@
         Progress,
         Refusal, //
     },
+    retry::window::Need,
 };
 use tokio::time::Instant;
 
@@ -294,7 +295,10 @@
                         && head.status == INTERNAL_ERROR_STATUS
                         && self.first_engines.len() < self.request.route.attempts_max as usize;
                     let may_continue = next.is_some()
-                        || may_retry && self.gateway.try_retry(self.request, trace, None);
+                        || may_retry
+                            && self
+                                .gateway
+                                .try_retry(self.request, trace, None, Need::Replace);
                     if !may_continue {
                         return self.relay_error_status(caller, &head, &body).await;
                     }
@@ -358,7 +362,12 @@
             if losses > LOSSES_MAX {
                 return self.give_up(ErrorReason::AnswerLost, failure);
             }
-            if trace.sends > 0 && !self.gateway.try_retry(self.request, trace, None) {
+            // A request that ends its engines at the start has no events.
+            let need = match trace.events > 0 {
+                true => Need::Resume,
+                false => Need::Replace,
+            };
+            if trace.sends > 0 && !self.gateway.try_retry(self.request, trace, None, need) {
                 trace.record_failure("retry budget exhausted");
                 return self.give_up(ErrorReason::Overloaded, failure);
             }
--- a/crates/anvil_gateway/src/stream/repair.rs
+++ b/crates/anvil_gateway/src/stream/repair.rs
@@ -10,6 +10,7 @@
     engine_model::EngineProfile,
     entry::RequestSemantics,
     quarantine::Progress,
+    retry::window::Need,
     stall, //
 };
 use tokio::time::Instant;
@@ -335,7 +336,10 @@
         if kept.chain(current).any(is_at_work) {
             return Err(NO_OTHER_PATH);
         }
-        if !self.gateway.try_retry(self.request, trace, Some(chosen.first())) {
+        if !self
+            .gateway
+            .try_retry(self.request, trace, Some(chosen.first()), Need::Hedge)
+        {
             return Err("kept: retry budget exhausted");
         }
         Ok(chosen)
--- a/crates/anvil_gateway/src/stream/tests.rs
+++ b/crates/anvil_gateway/src/stream/tests.rs
@@ -3,6 +3,7 @@
     time::Duration, //
 };
 
+use anvil_core::retry::window::Need;
 use googletest::prelude::*;
 use rand::{
     RngExt,
@@ -325,7 +326,7 @@
         }
         let service = "model".into();
         for host in &hosts {
-            while host.gateway.take_extra_send(&service).0 {}
+            while host.gateway.take_extra_send(&service, Need::Resume).0 {}
         }
         let calls = (0..40).map(|index| hosts[index % 2].call(&["part"]));
         let results = futures::future::join_all(calls).await;
--- a/crates/anvil_observe/src/events.rs
+++ b/crates/anvil_observe/src/events.rs
@@ -129,7 +129,7 @@
     "request.ended": "A caller's request ended. The line gives the outcome, the paths that it took, what failed, and the age of the data that it was routed by.",
     "request.malformed": "A caller sent a request head that can't be read.",
     "request.refused": "A request was refused. The line gives the reason, and tells whether the request may have run.",
-    "retry.decided": "A request is to be sent once more, and the budget of its service allowed that or not. The line gives the time since its first send, the time since something last came from the next target (-1 if nothing did or none is chosen yet), and how much of the budget is used.",
+    "retry.decided": "A request is to be sent once more, and the budget of its service allowed that or not. The line gives what the send is needed for, the time since the first send, the time since something last came from the next target (-1 if nothing did or none is chosen yet), and how much of the budget is used.",
     "route.chosen": "A route was chosen for a request.",
     "service.chosen": "A target was chosen for a call to a plain service.",
     "store.era": "The store, or a peer, named a newer era than before: the store was restored from an older copy. What was read before is read again from the start.",
