--- a/crates/anvil_gateway/src/http1/connection.rs
+++ b/crates/anvil_gateway/src/http1/connection.rs
@@ -339,6 +339,12 @@
         }
     }
 
+    /// Returns whether bytes of the peer, its close or a failure wait to be handled.
+    pub fn has_arrived(&mut self) -> bool {
+        let read = self.stream.try_read_buf(&mut self.buffer);
+        !self.buffer.is_empty() || read.is_ok()
+    }
+
     /// Returns whether the buffer holds bytes that were not consumed yet.
     pub fn has_buffered_bytes(&self) -> bool {
         !self.buffer.is_empty()
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod knowledge;
 pub mod limits;
 pub mod link;
+pub mod liveness;
 pub mod metrics;
 pub mod paths;
 pub mod peers;
--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -30,6 +30,7 @@
     sync::Notify,
     time::{
         Instant,
+        sleep,
         timeout_at, //
     }, //
 };
@@ -56,6 +57,11 @@
         ResponseHead, //
     },
     link,
+    liveness::{
+        self,
+        Failure,
+        QUICK_ANSWER_TIMEOUT, //
+    },
     pool::PooledConnection,
     port::{
         Forwarding,
@@ -88,6 +94,9 @@
 /// unless half of the time left is shorter.
 const ATTEMPT_TIMEOUT_MIN: Duration = Duration::from_millis(150);
 
+/// Most silent targets of one request that are waited for before it is sent again.
+const UNREAD_MAX: usize = 3;
+
 /// Most answers to other requests that are skipped before the one that is awaited.
 pub const CROSSED_ANSWERS_MAX: u32 = 8;
 
@@ -99,6 +108,8 @@
     Quarantined,
     /// The request was not sent, since neither this host nor another one reaches a target.
     CutOff,
+    /// The request was not sent, since the retry budget allows no other send.
+    RetryDenied,
     /// The request is known not to have run.
     NotRun(&'static str),
     /// The connection failed after the request may have run.
@@ -119,6 +130,7 @@
         request,
         trace: RefCell::new(trace),
         sent: RefCell::default(),
+        unread: Cell::new(0),
         silent: Notify::new(),
     };
     let result = tokio::select! {
@@ -174,7 +186,11 @@
     trace: RefCell<&'a mut RequestTrace>,
     /// Invariant: the attempts that were sent and have not ended.
     sent: RefCell<Vec<Sent>>,
-    /// Notified when no answer to an attempt began in the time after which another one may be sent.
+    /// Number of attempts whose target did not answer a health check at once, and which wait for that
+    /// answer.
+    unread: Cell<usize>,
+    /// Notified when no answer to an attempt, or to its health check, began in the time after which
+    /// another one may begin.
     silent: Notify,
 }
 
@@ -189,12 +205,13 @@
         let mut last_response: Option<(ResponseHead, Bytes)> = None;
         let mut may_have_run = false;
         let mut refusal = None;
-        let mut is_cut_off = false;
+        let mut has_ended = false;
         loop {
-            // At most one attempt has not been sent yet, so that sends stay within their limits.
-            let may_begin =
-                running.is_empty() || is_repeatable && running.len() == self.sent.borrow().len();
-            if may_begin && !is_cut_off {
+            let sent_count = self.sent.borrow().len();
+            // At most one attempt is neither sent nor waits for a silent target.
+            let may_begin = running.len() == sent_count + self.unread.get()
+                && (is_repeatable || sent_count == 0);
+            if may_begin && !has_ended {
                 match self.admit_attempt(&tried) {
                     Ok(Some((target, admission))) => {
                         tried.push(Rc::clone(&target));
@@ -246,7 +263,14 @@
                 AttemptResult::Quarantined => gateway.release_trial(&admission),
                 AttemptResult::CutOff => {
                     gateway.release_trial(&admission);
-                    is_cut_off = true;
+                    has_ended = true;
+                }
+                AttemptResult::RetryDenied => {
+                    gateway.release_trial(&admission);
+                    self.trace
+                        .borrow_mut()
+                        .record_failure("retry budget exhausted");
+                    has_ended = true;
                 }
                 AttemptResult::NotRun(failure) => {
                     gateway.release_trial(&admission);
@@ -288,7 +312,7 @@
     }
 
     /// Chooses a target that is not among `tried` for another attempt. Returns `None` if there is none, or
-    /// if the limits of the request or the retry budget allow no other send.
+    /// if the limits of the request allow no other send.
     ///
     /// # Errors
     ///
@@ -299,7 +323,10 @@
     ) -> Result<Option<(Rc<Target>, Admission)>, Refusal> {
         let (gateway, request) = (self.gateway, self.request);
         let sends = self.trace.borrow().sends;
-        if sends >= request.route.attempts_max || Instant::now() >= request.deadline {
+        if sends >= request.route.attempts_max
+            || self.unread.get() >= UNREAD_MAX
+            || Instant::now() >= request.deadline
+        {
             return Ok(None);
         }
         let admission = gateway.admit(request).inspect_err(|refused| {
@@ -309,16 +336,6 @@
             gateway.release_trial(&admission);
             return Ok(None);
         };
-        let need = match self.sent.borrow().is_empty() {
-            true => Need::Replace,
-            false => Need::Hedge,
-        };
-        if sends > 0 && !gateway.try_retry(request, &self.trace.borrow(), Some(&target), need) {
-            gateway.release_trial(&admission);
-            let failure = "retry budget exhausted";
-            self.trace.borrow_mut().record_failure(failure);
-            return Ok(None);
-        }
         Ok(Some((target, admission)))
     }
 
@@ -350,18 +367,28 @@
             direct: CONNECT_TIMEOUT.min(time_left),
             through_peer: THROUGH_PEER_TIMEOUT.min(time_left),
         };
-        let acquired = link::acquire(gateway, target, &request.metadata.id, limits).await;
+        let is_repeat = self.trace.borrow().sends > 0;
+        let acquired = match is_repeat || !liveness::is_heard(target) {
+            true => self.acquire_read(target, limits).await,
+            false => link::acquire(gateway, target, &request.metadata.id, limits)
+                .await
+                .map_err(Failure::NoConnection),
+        };
         let mut acquired = match acquired {
             Ok(acquired) => acquired,
-            Err(error @ ConnectError::CutOff { .. }) => {
+            Err(Failure::NoConnection(error @ ConnectError::CutOff { .. })) => {
                 self.trace.borrow_mut().record_failure(error.to_string());
                 return AttemptResult::CutOff;
             }
-            Err(error) => {
+            Err(Failure::NoConnection(error)) => {
                 target.record_failure(Instant::now());
                 self.trace.borrow_mut().record_failure(error.to_string());
                 return AttemptResult::NotRun("no connection");
             }
+            Err(failure) => {
+                self.trace.borrow_mut().record_failure(failure.to_string());
+                return AttemptResult::NotRun("not sent");
+            }
         };
         if !target.accepts(Instant::now()) {
             return AttemptResult::NotRun("target takes no requests");
@@ -372,6 +399,23 @@
         if request.team.is_some() && are_keys_stale(gateway) {
             return AttemptResult::NotRun("keys may be outdated");
         }
+        if is_repeat {
+            // Another attempt may have been sent since this one began.
+            let may_send = self.trace.borrow().sends < request.route.attempts_max
+                && (request.route.semantics.is_repeatable() || self.sent.borrow().is_empty());
+            if !may_send {
+                target.pool.release(acquired, None);
+                return AttemptResult::NotRun("another attempt was sent");
+            }
+            let need = match self.sent.borrow().is_empty() {
+                true => Need::Replace,
+                false => Need::Hedge,
+            };
+            if !gateway.try_retry(request, &self.trace.borrow(), Some(target), need) {
+                target.pool.release(acquired, None);
+                return AttemptResult::RetryDenied;
+            }
+        }
         let forwarding = Forwarding {
             budget: request.deadline.saturating_duration_since(Instant::now()),
             target: &target.id,
@@ -443,6 +487,50 @@
         }
     }
 
+    /// Takes a connection to a target once the target answers a health check at once. If the answer is late
+    /// and the request was sent elsewhere, that target may have gone on as well: the check is repeated
+    /// after the time for an attempt.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Failure`] if the target can't be reached or refuses the check, and at the deadline.
+    async fn acquire_read(
+        &self,
+        target: &Target,
+        limits: link::Limits,
+    ) -> Result<PooledConnection, Failure> {
+        let (gateway, request) = (self.gateway, self.request);
+        loop {
+            let asked_at = Instant::now();
+            let mut check = pin!(liveness::check(gateway, request, target, limits));
+            let quick = (gateway.run_clock)
+                .timeout(QUICK_ANSWER_TIMEOUT, check.as_mut())
+                .await;
+            match quick {
+                Ok(Ok(connection)) if asked_at.elapsed() <= QUICK_ANSWER_TIMEOUT => {
+                    return Ok(connection);
+                }
+                // This host did not run meanwhile, so that the answer is old.
+                Ok(Ok(connection)) => target.pool.release(connection, None),
+                Ok(Err(failure)) => return Err(failure),
+                Err(_) => {
+                    target.record_slower(Instant::now());
+                    liveness::log_check(request, target, asked_at, "silent");
+                    self.unread.set(self.unread.get() + 1);
+                    self.silent.notify_one();
+                    let answered = timeout_at(request.deadline, check).await;
+                    self.unread.set(self.unread.get() - 1);
+                    let connection = answered.map_err(|_| Failure::Silent)??;
+                    if self.sent.borrow().is_empty() {
+                        return Ok(connection);
+                    }
+                    target.pool.release(connection, None);
+                    sleep(attempt_timeout(request)).await;
+                }
+            }
+        }
+    }
+
     fn record_send(
         &self,
         target: &Rc<Target>,
@@ -467,8 +555,11 @@
     /// Ends the attempts that still run: the request was answered, or its caller is gone.
     fn close(self, is_answered: bool) {
         for sent in self.sent.into_inner() {
-            if is_answered && sent.is_reused && !sent.has_begun.get() {
-                sent.target.pool.doubt(&sent.target.id);
+            if is_answered && !sent.has_begun.get() {
+                sent.target.record_slower(Instant::now());
+                if sent.is_reused {
+                    sent.target.pool.doubt(&sent.target.id);
+                }
             }
             self.gateway
                 .record_abandoned(self.request, &sent.admission, &sent.target);
@@ -549,7 +640,9 @@
         let is_remote = target.entry.borrow().data_centre != gateway.settings.data_centre;
         let avoided = f64::from(u8::from(target.is_avoided(now)));
         // Avoided targets come last but stay candidates, since all targets may be avoided.
+        let slower = f64::from(u8::from(target.is_slower(now)));
         avoided * 1e6
+            + slower * 1e3
             + target.sequences.get()
             + if is_remote { REMOTE_COST_REQUESTS } else { 0.0 }
             + gateway.random_unit() * REMOTE_COST_REQUESTS
--- a/crates/anvil_gateway/src/plain/tests.rs
+++ b/crates/anvil_gateway/src/plain/tests.rs
@@ -386,6 +386,78 @@
     });
 }
 
+/// Guards against a request that waits unread at a second target while its time runs (BUDGET).
+#[gtest]
+fn serve_sends_no_second_time_to_target_that_reads_nothing() {
+    run(async {
+        let fleet = Fleet::start_plain(172, 2, None).await;
+        let host = fleet.start_host(0).await;
+        earn_retries(&host);
+        let late = Behaviour::Late(Duration::from_millis(1500));
+        fleet.engines[0].behaviour.set(late);
+        fleet.engines[1].is_stopped.set(true);
+        prefer_first_target(&fleet, &host);
+        let (id, body) = host.answer_of(SAFE_PATH).await;
+        expect_that!(body, some(eq(id.as_str())));
+        fleet.engines[1].is_stopped.set(false);
+        sleep(Duration::from_millis(100)).await;
+        expect_that!(fleet.run_count(&id), eq(1));
+        expect_that!(in_flight(&host), eq(0.0));
+    });
+}
+
+#[gtest]
+fn serve_sends_second_time_when_target_reads_again() {
+    run(async {
+        let fleet = Fleet::start_plain(173, 2, None).await;
+        let host = fleet.start_host(0).await;
+        earn_retries(&host);
+        let late = Behaviour::Late(Duration::from_secs(60));
+        fleet.engines[0].behaviour.set(late);
+        fleet.engines[1].is_stopped.set(true);
+        prefer_first_target(&fleet, &host);
+        let go_on = async {
+            sleep(Duration::from_millis(1200)).await;
+            fleet.engines[1].is_stopped.set(false);
+        };
+        let ((id, body), ()) = tokio::join!(host.answer_of(SAFE_PATH), go_on);
+        expect_that!(body, some(eq(id.as_str())));
+        expect_that!(fleet.run_count(&id), eq(2));
+    });
+}
+
+/// Guards against a request that may run once and runs at two targets, of which one read nothing for a
+/// while (TWICE).
+#[gtest]
+fn serve_runs_refused_request_once_when_targets_read_late() {
+    for seed in 0..6 {
+        run(async {
+            let fleet = Fleet::start_plain(174, 4, None).await;
+            let host = fleet.start_host(0).await;
+            earn_retries(&host);
+            fleet.engines[0].behaviour.set(Behaviour::Refuses);
+            let late = Behaviour::Late(Duration::from_millis(100 * seed));
+            for target in &fleet.engines[1..] {
+                target.behaviour.set(late);
+                target.is_stopped.set(true);
+                let listed = host.gateway.targets.by_id(&target.id);
+                listed.unwrap().record_failure(Instant::now());
+            }
+            let go_on = async {
+                for target in &fleet.engines[1..] {
+                    sleep(Duration::from_millis(200)).await;
+                    target.is_stopped.set(false);
+                }
+            };
+            let ((id, body), ()) = tokio::join!(host.answer_of(UNSAFE_PATH), go_on);
+            expect_that!(body, some(eq(id.as_str())), "seed {seed}");
+            sleep(Duration::from_millis(800)).await;
+            // The refused send, and the one that ran.
+            expect_that!(fleet.run_count(&id), eq(2), "seed {seed}");
+        });
+    }
+}
+
 /// Guards against a failed second send that ends the first one.
 #[gtest]
 fn serve_keeps_silent_target_when_second_one_fails() {
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -349,7 +349,7 @@
             trace.record_failure(format!("{}: {failure}", first.id));
             if !self.kept.is_empty() {
                 // The silent attempt is no better than before, so that another one is made at once.
-                match self.reserve_path(None, trace) {
+                match self.reserve_path(trace).await {
                     Ok(reserved) => self.reserved = Some(reserved),
                     Err(_) => next = self.take_kept(),
                 }
--- a/crates/anvil_gateway/src/stream/repair.rs
+++ b/crates/anvil_gateway/src/stream/repair.rs
@@ -21,6 +21,7 @@
         self,
         ProcessState, //
     },
+    liveness,
     paths::{
         self,
         ChosenPath, //
@@ -217,7 +218,7 @@
         };
         let stall_timer = &mut upstream.stall_timer;
         if is_resumable && Instant::now() >= stall_timer.resend_at() {
-            return self.resend(attempt, stall_timer, "silence", trace);
+            return self.resend(attempt, upstream, "silence", trace).await;
         }
         let chosen = &mut attempt.chosen;
         let is_probe = stall_timer.probe_at.take().is_some();
@@ -227,7 +228,7 @@
                 Some(lost)
                     if is_resumable && lost.iter().any(|lost| Rc::ptr_eq(lost, chosen.first())) =>
                 {
-                    return self.resend(attempt, stall_timer, "probe", trace);
+                    return self.resend(attempt, upstream, "probe", trace).await;
                 }
                 Some(lost) => {
                     let order = self.order_path(engine, chosen, lost);
@@ -274,20 +275,33 @@
     /// Decides whether the request of a silent attempt is sent again beside it, and reserves the path and
     /// the retry if so. The attempt goes on in either case. A decision against it is only logged when its
     /// reason is new.
-    fn resend(
+    async fn resend(
         &mut self,
         attempt: &Attempt,
-        stall_timer: &mut StallTimer,
+        upstream: &mut Upstream,
         evidence: &str,
         trace: &RequestTrace,
     ) -> StallAction {
-        for silent in faults::silent_engines(&attempt.chosen, stall_timer.started_at) {
+        let silent_since = upstream.stall_timer.started_at;
+        if upstream.acquired.is_reused && attempt.progress.early() == Some(Progress::Unanswered) {
+            // The connection may be silent instead of the engine, and the kept ones with it.
+            let first = attempt.chosen.first();
+            first.pool.doubt(&first.id);
+        }
+        for silent in faults::silent_engines(&attempt.chosen, silent_since) {
             if !self.failed.iter().any(|other| Rc::ptr_eq(other, silent)) {
                 self.failed.push(Rc::clone(silent));
             }
         }
         let first = attempt.chosen.first();
-        match self.reserve_path(Some(attempt), trace) {
+        let chosen = self.choose_beside(Some(attempt), trace).await;
+        let reserved = match chosen {
+            Ok(_) if upstream.acquired.connection.has_arrived() => Err("kept: goes on"),
+            Ok(chosen) => self.reserve(chosen, trace),
+            Err(reason) => Err(reason),
+        };
+        let stall_timer = &mut upstream.stall_timer;
+        match reserved {
             Ok(reserved) => {
                 self.reserved = Some(reserved);
                 stall_timer.resend_after = Some(Instant::now() + STALL_RESEND_DELAY);
@@ -308,13 +322,13 @@
         }
     }
 
-    /// Chooses a path for another send beside the silent attempts that are kept and the current one, and
-    /// takes a retry from the budget.
+    /// Chooses a path for another send beside the silent attempts that are kept and the current one. All
+    /// its targets read what is sent to them.
     ///
     /// # Errors
     ///
     /// Returns a text for the log if no other send may be made, or none has a better chance.
-    pub(super) fn reserve_path(
+    async fn choose_beside(
         &self,
         current: Option<&Attempt>,
         trace: &RequestTrace,
@@ -336,13 +350,41 @@
         if kept.chain(current).any(is_at_work) {
             return Err(NO_OTHER_PATH);
         }
-        if !self
-            .gateway
-            .try_retry(self.request, trace, Some(chosen.first()), Need::Hedge)
-        {
-            return Err("kept: retry budget exhausted");
+        match liveness::is_path_read(self.gateway, self.request, &chosen).await {
+            true => Ok(chosen),
+            false => Err("kept: the other path is silent as well"),
         }
-        Ok(chosen)
+    }
+
+    /// Takes a retry from the budget for a chosen path.
+    ///
+    /// # Errors
+    ///
+    /// Returns a text for the log if the budget allows none.
+    fn reserve(
+        &self,
+        chosen: ChosenPath,
+        trace: &RequestTrace,
+    ) -> Result<ChosenPath, &'static str> {
+        let first = chosen.first();
+        match (self.gateway).try_retry(self.request, trace, Some(first), Need::Hedge) {
+            true => Ok(chosen),
+            false => Err("kept: retry budget exhausted"),
+        }
+    }
+
+    /// Chooses a path for another send after the latest one failed beside silent attempts, and takes a
+    /// retry from the budget.
+    ///
+    /// # Errors
+    ///
+    /// Returns a text for the log if no other send may be made, or none has a better chance.
+    pub(super) async fn reserve_path(
+        &self,
+        trace: &RequestTrace,
+    ) -> Result<ChosenPath, &'static str> {
+        let chosen = self.choose_beside(None, trace).await?;
+        self.reserve(chosen, trace)
     }
 
     /// Logs what was found about a silent stream, with what else is silent.
@@ -386,7 +428,7 @@
             target.record_failure(Instant::now());
         }
         if is_resumable && (is_lost || is_unanswered) {
-            return self.resend(attempt, stall_timer, state.as_str(), trace);
+            return self.resend(attempt, upstream, state.as_str(), trace).await;
         }
         self.log_silence(target, stall_timer, state.as_str(), "kept");
         StallAction::KeepWaiting
--- a/crates/anvil_gateway/src/target.rs
+++ b/crates/anvil_gateway/src/target.rs
@@ -160,6 +160,12 @@
             && self.entry.borrow().state == TargetState::Ready
     }
 
+    /// Returns whether the target's process may still run: it is listed, also as leaving, or a connection
+    /// to it is open. One that is no longer listed may go on for a while.
+    pub fn may_be_running(&self) -> bool {
+        !self.is_removed.get() || self.pool.has_open()
+    }
+
     /// Returns whether the target stated that it is shutting down.
     pub fn says_leaving(&self) -> bool {
         self.says_leaving.get()
--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -140,6 +140,9 @@
 pub(crate) const EVENTS_PATH: &str = "/events/";
 /// The same for streams that run at most once.
 pub(crate) const EVENTS_ONCE_PATH: &str = "/once/";
+/// Time between two checks whether a stopped target goes on.
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(5);
+const HEALTH_PATH: &str = "/health";
 const PEERS_PORT: u16 = 17_340;
 const HEAD_LIMIT_BYTES: usize = 16 << 10;
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -178,6 +181,10 @@
     silent_connections: RefCell<Vec<bool>>,
     /// Number of requests that came on silent connections.
     pub(crate) silent_request_count: Cell<u32>,
+    /// Whether its process is stopped: connections are accepted, and nothing is read.
+    pub(crate) is_stopped: Cell<bool>,
+    /// Whether its answers state that it is leaving.
+    pub(crate) says_leaving: Cell<bool>,
     /// How it answers requests that don't end it.
     pub(crate) behaviour: Cell<Behaviour>,
     /// Time before the head of a stream.
@@ -211,6 +218,8 @@
     AnswersTwiceNext,
     /// At once, with an error of its own.
     Fails,
+    /// At once, with a statement that it does not run the request.
+    Refuses,
     /// With the start of a stream, on a connection that ends then.
     BreaksOff,
     /// Not at all: it runs the request and closes the connection.
@@ -257,6 +266,8 @@
             request_count: Cell::new(0),
             silent_connections: RefCell::default(),
             silent_request_count: Cell::new(0),
+            is_stopped: Cell::new(false),
+            says_leaving: Cell::new(false),
             behaviour: Cell::default(),
             head_delay: Cell::default(),
             last_event: Cell::default(),
@@ -362,11 +373,21 @@
             )
             .await
         {
+            while self.is_stopped.get() {
+                sleep(STOP_POLL_INTERVAL).await;
+            }
             if self.silent_connections.borrow()[index] {
                 self.silent_request_count
                     .set(self.silent_request_count.get() + 1);
                 continue;
             }
+            if head.target == HEALTH_PATH {
+                let answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+                if connection.write_all(answer.as_bytes()).await.is_err() {
+                    return;
+                }
+                continue;
+            }
             let mut decoder = BodyDecoder::new(head.framing);
             let Ok(Some(body)) = connection.read_whole_body(&mut decoder, 1 << 20).await else {
                 return;
@@ -423,6 +444,11 @@
                 let mut later = None;
                 match self.behaviour.get() {
                     Behaviour::LosesAnswer => return,
+                    Behaviour::Refuses => {
+                        written = format!(
+                            "HTTP/1.1 503 Full\r\nid: {id}\r\nrefused: 1\r\nContent-Length: 0\r\n\r\n"
+                        );
+                    }
                     Behaviour::AnswersTwice => written = answer.repeat(2),
                     Behaviour::AnswersTwiceLate(delay) => {
                         written.push_str(&answer);
@@ -459,8 +485,12 @@
             }
             let limit = self.limit_per_s.get();
             let limit = limit.map_or_else(String::new, |limit| format!("limit: {limit}\r\n"));
+            let leaving = match self.says_leaving.get() {
+                true => "leaving: 1\r\n",
+                false => "",
+            };
             let begun = format!(
-                "HTTP/1.1 200 OK\r\nid: {id}\r\nsealed: 1\r\n{limit}Transfer-Encoding: chunked\r\n\r\n"
+                "HTTP/1.1 200 OK\r\nid: {id}\r\nsealed: 1\r\n{limit}{leaving}Transfer-Encoding: chunked\r\n\r\n"
             );
             if let Behaviour::Cut { bytes, .. } = self.behaviour.get() {
                 let answer = format!("{begun}f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n");
@@ -529,6 +559,7 @@
         | Behaviour::AnswersTwiceNext
         | Behaviour::Cut { .. }
         | Behaviour::Fails
+        | Behaviour::Refuses
         | Behaviour::LosesAnswer
         | Behaviour::Late(_) => {
             connection
@@ -608,6 +639,7 @@
             id: head.headers.text("id").map(RequestId::new),
             is_sealed: head.headers.get("sealed").is_some(),
             did_not_run: head.headers.get("refused").is_some(),
+            is_leaving: head.headers.get("leaving").is_some(),
             limit_per_s: head
                 .headers
                 .text("limit")
@@ -816,7 +848,7 @@
 /// Returns a table with a model that runs on engines of a profile.
 pub(crate) fn table_of(version: Version, engine: EngineProfile) -> Table {
     let service = |engine| Service {
-        health_path: "/health".into(),
+        health_path: HEALTH_PATH.into(),
         connection_limit: 100,
         engine,
     };
--- a/crates/anvil_observe/src/events.rs
+++ b/crates/anvil_observe/src/events.rs
@@ -146,6 +146,7 @@
     "table.answer_failed": "The answer to a peer's question for the operators' table could not be sent.",
     "table.fetch_failed": "A relay did not pass on the operators' table. The host asks the next relay, and then the store.",
     "target.cache_events_missed": "Cache events of a target were missed, so the host's view of its cache is out of date.",
+    "target.check_failed": "Before a request was sent there once more, a target did not answer its health check at once. The line gives the time waited and whether it was silent, refused the check, could not be reached, or answered while this host did not run.",
     "target.connection_silent": "A connection to a target stopped answering. A new one is opened.",
     "target.connections_doubted": "A request on a kept connection to a target was not answered in time. The other kept connections to it were dropped.",
     "target.gone": "A target is no longer used. The line gives the reason.",
