--- a/crates/anvil_gateway/src/paths.rs
+++ b/crates/anvil_gateway/src/paths.rs
@@ -219,8 +219,8 @@
 
 /// The engines that earlier attempts of a request used.
 pub struct PriorAttempts<'a> {
-    /// First engines that the request was sent to. Once the listed ones among them are as many as
-    /// the route allows attempts, only they can be first again.
+    /// First engines that the request was sent to. Once those among them that may still run are as many
+    /// as the route allows attempts, only they can be first again.
     pub first_engines: &'a [Rc<Target>],
     /// Engines that failed the request. They are excluded if there is a path without them.
     pub failed: &'a [Rc<Target>],
@@ -425,12 +425,12 @@
             .count();
         let trusts_refusals =
             refusing_count as f64 <= PEER_REFUSING_SHARE_MAX * ready_targets.len() as f64;
-        let listed_first_engines = attempts
+        let running_first_engines = attempts
             .first_engines
             .iter()
-            .filter(|target| target.is_listed_ready());
+            .filter(|target| target.may_be_running());
         let is_first_limit_reached =
-            listed_first_engines.count() >= request.route.attempts_max as usize;
+            running_first_engines.count() >= request.route.attempts_max as usize;
         let mut demand = None;
         let (targets, mut workers): (Vec<Rc<Target>>, Vec<Worker>) = ready_targets
             .iter()
--- a/crates/anvil_gateway/src/stream/tests.rs
+++ b/crates/anvil_gateway/src/stream/tests.rs
@@ -275,6 +275,25 @@
     });
 }
 
+/// Guards against a stream that runs on more engines than its route allows attempts, as those that leave
+/// are not counted (BUDGET).
+#[gtest]
+fn serve_counts_leaving_engines_among_attempts() {
+    run(async {
+        let fleet = Fleet::start(171, 4).await;
+        let host = fleet.start_host(0).await;
+        for _ in 0..200 {
+            host.gateway.record_request(&"model".into());
+        }
+        for engine in &fleet.engines {
+            engine.behaviour.set(Behaviour::BreaksOff);
+            engine.says_leaving.set(true);
+        }
+        expect_that!(host.call(&["part"]).await, eq(CallerResult::Broken));
+        expect_that!(fleet.run_count(&host.last_id()), eq(2));
+    });
+}
+
 /// Longer than a stream is waited for before it is sent again, and shorter than callers wait.
 const LONG_PAUSE: Duration = Duration::from_millis(1900);
 
