--- a/crates/anvil_gateway/src/events.rs
+++ b/crates/anvil_gateway/src/events.rs
@@ -12,7 +12,7 @@
 use crate::port::EventId;
 
 /// Largest event that is accepted. Engines send events of a few hundred bytes.
-const EVENT_LIMIT_BYTES: usize = 256 << 10;
+pub const EVENT_LIMIT_BYTES: usize = 256 << 10;
 
 /// A complete event.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -72,6 +72,11 @@
         self.buffer.split().freeze()
     }
 
+    /// Returns the number of bytes in the buffer.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns whether the buffer holds bytes of an incomplete event.
     pub fn has_partial_event(&self) -> bool {
         !self.buffer.is_empty()
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -36,6 +36,10 @@
         ErrorReason,
         ErrorResponse, //
     },
+    body_memory::{
+        NoMemory,
+        Reservation, //
+    },
     gateway::{
         CountGuard,
         Gateway,
@@ -89,6 +93,8 @@
     pub metadata: &'a RequestMetadata,
     /// The complete body.
     pub body: Bytes,
+    /// The memory that the body takes.
+    pub body_memory: Reservation,
     /// The route that matches host and path.
     pub route: &'a Route,
     /// The routing table that holds the route and the service.
@@ -414,9 +420,14 @@
         body = read_body(gateway, connection, head, limits.body_limit_bytes) => body,
         () = gateway.reached(Phase::Ending) => return (metadata, stopping(), false),
     };
-    let body = match body {
-        Ok(Some(body)) => body,
-        Ok(None) => return (metadata, rejected(ErrorReason::BodyTooLarge), false),
+    let (body, body_memory) = match body {
+        Ok(Ok(body)) => body,
+        Ok(Err(reason @ ErrorReason::Overloaded)) => {
+            let retry_after = Some(OTHER_HOST_RETRY_AFTER);
+            let error_response = ErrorResponse::not_run(reason, retry_after);
+            return (metadata, RequestOutcome::Error(error_response), false);
+        }
+        Ok(Err(reason)) => return (metadata, rejected(reason), false),
         Err(ReadError::Body(_)) => return (metadata, rejected(ErrorReason::BadRequest), false),
         Err(_) => return (metadata, RequestOutcome::CallerDisconnected, false),
     };
@@ -474,6 +485,7 @@
         head,
         metadata: &metadata,
         body,
+        body_memory,
         route,
         table: &table,
         service_id,
@@ -531,12 +543,14 @@
     gateway.table_cache.age().is_none_or(|age| age > bound)
 }
 
+/// Reads a request's body, with the memory that it takes. Returns the reason to refuse the request if the
+/// body is larger than `limit_bytes`, or than the memory that is left.
 async fn read_body(
     gateway: &Gateway,
     connection: &mut Connection,
     head: &RequestHead,
     limit_bytes: usize,
-) -> Result<Option<Bytes>, ReadError> {
+) -> Result<Result<(Bytes, Reservation), ErrorReason>, ReadError> {
     if head.headers.contains_token("expect", "100-continue") {
         connection
             .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -544,9 +558,17 @@
             .map_err(ReadError::Io)?;
     }
     let mut decoder = BodyDecoder::new(head.framing);
-    let body = connection.read_whole_body(&mut decoder, limit_bytes);
+    let mut reservation = gateway.body_memory.reserve();
+    let body = connection.read_body_while(&mut decoder, |bytes| {
+        if bytes > limit_bytes {
+            return Err(ErrorReason::BodyTooLarge);
+        }
+        let resized = reservation.resize(bytes);
+        resized.map_err(|NoMemory| ErrorReason::Overloaded)
+    });
     let body = gateway.run_clock.timeout(BODY_TIMEOUT, body).await;
-    body.unwrap_or(Err(ReadError::Closed))
+    let body = body.unwrap_or(Err(ReadError::Closed))?;
+    Ok(body.map(|body| (body, reservation)))
 }
 
 fn log_outcome(
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -38,6 +38,7 @@
 
 use crate::{
     abandoned::AbandonedQueue,
+    body_memory::BodyMemory,
     clock::BootTime,
     http1::ResponseHead,
     knowledge::TableCache,
@@ -82,6 +83,8 @@
     pub table_cache: TableCache,
     /// Target list, with this host's load at each target.
     pub targets: Targets,
+    /// Memory for the bodies that this host holds.
+    pub body_memory: Rc<BodyMemory>,
     /// Links of this host to targets.
     pub link: Link,
     /// Time in which this host did not run.
@@ -138,6 +141,7 @@
             peers: RefCell::new(PeerRegistry::new(&settings)),
             table_cache: TableCache::new(settings.bounds.config_apply),
             targets: Targets::new(settings.heartbeat),
+            body_memory: BodyMemory::new(settings.body_memory_bytes()),
             settings,
             platform,
             link: Link::default(),
--- a/crates/anvil_gateway/src/http1/connection.rs
+++ b/crates/anvil_gateway/src/http1/connection.rs
@@ -41,6 +41,8 @@
 
 /// Space reserved in the buffer for each read. Most requests and events fit.
 const READ_RESERVE_BYTES: usize = 4096;
+/// Largest body that is copied so that it can be written together with its head.
+const JOINED_BODY_MAX_BYTES: usize = 64 << 10;
 /// Largest head of an answer. Engines and services send far smaller ones.
 const RESPONSE_HEAD_LIMIT_BYTES: usize = 32 << 10;
 /// Most interim answers before an answer. A peer that sends them without end would otherwise keep
@@ -277,17 +279,36 @@
         decoder: &mut BodyDecoder,
         limit_bytes: usize,
     ) -> Result<Option<Bytes>, ReadError> {
-        let Some(first) = self.read_body(decoder).await? else {
-            return Ok(Some(Bytes::new()));
-        };
-        let mut body = BytesMut::from(first);
+        let body = self.read_body_while(decoder, |bytes| match bytes <= limit_bytes {
+            true => Ok(()),
+            false => Err(()),
+        });
+        body.await.map(Result::ok)
+    }
+
+    /// Reads a complete body for as long as `admit` accepts its size so far, in bytes. Returns the error of
+    /// `admit` if it doesn't.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of [`Self::read_body`].
+    pub async fn read_body_while<E>(
+        &mut self,
+        decoder: &mut BodyDecoder,
+        mut admit: impl FnMut(usize) -> Result<(), E>,
+    ) -> Result<Result<Bytes, E>, ReadError> {
+        let mut body = BytesMut::new();
         while let Some(piece) = self.read_body(decoder).await? {
-            if body.len() + piece.len() > limit_bytes {
-                return Ok(None);
+            if let Err(error) = admit(body.len() + piece.len()) {
+                return Ok(Err(error));
+            }
+            if body.is_empty() {
+                body = BytesMut::from(piece);
+            } else {
+                body.extend_from_slice(&piece);
             }
-            body.extend_from_slice(&piece);
         }
-        Ok((body.len() <= limit_bytes).then(|| body.freeze()))
+        Ok(Ok(body.freeze()))
     }
 
     /// Writes all of `data`.
@@ -311,6 +332,20 @@
         Ok(())
     }
 
+    /// Writes a head and a body. A small body is written together with the head, a larger one is not copied.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection fails.
+    pub async fn write_both(&self, mut head: Vec<u8>, body: &[u8]) -> io::Result<()> {
+        if body.len() <= JOINED_BODY_MAX_BYTES {
+            head.extend_from_slice(body);
+            return self.write_all(&head).await;
+        }
+        self.write_all(&head).await?;
+        self.write_all(body).await
+    }
+
     /// Waits until the peer closes the connection or it fails. Bytes that arrive meanwhile are
     /// buffered. Once the buffer holds `limit_bytes`, nothing more is read, and the call waits
     /// forever.
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod abandoned;
 pub mod answer;
+pub mod body_memory;
 pub mod calls;
 pub mod clock;
 pub mod events;
--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -42,6 +42,10 @@
         RelayedBody,
         render_head, //
     },
+    body_memory::{
+        NoMemory,
+        Reservation, //
+    },
     exchange::{
         RequestContext,
         RequestOutcome,
@@ -103,7 +107,7 @@
 /// The result of sending a request to one target.
 enum AttemptResult {
     /// The complete answer of the target.
-    Response(ResponseHead, ResponseMetadata, Bytes),
+    Response(ResponseHead, ResponseMetadata, HeldBody),
     /// The request was not sent, since it has been quarantined meanwhile.
     Quarantined,
     /// The request was not sent, since neither this host nor another one reaches a target.
@@ -118,6 +122,12 @@
     TimedOut,
 }
 
+/// The body of an answer, with the memory that it takes.
+struct HeldBody {
+    bytes: Bytes,
+    _reservation: Reservation,
+}
+
 /// Serves a request, and writes the answer of a target to the caller.
 pub async fn serve(
     gateway: &Gateway,
@@ -144,15 +154,16 @@
         Some(Err(error_response)) => RequestOutcome::Error(error_response),
         Some(Ok((head, body))) => {
             request.is_answer_begun.set(true);
-            let mut out = render_head(
+            let out = render_head(
                 &head,
-                RelayedBody::Length(body.len()),
+                RelayedBody::Length(body.bytes.len()),
                 request.announce_keep_alive(gateway),
             );
-            if request.head.method != "HEAD" {
-                out.extend_from_slice(&body);
-            }
-            match connection.write_all(&out).await {
+            let body: &[u8] = match request.head.method.as_str() {
+                "HEAD" => &[],
+                _ => &body.bytes,
+            };
+            match connection.write_both(out, body).await {
                 Ok(()) => RequestOutcome::Answered {
                     status: head.status,
                 },
@@ -197,12 +208,12 @@
 impl<'a> Attempts<'a> {
     /// Sends the request to targets until one answers. Returns the first whole answer, or the error
     /// response for the caller.
-    async fn try_targets(&self) -> Result<(ResponseHead, Bytes), ErrorResponse> {
+    async fn try_targets(&self) -> Result<(ResponseHead, HeldBody), ErrorResponse> {
         let (gateway, request) = (self.gateway, self.request);
         let is_repeatable = request.route.semantics.is_repeatable();
         let mut tried: Vec<Rc<Target>> = Vec::new();
         let mut running = FuturesUnordered::new();
-        let mut last_response: Option<(ResponseHead, Bytes)> = None;
+        let mut last_response: Option<(ResponseHead, HeldBody)> = None;
         let mut may_have_run = false;
         let mut refusal = None;
         let mut has_ended = false;
@@ -684,7 +695,7 @@
     acquired: &mut PooledConnection,
     out: &[u8],
     has_begun: &Cell<bool>,
-) -> Result<(ResponseHead, ResponseMetadata, Bytes), &'static str> {
+) -> Result<(ResponseHead, ResponseMetadata, HeldBody), &'static str> {
     let is_reused = acquired.is_reused;
     let connection = &mut acquired.connection;
     connection
@@ -702,11 +713,20 @@
             "HEAD" => BodyDecoder::new(crate::http1::Framing::Length(0)),
             _ => BodyDecoder::new(head.framing),
         };
-        let body = connection
-            .read_whole_body(&mut decoder, RESPONSE_LIMIT_BYTES)
-            .await
-            .map_err(|_| "connection ended within the answer")?
-            .ok_or("answer is larger than the limit")?;
+        let mut reservation = gateway.body_memory.reserve();
+        let body = connection.read_body_while(&mut decoder, |bytes| {
+            if bytes > RESPONSE_LIMIT_BYTES {
+                return Err("answer is larger than the limit");
+            }
+            let resized = reservation.resize(bytes);
+            resized.map_err(|NoMemory| "no memory for the answer")
+        });
+        let body = HeldBody {
+            bytes: body
+                .await
+                .map_err(|_| "connection ended within the answer")??,
+            _reservation: reservation,
+        };
         if metadata.id.is_none() && is_reused {
             return Err(UNNAMED_ANSWER);
         }
--- a/crates/anvil_gateway/src/settings.rs
+++ b/crates/anvil_gateway/src/settings.rs
@@ -22,6 +22,12 @@
 #[cfg(test)]
 mod tests;
 
+/// Memory of a host where the settings name none.
+const MEMORY_DEFAULT_MEGABYTES: f64 = 128.0;
+/// Share of the host's memory that bodies may take. A body that grows takes up to three times its size
+/// while it is copied.
+const BODY_MEMORY_SHARE: f64 = 0.16;
+
 /// The content of a settings file, before checks and defaults.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -29,6 +35,7 @@
     host_id: Option<HostId>,
     data_centre: Option<DataCentreId>,
     processor_share: Option<f64>,
+    memory_megabytes: Option<f64>,
     #[serde(default)]
     listen: ListenOptions,
     #[serde(default)]
@@ -84,6 +91,8 @@
     pub data_centre: DataCentreId,
     /// Processor time available to this host, in cores. Above 0.
     pub processor_share: f64,
+    /// Memory available to this host, in megabytes. Above 0.
+    pub memory_megabytes: f64,
     /// Address of the listener for callers.
     pub callers: SocketAddr,
     /// Address of the listener that reports whether the host is ready for callers.
@@ -106,6 +115,12 @@
 }
 
 impl Settings {
+    /// Returns the memory that the bodies of all open requests may take together, in bytes.
+    pub fn body_memory_bytes(&self) -> usize {
+        // The conversion saturates for huge values.
+        (self.memory_megabytes * 1e6 * BODY_MEMORY_SHARE) as usize
+    }
+
     /// Returns the processor time available to the host, in thousandths of a core.
     pub fn processor_millis(&self) -> u32 {
         // The conversion saturates for huge values.
@@ -234,6 +249,11 @@
             host_id: self.required("host_id", options.host_id)?,
             data_centre: self.required("data_centre", options.data_centre)?,
             processor_share: self.positive("processor_share", options.processor_share, 1.0)?,
+            memory_megabytes: self.positive(
+                "memory_megabytes",
+                options.memory_megabytes,
+                MEMORY_DEFAULT_MEGABYTES,
+            )?,
             callers: self.required("listen.callers", listen.callers)?,
             readiness: self.required("listen.readiness", listen.readiness)?,
             peers: self.required("listen.peers", listen.peers)?,
--- a/crates/anvil_gateway/src/stream/attempt.rs
+++ b/crates/anvil_gateway/src/stream/attempt.rs
@@ -5,7 +5,14 @@
 use tokio::time::Instant;
 
 use crate::{
-    events::EventDecoder,
+    body_memory::{
+        NoMemory,
+        Reservation, //
+    },
+    events::{
+        EventDecoder,
+        EventTooLarge, //
+    },
     gateway::Gateway,
     http1::{
         BodyDecoder,
@@ -93,6 +100,8 @@
     pub(super) decoder: BodyDecoder,
     /// Splits the body into events.
     pub(super) event_decoder: EventDecoder,
+    /// The memory that the incomplete event takes.
+    event_memory: Reservation,
     /// Whether the answer was recorded for the quarantine.
     pub(super) is_recorded: bool,
     /// Whether no event was passed on yet.
@@ -100,7 +109,12 @@
 }
 
 impl Begun {
-    pub(super) fn new(head: ResponseHead, metadata: ResponseMetadata, method: &str) -> Box<Self> {
+    pub(super) fn new(
+        gateway: &Gateway,
+        head: ResponseHead,
+        metadata: ResponseMetadata,
+        method: &str,
+    ) -> Box<Self> {
         let framing = match method {
             "HEAD" => Framing::Length(0),
             _ => head.framing,
@@ -110,11 +124,27 @@
             metadata,
             decoder: BodyDecoder::new(framing),
             event_decoder: EventDecoder::default(),
+            event_memory: gateway.body_memory.reserve(),
             is_recorded: false,
             is_first: true,
         })
     }
 
+    /// Appends bytes of the body to the incomplete event.
+    ///
+    /// # Errors
+    ///
+    /// Returns a text for the log if the event is too large, or finds no memory.
+    pub(super) fn push(&mut self, piece: &[u8]) -> Result<(), &'static str> {
+        let buffered_bytes = self.event_decoder.buffered_bytes();
+        self.event_memory
+            .resize(buffered_bytes + piece.len())
+            .map_err(|NoMemory| "no memory for the event")?;
+        self.event_decoder
+            .push(piece)
+            .map_err(|EventTooLarge| "event is too large")
+    }
+
     /// Returns whether the body's end is not told by the end of the connection.
     pub(super) fn is_framed(&self) -> bool {
         self.head.framing != Framing::UntilClose
@@ -152,14 +182,15 @@
                 return KeptResult::Failed;
             }
             self.attempt.progress.record_head();
-            self.upstream.answer = Answer::Begun(Begun::new(head, metadata, &request.head.method));
+            self.upstream.answer =
+                Answer::Begun(Begun::new(gateway, head, metadata, &request.head.method));
         }
         let Answer::Begun(begun) = &mut self.upstream.answer else {
             return KeptResult::Failed;
         };
         while !begun.event_decoder.has_event() {
             match connection.read_body(&mut begun.decoder).await {
-                Ok(Some(piece)) if begun.event_decoder.push(&piece).is_ok() => {}
+                Ok(Some(piece)) if begun.push(&piece).is_ok() => {}
                 Ok(None) if !begun.event_decoder.has_partial_event() && begun.is_framed() => break,
                 Ok(Some(_) | None) | Err(_) => return KeptResult::Failed,
             }
--- a/crates/anvil_gateway/src/stream/send.rs
+++ b/crates/anvil_gateway/src/stream/send.rs
@@ -282,7 +282,7 @@
             }
             attempt.progress.record_head();
             let method = self.request.head.method.as_str();
-            upstream.answer = Answer::Begun(Begun::new(head, metadata, method));
+            upstream.answer = Answer::Begun(Begun::new(gateway, head, metadata, method));
         }
         if let Answer::Begun(begun) = &upstream.answer
             && !self.is_head_sent
@@ -393,9 +393,13 @@
                     return self.end(caller, attempt, upstream).await;
                 };
                 out.clear();
-                if self.has_unnumbered_bytes || begun.event_decoder.push(&piece).is_err() {
+                let pushed = match self.has_unnumbered_bytes {
+                    true => Err("no events"),
+                    false => begun.push(&piece),
+                };
+                if let Err(reason) = pushed {
                     if self.engine.is_some() {
-                        return AttemptResult::Lost("event is too large");
+                        return AttemptResult::Lost(reason);
                     }
                     // No event is that large: the answer is passed on as it is, without being held.
                     if !self.has_unnumbered_bytes {
