--- a/crates/anvil_gateway/src/http1.rs
+++ b/crates/anvil_gateway/src/http1.rs
@@ -6,6 +6,7 @@
 //! connection pool by itself.
 
 mod body;
+mod chunks;
 mod connection;
 mod head;
 
@@ -18,6 +19,10 @@
     Framing,
     Piece, //
 };
+pub use chunks::{
+    Chunks,
+    LAST_CHUNK, //
+};
 pub use connection::{
     ConnectError,
     Connection,
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -41,6 +41,7 @@
     gateway::Gateway,
     http1::{
         Connection,
+        LAST_CHUNK,
         ResponseHead, //
     },
     paths::{
@@ -496,7 +497,7 @@
     }
 
     async fn finish(&mut self, caller: &mut Connection) -> RequestOutcome {
-        match caller.write_all(b"0\r\n\r\n").await {
+        match caller.write_all(LAST_CHUNK).await {
             Ok(()) => RequestOutcome::Answered { status: 200 },
             Err(_) => RequestOutcome::CallerDisconnected,
         }
--- a/crates/anvil_gateway/src/stream/send.rs
+++ b/crates/anvil_gateway/src/stream/send.rs
@@ -24,6 +24,7 @@
     faults,
     http1::{
         BodyDecoder,
+        Chunks,
         ConnectError,
         Connection,
         ReadError,
@@ -350,7 +351,7 @@
         mut upstream: Upstream,
         trace: &mut RequestTrace,
     ) -> AttemptResult {
-        let mut out = Vec::new();
+        let mut out = Chunks::default();
         loop {
             // While bytes are always available, the timeout below never fires, and no other task runs.
             if Instant::now() >= self.request.deadline {
@@ -409,8 +410,8 @@
                         });
                     }
                     self.has_unnumbered_bytes = true;
-                    push_chunk(&mut out, &begun.event_decoder.take_rest());
-                    push_chunk(&mut out, &piece);
+                    out.push(&begun.event_decoder.take_rest());
+                    out.push(&piece);
                 }
             }
             let now = Instant::now();
@@ -431,7 +432,7 @@
                     self.last_event_id = Some(id);
                 }
                 events += 1;
-                push_chunk(&mut out, &event.bytes);
+                out.push(&event.bytes);
             }
             if !begun.is_recorded && attempt.progress.early().is_none() {
                 begun.is_recorded = true;
@@ -467,7 +468,7 @@
                 None => StallTimer::start(now, lost),
             };
             self.last_sent_at = now;
-            let written = caller.write_all(&out).await;
+            let written = caller.write_all(out.as_bytes()).await;
             out.clear();
             if written.is_err() {
                 return AttemptResult::CallerDisconnected;
@@ -492,9 +493,9 @@
             }
             // A target that is no engine may answer with something else than events. Its framing tells
             // that the answer is whole.
-            let mut out = Vec::new();
-            push_chunk(&mut out, &begun.event_decoder.take_rest());
-            if caller.write_all(&out).await.is_err() {
+            let mut out = Chunks::default();
+            out.push(&begun.event_decoder.take_rest());
+            if caller.write_all(out.as_bytes()).await.is_err() {
                 return AttemptResult::CallerDisconnected;
             }
         } else if !is_framed && attempt.progress.events == 0 {
@@ -525,10 +526,3 @@
             .saturating_duration_since(Instant::now())
     }
 }
-
-fn push_chunk(out: &mut Vec<u8>, data: &[u8]) {
-    use std::io::Write;
-    write!(out, "{:x}\r\n", data.len()).expect("writing to a Vec cannot fail");
-    out.extend_from_slice(data);
-    out.extend_from_slice(b"\r\n");
-}
--- a/crates/anvil_gateway/src/stream/tests.rs
+++ b/crates/anvil_gateway/src/stream/tests.rs
@@ -27,6 +27,8 @@
     wait_for_peers, //
 };
 
+mod large;
+
 /// Most engines that may end under requests with one part.
 const ENDED_MAX: usize = 5;
 /// Most engines that may end later, in a trial of whether the part still ends engines.
--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -82,6 +82,7 @@
     http1::{
         BodyDecoder,
         Connection,
+        LAST_CHUNK,
         RequestHead,
         ResponseHead, //
     },
@@ -240,10 +241,50 @@
         before: u32,
         pause: Duration,
     },
+    /// A whole body of a certain size, after an event or not, in pieces.
+    Large {
+        body: LargeBody,
+        framing: LargeFraming,
+        piece_bytes: usize,
+    },
     /// A stream of one event and the start of a second one, of which a byte comes after each pause.
     Stalled { pause: Duration },
 }
 
+/// What a large body holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct LargeBody {
+    /// Events before the large part.
+    pub(crate) events_before: u32,
+    /// Size of the large part, which holds no end of an event.
+    pub(crate) part_bytes: usize,
+    /// Whether the large part ends as an event does, and another event follows.
+    pub(crate) has_event_after: bool,
+}
+
+impl LargeBody {
+    /// Returns the bytes of the body.
+    pub(crate) fn to_bytes(self) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        for id in 1..=self.events_before {
+            bytes.extend_from_slice(format!("id: {id}\ndata: a\n\n").as_bytes());
+        }
+        bytes.extend((0..self.part_bytes).map(|index| b'a' + (index / 1000 % 26) as u8));
+        if self.has_event_after {
+            bytes.extend_from_slice(b"\n\nid: 99\ndata: b\n\n");
+        }
+        bytes
+    }
+}
+
+/// How a large body is framed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LargeFraming {
+    Length,
+    Chunked,
+    UntilClose,
+}
+
 impl Engine {
     /// Starts an engine on a loopback address.
     async fn start(id: TargetId, address: IpAddr, restart_delay: Option<Duration>) -> Rc<Self> {
@@ -410,6 +451,19 @@
                 }
                 continue;
             }
+            if let Behaviour::Large {
+                body,
+                framing,
+                piece_bytes,
+            } = self.behaviour.get()
+            {
+                let body = body.to_bytes();
+                let written = write_large(&connection, id, &body, framing, piece_bytes).await;
+                if written.is_err() || framing == LargeFraming::UntilClose {
+                    return;
+                }
+                continue;
+            }
             let is_stream = head.target.starts_with(MODEL_PATH)
                 || is_plain_stream(&head.target) && self.behaviour.get().is_stream();
             if !is_stream {
@@ -468,6 +522,7 @@
                     | Behaviour::Cut { .. }
                     | Behaviour::Slow { .. }
                     | Behaviour::PausesOnce { .. }
+                    | Behaviour::Large { .. }
                     | Behaviour::Stalled { .. } => {
                         written.push_str(&answer);
                     }
@@ -537,6 +592,38 @@
     path.starts_with(EVENTS_PATH) || path.starts_with(EVENTS_ONCE_PATH)
 }
 
+async fn write_large(
+    connection: &Connection,
+    id: &str,
+    body: &[u8],
+    framing: LargeFraming,
+    piece_bytes: usize,
+) -> io::Result<()> {
+    let header = match framing {
+        LargeFraming::Length => format!("Content-Length: {}\r\n", body.len()),
+        LargeFraming::Chunked => "Transfer-Encoding: chunked\r\n".into(),
+        LargeFraming::UntilClose => String::new(),
+    };
+    let head = format!("HTTP/1.1 200 OK\r\nid: {id}\r\nsealed: 1\r\n{header}\r\n");
+    connection.write_all(head.as_bytes()).await?;
+    for piece in body.chunks(piece_bytes) {
+        if framing == LargeFraming::Chunked {
+            let size = format!("{:x}\r\n", piece.len());
+            connection.write_all(size.as_bytes()).await?;
+            connection.write_all(piece).await?;
+            connection.write_all(b"\r\n").await?;
+        } else {
+            connection.write_all(piece).await?;
+        }
+        // The host reads piece by piece.
+        tokio::task::yield_now().await;
+    }
+    if framing == LargeFraming::Chunked {
+        connection.write_all(LAST_CHUNK).await?;
+    }
+    Ok(())
+}
+
 async fn write_events(connection: &Connection, behaviour: Behaviour) -> io::Result<()> {
     match behaviour {
         Behaviour::Slow { .. } | Behaviour::PausesOnce { .. } => {
@@ -560,6 +647,7 @@
         | Behaviour::Cut { .. }
         | Behaviour::Fails
         | Behaviour::Refuses
+        | Behaviour::Large { .. }
         | Behaviour::LosesAnswer
         | Behaviour::Late(_) => {
             connection
@@ -1011,6 +1099,23 @@
         )
     }
 
+    /// Sends requests for a stream on one kept connection. Returns status and body of each answer, until
+    /// one breaks off.
+    pub(crate) async fn call_kept(&self, path: &str, count: usize) -> Vec<(u16, Bytes)> {
+        let limit = Duration::from_secs(5);
+        let mut connection = Connection::open(self.address, limit).await.unwrap();
+        let mut answers = Vec::new();
+        for _ in 0..count {
+            let request = self.request(path, &format!("key: {SOUND_KEY}\r\n"), "");
+            connection.write_all(request.as_bytes()).await.unwrap();
+            match read_answer(&mut connection).await {
+                Some(answer) => answers.push(answer),
+                None => break,
+            }
+        }
+        answers
+    }
+
     async fn exchange(&self, path: &str, headers: &str, body: &str) -> CallerResult {
         match self.send(path, headers, body).await.1 {
             Some((200, _)) => CallerResult::Complete,
@@ -1066,7 +1171,7 @@
 pub(crate) async fn read_answer(connection: &mut Connection) -> Option<(u16, Bytes)> {
     let head = connection.read_response().await.ok()?;
     let mut decoder = BodyDecoder::new(head.framing);
-    let body = connection.read_whole_body(&mut decoder, 1 << 20).await;
+    let body = connection.read_whole_body(&mut decoder, 16 << 20).await;
     Some((head.status, body.ok().flatten()?))
 }
 
