Send a waiting request once when silent targets go on together (TWICE, BUDGET)

A request that has not been sent waits for the health checks of several targets. The check whether another attempt was sent meanwhile was made only by those that began after a send, so that two targets that went on together both got it.

What was sent is now looked at right before each send, whenever the attempt began.

--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -378,8 +378,8 @@
             direct: CONNECT_TIMEOUT.min(time_left),
             through_peer: THROUGH_PEER_TIMEOUT.min(time_left),
         };
-        let is_repeat = self.trace.borrow().sends > 0;
-        let acquired = match is_repeat || !liveness::is_heard(target) {
+        let must_check = self.trace.borrow().sends > 0 || !liveness::is_heard(target);
+        let acquired = match must_check {
             true => self.acquire_read(target, limits).await,
             false => link::acquire(gateway, target, &request.metadata.id, limits)
                 .await
@@ -410,7 +410,7 @@
         if request.team.is_some() && are_keys_stale(gateway) {
             return AttemptResult::NotRun("keys may be outdated");
         }
-        if is_repeat {
+        if self.trace.borrow().sends > 0 {
             // Another attempt may have been sent since this one began.
             let may_send = self.trace.borrow().sends < request.route.attempts_max
                 && (request.route.semantics.is_repeatable() || self.sent.borrow().is_empty());
--- a/crates/anvil_gateway/src/plain/tests.rs
+++ b/crates/anvil_gateway/src/plain/tests.rs
@@ -426,6 +426,42 @@
     });
 }
 
+/// Guards against a request that is sent to several targets that read nothing and go on together (TWICE,
+/// BUDGET).
+#[gtest]
+fn serve_sends_once_when_silent_targets_go_on_together() {
+    // The health check of the second target, of the third one, and of none is not silent yet.
+    for (path, stopped_ms) in [
+        (UNSAFE_PATH, 220),
+        (UNSAFE_PATH, 370),
+        (UNSAFE_PATH, 800),
+        (SAFE_PATH, 220),
+        (SAFE_PATH, 800),
+    ] {
+        run(async {
+            let fleet = Fleet::start_plain(177, 3, None).await;
+            let host = fleet.start_host(0).await;
+            earn_retries(&host);
+            for target in &fleet.engines {
+                target.is_stopped.set(true);
+                target
+                    .behaviour
+                    .set(Behaviour::Late(Duration::from_millis(300)));
+            }
+            let go_on = async {
+                sleep(Duration::from_millis(stopped_ms)).await;
+                for target in &fleet.engines {
+                    target.is_stopped.set(false);
+                }
+            };
+            let ((id, body), ()) = tokio::join!(host.answer_of(path), go_on);
+            expect_that!(body, some(eq(id.as_str())), "{path}, {stopped_ms} ms");
+            sleep(Duration::from_millis(800)).await;
+            expect_that!(fleet.run_count(&id), eq(1), "{path}, {stopped_ms} ms");
+        });
+    }
+}
+
 /// Guards against a request that may run once and runs at two targets, of which one read nothing for a
 /// while (TWICE).
 #[gtest]
