--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -112,8 +112,8 @@
     Quarantined,
     /// The request was not sent, since neither this host nor another one reaches a target.
     CutOff,
-    /// The request was not sent, since the retry budget allows no other send.
-    RetryDenied,
+    /// The request was not sent, since its limits or the retry budget allow no other send now.
+    Denied(&'static str),
     /// The request is known not to have run.
     NotRun(&'static str),
     /// The connection failed after the request may have run.
@@ -180,6 +180,7 @@
     /// Whether the connection had carried requests before.
     is_reused: bool,
     has_begun: Rc<Cell<bool>>,
+    sent_at: Instant,
 }
 
 /// The end of one attempt.
@@ -216,13 +217,15 @@
         let mut last_response: Option<(ResponseHead, HeldBody)> = None;
         let mut may_have_run = false;
         let mut refusal = None;
-        let mut has_ended = false;
+        let mut is_cut_off = false;
+        // Until another attempt has ended.
+        let mut is_denied = false;
         loop {
             let sent_count = self.sent.borrow().len();
             // At most one attempt is neither sent nor waits for a silent target.
             let may_begin = running.len() == sent_count + self.unread.get()
                 && (is_repeatable || sent_count == 0);
-            if may_begin && !has_ended {
+            if may_begin && !is_cut_off && !is_denied {
                 match self.admit_attempt(&tried) {
                     Ok(Some((target, admission))) => {
                         tried.push(Rc::clone(&target));
@@ -245,6 +248,7 @@
             else {
                 break;
             };
+            is_denied = matches!(result, AttemptResult::Denied(_));
             match result {
                 AttemptResult::Response(head, metadata, body) => {
                     if metadata.is_sealed {
@@ -274,14 +278,12 @@
                 AttemptResult::Quarantined => gateway.release_trial(&admission),
                 AttemptResult::CutOff => {
                     gateway.release_trial(&admission);
-                    has_ended = true;
+                    is_cut_off = true;
                 }
-                AttemptResult::RetryDenied => {
+                AttemptResult::Denied(reason) => {
                     gateway.release_trial(&admission);
-                    self.trace
-                        .borrow_mut()
-                        .record_failure("retry budget exhausted");
-                    has_ended = true;
+                    self.trace.borrow_mut().record_failure(reason);
+                    tried.retain(|other| !Rc::ptr_eq(other, &target));
                 }
                 AttemptResult::NotRun(failure) => {
                     gateway.release_trial(&admission);
@@ -416,7 +418,7 @@
                 && (request.route.semantics.is_repeatable() || self.sent.borrow().is_empty());
             if !may_send {
                 target.pool.release(acquired, None);
-                return AttemptResult::NotRun("another attempt was sent");
+                return AttemptResult::Denied("another attempt was sent");
             }
             let need = match self.sent.borrow().is_empty() {
                 true => Need::Replace,
@@ -424,7 +426,7 @@
             };
             if !gateway.try_retry(request, &self.trace.borrow(), Some(target), need) {
                 target.pool.release(acquired, None);
-                return AttemptResult::RetryDenied;
+                return AttemptResult::Denied("retry budget exhausted");
             }
         }
         let forwarding = Forwarding {
@@ -498,9 +500,9 @@
         }
     }
 
-    /// Takes a connection to a target once the target answers a health check at once. If the answer is late
-    /// and the request was sent elsewhere, that target may have gone on as well: the check is repeated
-    /// after the time for an attempt.
+    /// Takes a connection to a target once the target answers a health check at once. If the request was sent
+    /// elsewhere meanwhile, or the answer is late and that target may have gone on as well, the check is
+    /// repeated after the time for an attempt.
     ///
     /// # Errors
     ///
@@ -519,7 +521,11 @@
                 .await;
             match quick {
                 Ok(Ok(connection)) if asked_at.elapsed() <= QUICK_ANSWER_TIMEOUT => {
-                    return Ok(connection);
+                    if self.is_send_due() {
+                        return Ok(connection);
+                    }
+                    target.pool.release(connection, None);
+                    sleep(attempt_timeout(request)).await;
                 }
                 // This host did not run meanwhile, so that the answer is old.
                 Ok(Ok(connection)) => target.pool.release(connection, None),
@@ -542,6 +548,14 @@
         }
     }
 
+    /// Returns whether each attempt that was sent has had the time for its answer to begin.
+    fn is_send_due(&self) -> bool {
+        let attempt_timeout = attempt_timeout(self.request);
+        let sent = self.sent.borrow();
+        sent.iter()
+            .all(|sent| sent.sent_at.elapsed() >= attempt_timeout)
+    }
+
     fn record_send(
         &self,
         target: &Rc<Target>,
@@ -555,6 +569,7 @@
             admission: admission.clone(),
             is_reused,
             has_begun: Rc::clone(has_begun),
+            sent_at: Instant::now(),
         });
     }
 
--- a/crates/anvil_gateway/src/plain/tests.rs
+++ b/crates/anvil_gateway/src/plain/tests.rs
@@ -426,6 +426,23 @@
     });
 }
 
+/// Guards against a request that fails although a retry is left for it, as a hedge was refused before.
+#[gtest]
+fn serve_replaces_lost_attempt_after_hedge_was_refused() {
+    run(async {
+        let fleet = Fleet::start_plain(178, 2, None).await;
+        let host = fleet.start_host(0).await;
+        earn_retries(&host);
+        let service = "plain".into();
+        while host.gateway.take_extra_send(&service, Need::Hedge).0 {}
+        fleet.engines[0].behaviour.set(Behaviour::LosesAnswerLate);
+        prefer_first_target(&fleet, &host);
+        let (id, body) = host.answer_of(SAFE_PATH).await;
+        expect_that!(body, some(eq(id.as_str())));
+        expect_that!(fleet.run_count(&id), eq(2));
+    });
+}
+
 /// Guards against a request that is sent to several targets that read nothing and go on together (TWICE,
 /// BUDGET).
 #[gtest]
--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -141,6 +141,8 @@
 pub(crate) const EVENTS_PATH: &str = "/events/";
 /// The same for streams that run at most once.
 pub(crate) const EVENTS_ONCE_PATH: &str = "/once/";
+/// Time for which a target runs a request before it loses the answer late.
+const LATE_LOSS_TIME: Duration = Duration::from_millis(900);
 /// Time between two checks whether a stopped target goes on.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(5);
 const HEALTH_PATH: &str = "/health";
@@ -225,6 +227,8 @@
     BreaksOff,
     /// Not at all: it runs the request and closes the connection.
     LosesAnswer,
+    /// Not at all: it runs the request for 900 ms and closes the connection.
+    LosesAnswerLate,
     /// With the first bytes of an answer, on a connection that ends then.
     Cut {
         bytes: usize,
@@ -498,6 +502,7 @@
                 let mut later = None;
                 match self.behaviour.get() {
                     Behaviour::LosesAnswer => return,
+                    Behaviour::LosesAnswerLate => return sleep(LATE_LOSS_TIME).await,
                     Behaviour::Refuses => {
                         written = format!(
                             "HTTP/1.1 503 Full\r\nid: {id}\r\nrefused: 1\r\nContent-Length: 0\r\n\r\n"
@@ -649,6 +654,7 @@
         | Behaviour::Refuses
         | Behaviour::Large { .. }
         | Behaviour::LosesAnswer
+        | Behaviour::LosesAnswerLate
         | Behaviour::Late(_) => {
             connection
                 .write_all(b"f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n")
