--- a/crates/anvil_core/src/admission/queue.rs
+++ b/crates/anvil_core/src/admission/queue.rs
@@ -114,6 +114,22 @@
         by_share.min(self.backlog_tokens)
     }
 
+    /// Returns the sum of the costs of all waiting requests, in tokens.
+    pub fn backlog_tokens(&self) -> u64 {
+        self.backlog_tokens
+    }
+
+    /// Returns the ticket of the request that [`Queue::pop`] would remove, or `None` if the queue is
+    /// empty.
+    pub fn next_ticket(&self) -> Option<Ticket> {
+        let (_, team_id) = self.ready.first()?;
+        let position = *self.teams.get(team_id)?.waiting.keys().next()?;
+        Some(Ticket {
+            team: team_id.clone(),
+            position,
+        })
+    }
+
     /// Adds a request and returns the ticket that cancels it.
     pub fn push(&mut self, request: Request, waiter: W) -> Ticket {
         let position = (Reverse(request.priority), self.next_number);
--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -3,7 +3,10 @@
 //! A [`Table`] is one version of the configuration, indexed for the look-ups of a request.
 
 use std::{
-    collections::HashMap,
+    collections::{
+        BTreeSet,
+        HashMap, //
+    },
     time::Duration, //
 };
 
@@ -16,7 +19,8 @@
         TeamId,
         Version, //
     },
-    key_digest::KeyDigest, //
+    key_digest::KeyDigest,
+    urgency::Rank, //
 };
 
 #[cfg(test)]
@@ -75,7 +79,7 @@
     /// Longest pause between two events of a stream that is on time.
     pub pause_objective: Option<Duration>,
     /// Priority of the requests; 0 is the most urgent.
-    pub priority: u32,
+    pub priority: Rank,
     /// Services that serve the route, with their weights.
     pub backends: Vec<Backend>,
     /// Largest number of targets to which one request may be sent. Invariant: at least 1.
@@ -101,7 +105,7 @@
     /// Name that the operators gave the team.
     pub name: TeamId,
     /// Priority that overrides the route's; `None` keeps the route's.
-    pub priority: Option<u32>,
+    pub priority: Option<Rank>,
 }
 
 /// Limits on what callers send.
@@ -135,6 +139,8 @@
     /// Routes by host name. Invariant: longest prefix first.
     routes: HashMap<SmolStr, Vec<Route>>,
     services: HashMap<ServiceId, Service>,
+    /// Ranks of the services whose requests compete, most urgent first. Invariant: at least two each.
+    ranks: HashMap<ServiceId, Vec<Rank>>,
     /// Teams by the digest of their key. A look-up hashes the key that it is given, so its duration
     /// reveals nothing about the stored keys.
     teams: HashMap<KeyDigest, Team>,
@@ -162,10 +168,13 @@
         for routes in routes_by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
+        let services: HashMap<ServiceId, Service> = services.into_iter().collect();
+        let ranks = competing_ranks(&routes_by_host, &services, teams.as_deref());
         Self {
             version,
             routes: routes_by_host,
-            services: services.into_iter().collect(),
+            services,
+            ranks,
             has_teams: teams.is_some(),
             teams: teams.unwrap_or_default().into_iter().collect(),
             limits,
@@ -207,6 +216,12 @@
         self.services.iter()
     }
 
+    /// Returns the distinct ranks of a service's requests, most urgent first, if they compete: the
+    /// service has engines, and its requests at least two ranks. Otherwise returns an empty slice.
+    pub fn competing_ranks(&self, service: &str) -> &[Rank] {
+        self.ranks.get(service).map_or(&[], Vec::as_slice)
+    }
+
     /// Returns whether requests on `route` need a key: the configuration lists teams, and the route
     /// isn't public.
     pub fn needs_key(&self, route: &Route) -> bool {
@@ -219,6 +234,41 @@
     }
 }
 
+/// Returns the ranks of each service with engines to which requests of at least two ranks are sent.
+fn competing_ranks(
+    routes: &HashMap<SmolStr, Vec<Route>>,
+    services: &HashMap<ServiceId, Service>,
+    teams: Option<&[(KeyDigest, Team)]>,
+) -> HashMap<ServiceId, Vec<Rank>> {
+    let team_ranks: Option<BTreeSet<Option<Rank>>> =
+        teams.map(|teams| teams.iter().map(|(_, team)| team.priority).collect());
+    let mut ranks: HashMap<ServiceId, BTreeSet<Rank>> = HashMap::new();
+    for route in routes.values().flatten() {
+        let of_route: BTreeSet<Rank> = match &team_ranks {
+            Some(team_ranks) if !route.public => {
+                let of_teams = team_ranks.iter();
+                of_teams
+                    .map(|rank| rank.unwrap_or(route.priority))
+                    .collect()
+            }
+            Some(_) | None => BTreeSet::from([route.priority]),
+        };
+        for backend in route.backends.iter().filter(|backend| backend.weight > 0.0) {
+            let service = services.get(&backend.service);
+            if service.is_some_and(|service| service.engine.is_some()) {
+                let of_service = ranks.entry(backend.service.clone()).or_default();
+                of_service.extend(&of_route);
+            }
+        }
+    }
+    ranks.retain(|_, ranks| ranks.len() > 1);
+    let sorted = |ranks: BTreeSet<Rank>| ranks.into_iter().collect();
+    ranks
+        .into_iter()
+        .map(|(service, ranks)| (service, sorted(ranks)))
+        .collect()
+}
+
 /// Chooses a route's service with a probability proportional to its weight, where `draw` is uniform
 /// in `0.0..1.0`. Returns `None` if no service has a weight above 0.
 pub fn choose_backend(route: &Route, draw: f64) -> Option<&ServiceId> {
--- a/crates/anvil_core/src/exchange/summary.rs
+++ b/crates/anvil_core/src/exchange/summary.rs
@@ -2,9 +2,15 @@
 
 use std::collections::BTreeMap;
 
-use crate::id::{
-    DataCentreId,
-    Version, //
+use crate::{
+    id::{
+        DataCentreId,
+        Version, //
+    },
+    urgency::{
+        Rank,
+        RankDemand, //
+    },
 };
 
 /// Load of hosts' requests at one target.
@@ -58,6 +64,9 @@
     pub leaving: BTreeMap<u32, u32>,
     /// Largest slowdown that a target reported to one of the hosts, as a ratio to the usual time.
     pub slow: BTreeMap<u32, f64>,
+    /// Sum of the hosts' demand for services whose requests compete, by rank. Empty if there are none,
+    /// or if the hosts don't tell.
+    pub ranks: BTreeMap<Rank, RankDemand>,
     /// Highest version of the operators' table that one of the hosts has, or 0.
     pub newest_table_version: Version,
 }
@@ -80,6 +89,9 @@
         for (target, load) in &other.loads {
             self.loads.entry(*target).or_default().add(load);
         }
+        for (rank, demand) in &other.ranks {
+            self.ranks.entry(*rank).or_default().add(demand);
+        }
         for (sum, counts) in [
             (&mut self.avoided, &other.avoided),
             (&mut self.refusing, &other.refusing),
@@ -118,6 +130,14 @@
                 }
             }
         }
+        for (rank, demand) in &other.ranks {
+            if let Some(sum) = self.ranks.get_mut(rank) {
+                sum.subtract(demand);
+                if sum.is_negligible() {
+                    self.ranks.remove(rank);
+                }
+            }
+        }
         for (sum, counts) in [
             (&mut self.avoided, &other.avoided),
             (&mut self.refusing, &other.refusing),
--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -37,3 +37,4 @@
 pub mod step;
 pub mod subset;
 pub mod target_limit;
+pub mod urgency;
--- /dev/null
+++ b/crates/anvil_core/src/urgency/tests.rs
@@ -0,0 +1,174 @@
+use std::time::Duration;
+
+use googletest::prelude::*;
+
+use super::*;
+
+use service::{
+    Load,
+    play, //
+};
+
+mod service;
+
+/// A service at three fifths of its capacity, with three ranks of equal demand.
+fn calm() -> Load {
+    Load {
+        per_s: [60.0; 3],
+        ..Load::default()
+    }
+}
+
+/// The same, with other rates for twelve seconds.
+fn surge(surge_per_s: [f64; 3]) -> Load {
+    Load {
+        surge_per_s,
+        surge_ms: (5000, 17_000),
+        ..calm()
+    }
+}
+
+/// The least urgent rank surges to six times its demand.
+const LEAST_URGENT_PER_S: [f64; 3] = [60.0, 60.0, 360.0];
+
+#[gtest]
+fn urgency_spreads_ranks_and_is_none_for_one() {
+    let of = |ranks: &[Rank]| -> Vec<Option<u8>> {
+        ranks.iter().map(|rank| urgency(ranks, *rank)).collect()
+    };
+    expect_that!(
+        of(&[0, 1, 2]),
+        elements_are![some(eq(&0)), some(eq(&5)), some(eq(&9))]
+    );
+    expect_that!(of(&[3, 40]), elements_are![some(eq(&0)), some(eq(&9))]);
+    expect_that!(of(&[4]), elements_are![none()]);
+    expect_that!(urgency(&[0, 1], 7), none());
+}
+
+#[gtest]
+fn draw_is_equal_on_all_hosts_and_uniform() {
+    let draws: Vec<f64> = (0..2000).map(|id| draw(&format!("id-{id}"))).collect();
+    expect_that!(draw("id-5"), eq(draws[5]));
+    let below = |limit: f64| draws.iter().filter(|draw| **draw < limit).count() as f64 / 2000.0;
+    expect_that!(below(0.05), near(0.05, 0.02));
+    expect_that!(below(0.5), near(0.5, 0.05));
+    expect_that!(below(1.0), eq(1.0));
+}
+
+#[gtest]
+fn wait_limit_leaves_time_for_first_event() {
+    let ms = Duration::from_millis;
+    expect_that!(wait_limit(ms(500), ms(60)), eq(ms(250)));
+    expect_that!(wait_limit(ms(500), ms(300)), eq(ms(150)));
+    expect_that!(wait_limit(ms(500), ms(480)), eq(Duration::ZERO));
+}
+
+/// Guards against refused requests of less urgent ranks that come back before the more urgent ones, and
+/// against times that callers don't honour.
+#[gtest]
+fn retry_after_is_later_for_less_urgent_and_within_time_left() {
+    let ranks = [0, 1, 2];
+    let forecast = Forecast::default();
+    let at = |rank, draw| retry_after(&forecast, &ranks, rank, Duration::from_secs(20), draw);
+    expect_that!(at(0, 0.0), eq(Duration::from_millis(300)));
+    for rank in [1, 2] {
+        expect_that!(at(rank, 0.0), ge(at(rank - 1, 1.0)));
+    }
+    let short = retry_after(&forecast, &ranks, 2, Duration::from_millis(900), 1.0);
+    expect_that!(short, le(Duration::from_millis(300)));
+}
+
+/// Load: calm. Nothing is refused, and nothing waits.
+#[gtest]
+fn play_calm_serves_all_at_once() {
+    let results = play(calm());
+    for rank in 0..3 {
+        expect_that!(results.served(rank), ge(0.999), "rank {rank}");
+        expect_that!(results.sent_at_once(rank), ge(0.99), "rank {rank}");
+    }
+}
+
+/// Load: the least urgent kind surges. The more urgent kinds don't notice, and it doesn't starve.
+#[gtest]
+fn play_surge_of_least_urgent_serves_more_urgent() {
+    let load = surge(LEAST_URGENT_PER_S);
+    let results = play(load);
+    let ungated = play(Load {
+        is_ungated: true,
+        ..load
+    });
+    expect_that!(results.served(0), ge(0.97));
+    expect_that!(results.served(0), gt(ungated.served(0)));
+    expect_that!(results.served(1), ge(0.95));
+    expect_that!(results.served(2), ge(0.2));
+}
+
+/// Load: 45 in 100 of the engines are lost for 8 s while the least urgent kind surges.
+#[gtest]
+fn play_lost_engines_serves_by_rank() {
+    let load = Load {
+        lost_share: 0.45,
+        lost_ms: (8000, 16_000),
+        ..surge(LEAST_URGENT_PER_S)
+    };
+    let results = play(load);
+    let ungated = play(Load {
+        is_ungated: true,
+        ..load
+    });
+    expect_that!(results.served(0), ge(0.9));
+    expect_that!(results.served(0), gt(ungated.served(0) + 0.05));
+    expect_that!(results.served(1), le(results.served(0) + 0.05));
+    expect_that!(results.served(2), le(results.served(1) + 0.05));
+    expect_that!(results.served(2), gt(0.05));
+}
+
+/// Load: all ranks surge to four times their demand. None is served clearly better than a more urgent
+/// one, and none starves.
+#[gtest]
+fn play_surge_of_all_ranks_serves_by_rank() {
+    let results = play(surge([240.0; 3]));
+    expect_that!(results.served(0), ge(0.6));
+    expect_that!(results.served(1), le(results.served(0) + 0.05));
+    expect_that!(results.served(2), le(results.served(1) + 0.05));
+    expect_that!(results.served(2), gt(0.05));
+}
+
+/// Load: requests of eight times the usual size beside usual ones. The decision depends on the rank
+/// alone, so that large ones fare no worse.
+#[gtest]
+fn play_surge_serves_large_requests_as_small_ones() {
+    let results = play(Load {
+        large_share: 0.1,
+        ..surge(LEAST_URGENT_PER_S)
+    });
+    let (large, small) = (results.served_of_size(true), results.served_of_size(false));
+    expect_that!(large, ge(small - 0.05));
+}
+
+/// Failure: the host with the freshest view dies in a surge. The others go on by their own sums.
+#[gtest]
+fn play_surge_survives_loss_of_host() {
+    let results = play(Load {
+        host_lost_ms: Some(9000),
+        ..surge(LEAST_URGENT_PER_S)
+    });
+    expect_that!(results.served(0), ge(0.97));
+    expect_that!(results.served(1), ge(0.94));
+}
+
+/// Failure: the exchange is cut in two. Each half sees half of the load, and what its own requests meet.
+#[gtest]
+fn play_surge_with_exchange_cut_in_two_prefers_urgent() {
+    let load = Load {
+        is_cut: true,
+        ..surge(LEAST_URGENT_PER_S)
+    };
+    let results = play(load);
+    let ungated = play(Load {
+        is_ungated: true,
+        ..load
+    });
+    expect_that!(results.served(0), ge(ungated.served(0)));
+    expect_that!(results.served(0), ge(results.served(2)));
+}
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -20,7 +20,11 @@
     id::ServiceId,
     id::TeamId,
     quarantine::Suspect,
-    request_digest::RequestDigest, //
+    request_digest::RequestDigest,
+    urgency::{
+        self,
+        Rank, //
+    },
 };
 use bytes::Bytes;
 use tokio::{
@@ -105,6 +109,8 @@
     pub service: &'a Service,
     /// The caller's team; `None` where the route needs no key.
     pub team: Option<TeamId>,
+    /// The rank of the team, or else of the route; `None` where the service's requests don't compete.
+    pub rank: Option<Rank>,
     /// When the head had been read.
     pub arrived: Instant,
     /// When the gateway stops working on the request and answers it.
@@ -131,6 +137,11 @@
         })
     }
 
+    /// Returns the urgency that targets are told; `None` where the service's requests don't compete.
+    pub fn urgency(&self) -> Option<u8> {
+        urgency::urgency(self.table.competing_ranks(self.service_id), self.rank?)
+    }
+
     /// Returns whether the head of the answer, which is written now, announces that the connection stays
     /// open. A host that began to stop since the request arrived announces that it closes it.
     pub fn announce_keep_alive(&self, gateway: &Gateway) -> bool {
@@ -211,6 +222,12 @@
     pub predicted_pause_ms: f64,
     /// Time for which this host did not run while the request was open.
     pub host_late_ms: u64,
+    /// The request's rank; `None` where the service's requests don't compete.
+    pub rank: Option<Rank>,
+    /// Time for which the request waited for capacity before its first send.
+    pub waited: Duration,
+    /// Whether the request counts as one that found no capacity.
+    pub found_no_capacity: bool,
 }
 
 impl RequestTrace {
@@ -460,6 +477,7 @@
         trace.record_failure("the last event is no event id");
         return (metadata, rejected(ErrorReason::BadRequest), true);
     }
+    let mut team_rank = None;
     let team = if table.needs_key(route) {
         if are_keys_stale(gateway) {
             let error_response =
@@ -467,7 +485,10 @@
             return (metadata, RequestOutcome::Error(error_response), true);
         }
         match metadata.key.as_deref().and_then(|key| table.team(key)) {
-            Some(team) => Some(team.name.clone()),
+            Some(team) => {
+                team_rank = team.priority;
+                Some(team.name.clone())
+            }
             None => return (metadata, rejected_by_table(ErrorReason::UnknownKey), true),
         }
     } else {
@@ -478,6 +499,9 @@
         return (metadata, rejected(ErrorReason::NoTarget), true);
     };
     gateway.record_request(service_id);
+    let competes = !table.competing_ranks(service_id).is_empty();
+    let rank = competes.then(|| team_rank.unwrap_or(route.priority));
+    trace.rank = rank;
     let time_limit = metadata
         .budget
         .map_or(route.timeout, |budget| budget.min(route.timeout));
@@ -491,6 +515,7 @@
         service_id,
         service,
         team,
+        rank,
         arrived,
         deadline: arrived + time_limit.saturating_sub(DEADLINE_MARGIN),
         keep_alive: Cell::new(keep_alive),
@@ -606,6 +631,8 @@
         events = trace.events,
         sends = trace.sends,
         host_late_ms = trace.host_late_ms,
+        rank = trace.rank.map_or(-1, i64::from),
+        waited_ms = trace.waited.as_millis() as u64,
         via = trace.via.join(" then ").as_str(),
         failures = trace.failures.join("; ").as_str(),
         prompt_tokens = metadata.prompt_tokens,
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -56,7 +56,8 @@
     settings::Settings,
     target::Target,
     targets::Targets,
-    trial_place::SuspectCounts, //
+    trial_place::SuspectCounts,
+    urgency::Urgency, //
 };
 
 /// Phase of a host's run, in this order.
@@ -101,6 +102,8 @@
     pub suspect_counts: SuspectCounts,
     /// Requests that are no longer waited for, under which targets may end.
     pub abandoned: AbandonedQueue,
+    /// Admission of requests of different ranks that compete.
+    pub urgency: Urgency,
     /// Notified when this host has observed what peers must know soon: evidence against a request, or
     /// a lost engine.
     pub urgent_change: Notify,
@@ -151,6 +154,7 @@
             quarantine: RefCell::new(Quarantine::default()),
             suspect_counts: SuspectCounts::default(),
             abandoned: AbandonedQueue::default(),
+            urgency: Urgency::default(),
             urgent_change: Notify::new(),
             last_slowdown_query: Cell::new(None),
             awaits_targets: Cell::new(false),
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod target;
 pub mod targets;
 pub mod trial_place;
+pub mod urgency;
 
 #[cfg(test)]
 mod tests;
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -8,11 +8,13 @@
 
 use prometheus::{
     Encoder,
+    GaugeVec,
     Histogram,
     HistogramOpts,
     IntCounter,
     IntCounterVec,
     IntGauge,
+    IntGaugeVec,
     Opts,
     Registry,
     TextEncoder, //
@@ -74,6 +76,10 @@
     store_era: IntGauge,
     quarantined: IntGauge,
     store_connections_given_up: IntGauge,
+    admissions: IntCounterVec,
+    admission_level: GaugeVec,
+    used_share: GaugeVec,
+    waiting: IntGaugeVec,
 }
 
 impl Metrics {
@@ -110,6 +116,22 @@
             registered.expect("the name is registered once");
             counters
         };
+        let gauges = |name: &str, help: &str, labels: &[&str]| {
+            let gauges = GaugeVec::new(Opts::new(name, help), labels).expect("the name is valid");
+            let registered = registry.register(Box::new(gauges.clone()));
+            registered.expect("the name is registered once");
+            gauges
+        };
+        let waiting = IntGaugeVec::new(
+            Opts::new(
+                "anvil_admission_waiting_requests",
+                "Requests that wait for capacity before their first send",
+            ),
+            &["service"],
+        );
+        let waiting = waiting.expect("the name is valid");
+        let registered = registry.register(Box::new(waiting.clone()));
+        registered.expect("the name is registered once");
         let requests = counters(
             "anvil_requests_total",
             "Requests that ended",
@@ -210,10 +232,55 @@
                 "anvil_store_connections_given_up",
                 "Connections to the store that were given up because they were silent, since the start",
             ),
+            admissions: counters(
+                "anvil_admissions_total",
+                "Requests to services with competing ranks, by what became of them before their first send",
+                &["service", "rank", "outcome"],
+            ),
+            admission_level: gauges(
+                "anvil_admission_level",
+                "Fraction of a rank's requests that this host admits",
+                &["service", "rank"],
+            ),
+            used_share: gauges(
+                "anvil_service_used_share",
+                "Share of the engines' memory for requests in use at the fullest layer, for services with competing ranks",
+                &["service"],
+            ),
+            waiting,
             registry,
         }
     }
 
+    /// Counts a request to a service with competing ranks, by what became of it before its first send.
+    pub fn record_admission(&self, service: &str, rank: u32, outcome: &str) {
+        let rank = itoa::Buffer::new().format(rank).to_owned();
+        let labels = [service, rank.as_str(), outcome];
+        self.admissions.with_label_values(&labels).inc();
+    }
+
+    /// Sets the fraction of a rank's requests that this host admits.
+    pub fn set_level(&self, service: &str, rank: u32, fraction: f64) {
+        let rank = itoa::Buffer::new().format(rank).to_owned();
+        let labels = [service, rank.as_str()];
+        self.admission_level
+            .with_label_values(&labels)
+            .set(fraction);
+    }
+
+    /// Sets the share of a service's memory for requests that is in use.
+    pub fn set_used_share(&self, service: &str, used_share: f64) {
+        self.used_share
+            .with_label_values(&[service])
+            .set(used_share);
+    }
+
+    /// Sets the number of a service's requests that wait for capacity.
+    pub fn set_waiting(&self, service: &str, requests: usize) {
+        let requests = i64::try_from(requests).unwrap_or(i64::MAX);
+        self.waiting.with_label_values(&[service]).set(requests);
+    }
+
     /// Counts an extra send that the retry budget did not allow.
     pub fn record_retry_denied(&self) {
         self.retries_denied.inc();
--- a/crates/anvil_gateway/src/paths.rs
+++ b/crates/anvil_gateway/src/paths.rs
@@ -18,7 +18,11 @@
         NoPath,
         Path,
         Worker, //
-    }, //
+    },
+    urgency::capacity::{
+        Capacity,
+        EngineMemory, //
+    },
 };
 use derive_more::Display;
 use tokio::time::Instant;
@@ -240,26 +244,74 @@
     engine: &EngineProfile,
     attempts: &PriorAttempts<'_>,
 ) -> Result<ChosenPath, Blocked> {
+    prepare(gateway, request, engine, attempts).choose()
+}
+
+/// Reads the state of the engines for the choice of a path.
+pub(crate) fn prepare<'a>(
+    gateway: &'a Gateway,
+    request: &'a RequestContext<'a>,
+    engine: &'a EngineProfile,
+    attempts: &'a PriorAttempts<'a>,
+) -> Prepared<'a> {
     let now = Instant::now();
     let targets = gateway.targets.of_service(request.service_id);
     let slower = targets.into_iter().filter(|target| target.is_slower(now));
     let mut excluded = attempts.failed.to_vec();
     excluded.extend(slower);
-    let anywhere = PriorAttempts {
-        standing: attempts.standing.relaxed(),
-        ..*attempts
-    };
-    let mut chosen = choose_excluding(gateway, request, engine, attempts, &excluded);
-    if chosen.is_err() && anywhere.standing != attempts.standing {
-        chosen = choose_excluding(gateway, request, engine, &anywhere, &excluded);
-    }
-    if chosen.is_err() && excluded.len() > attempts.failed.len() {
-        chosen = choose_excluding(gateway, request, engine, &anywhere, attempts.failed);
+    Prepared {
+        gateway,
+        request,
+        engine,
+        attempts,
+        snapshot: EngineSnapshot::take(gateway, request, engine, attempts, &excluded),
+        excluded,
     }
-    if chosen.is_err() && !attempts.failed.is_empty() {
-        chosen = choose_excluding(gateway, request, engine, &anywhere, &[]);
+}
+
+/// A choice of a path for which the state of the engines has been read.
+pub(crate) struct Prepared<'a> {
+    gateway: &'a Gateway,
+    request: &'a RequestContext<'a>,
+    engine: &'a EngineProfile,
+    attempts: &'a PriorAttempts<'a>,
+    /// Engines that are used only if there is no path without them.
+    excluded: Vec<Rc<Target>>,
+    /// State of the engines, without `excluded`.
+    snapshot: EngineSnapshot,
+}
+
+impl Prepared<'_> {
+    /// Chooses a path as [`choose`] does.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Blocked`] if there is no path even with the excluded engines.
+    pub(crate) fn choose(self) -> Result<ChosenPath, Blocked> {
+        let Self {
+            gateway,
+            request,
+            engine,
+            attempts,
+            excluded,
+            snapshot,
+        } = self;
+        let anywhere = PriorAttempts {
+            standing: attempts.standing.relaxed(),
+            ..*attempts
+        };
+        let mut chosen = choose_in(&snapshot, gateway, request, engine);
+        if chosen.is_err() && anywhere.standing != attempts.standing {
+            chosen = choose_excluding(gateway, request, engine, &anywhere, &excluded);
+        }
+        if chosen.is_err() && excluded.len() > attempts.failed.len() {
+            chosen = choose_excluding(gateway, request, engine, &anywhere, attempts.failed);
+        }
+        if chosen.is_err() && !attempts.failed.is_empty() {
+            chosen = choose_excluding(gateway, request, engine, &anywhere, &[]);
+        }
+        chosen
     }
-    chosen
 }
 
 fn choose_excluding(
@@ -270,6 +322,15 @@
     excluded: &[Rc<Target>],
 ) -> Result<ChosenPath, Blocked> {
     let snapshot = EngineSnapshot::take(gateway, request, engine, attempts, excluded);
+    choose_in(&snapshot, gateway, request, engine)
+}
+
+fn choose_in(
+    snapshot: &EngineSnapshot,
+    gateway: &Gateway,
+    request: &RequestContext<'_>,
+    engine: &EngineProfile,
+) -> Result<ChosenPath, Blocked> {
     let path = choose_within_or_across(gateway, request, engine, |demand| {
         engine_driven::choose(
             engine,
@@ -431,6 +492,10 @@
             .filter(|target| target.may_be_running());
         let is_first_limit_reached =
             running_first_engines.count() >= request.route.attempts_max as usize;
+        let capacity_factor = gateway
+            .urgency
+            .capacity_wanted(gateway, request, &peers_view);
+        let mut memories: Vec<EngineMemory> = Vec::new();
         let mut demand = None;
         let (targets, mut workers): (Vec<Rc<Target>>, Vec<Worker>) = ready_targets
             .iter()
@@ -455,6 +520,18 @@
                     .get(&target.id_hash)
                     .copied()
                     .unwrap_or_default();
+                let is_open = !(is_avoided || is_avoided_by_peers || is_refusing_peers);
+                if let Some(factor) = capacity_factor {
+                    let own_factor = own_load_factor.max(factor);
+                    memories.push(EngineMemory {
+                        data_centre,
+                        layers,
+                        capacity_token_layers: engine.capacity_token_layers(kind, layers.count()),
+                        used_token_layers: own_factor * target.token_layers.get()
+                            + load.token_layers,
+                        is_open,
+                    });
+                }
                 let worker = Worker {
                     target: target.id.clone(),
                     data_centre,
@@ -472,13 +549,17 @@
                             None => target.slowdown(),
                         }
                     }),
-                    open: !(is_avoided || is_avoided_by_peers || is_refusing_peers || is_excluded),
+                    open: is_open && !is_excluded,
                     may_be_first: (!is_first_limit_reached || is_earlier_first)
                         && gateway.is_within_limit(target, &mut demand, now),
                 };
                 Some((Rc::clone(target), worker))
             })
             .unzip();
+        if capacity_factor.is_some() {
+            let capacity = Capacity::of(engine.layer_count, &memories);
+            (gateway.urgency).record_capacity(gateway, request, engine, &peers_view, capacity);
+        }
         trial_place::restrict(gateway, engine, attempts.standing, &targets, &mut workers);
         Self {
             targets,
--- a/crates/anvil_gateway/src/peers.rs
+++ b/crates/anvil_gateway/src/peers.rs
@@ -298,6 +298,7 @@
         Summary {
             hosts: BTreeMap::from([(gateway.settings.data_centre.clone(), presence)]),
             loads: targets.own_loads(),
+            ranks: gateway.urgency.own_demand(gateway.uptime()),
             avoided: avoided(AvoidReason::Unresponsive),
             refusing: avoided(AvoidReason::Refusing),
             leaving: counts(targets.own_leaving()),
@@ -476,10 +477,12 @@
         if newest_version > gateway.table_cache.version() {
             gateway.newer_table_notify.notify_one();
         }
-        gateway
+        let kind = gateway
             .peers
             .borrow_mut()
-            .record_digest(sender, digest, BootTime::now())
+            .record_digest(sender, digest, BootTime::now());
+        gateway.urgency.record_digest(now);
+        kind
     }
 }
 
--- a/crates/anvil_gateway/src/peers/datagram.rs
+++ b/crates/anvil_gateway/src/peers/datagram.rs
@@ -145,8 +145,8 @@
 }
 
 /// Encodes a digest into a datagram of at most `limit_bytes`. A larger digest is shortened: first by
-/// the target changes, which the receivers then read from the store, then by loads, then by the states
-/// of suspects, last ones first. Returns `None` if it is too large without all of them.
+/// the target changes, which the receivers then read from the store, then by loads, then by the demand
+/// of ranks, then by the states of suspects, last ones first. Returns `None` if it is too large without all of them.
 pub(super) fn encode_within(
     limit_bytes: usize,
     digest: &mut Digest,
@@ -183,6 +183,13 @@
             return Ok(Some(encoded));
         }
     }
+    if !digest.summary.ranks.is_empty() {
+        digest.summary.ranks.clear();
+        encoded.datagram = encode_authenticated(digest, key)?;
+        if encoded.datagram.len() <= limit_bytes {
+            return Ok(Some(encoded));
+        }
+    }
     while digest.suspect_states.pop().is_some() {
         encoded.datagram = encode_authenticated(digest, key)?;
         if encoded.datagram.len() <= limit_bytes {
--- a/crates/anvil_gateway/src/peers/message.rs
+++ b/crates/anvil_gateway/src/peers/message.rs
@@ -16,6 +16,7 @@
         Version, //
     },
     quarantine::SuspectState,
+    urgency::RankDemand,
 };
 use anvil_wire::generated::peer_digest as wire;
 use smol_str::{
@@ -109,6 +110,7 @@
     let summary = &digest.summary;
     let loads = summary.loads.values();
     let presences = summary.hosts.values();
+    let ranks = summary.ranks.values();
     wire::Digest {
         kind: kind_to_wire(digest.kind),
         host: digest.host.clone(),
@@ -148,6 +150,18 @@
             .map(|load| round_u32(load.token_layers / WIRE_UNIT_TOKEN_LAYERS))
             .collect(),
         load_sent: loads.map(|load| round_u32(load.sent_requests)).collect(),
+        rank_numbers: summary.ranks.keys().copied().collect(),
+        rank_requests: ranks
+            .clone()
+            .map(|demand| round_u32(demand.requests_per_s * RATE_FACTOR))
+            .collect(),
+        rank_tokens: ranks
+            .clone()
+            .map(|demand| round_u32(demand.tokens_per_s))
+            .collect(),
+        rank_refused: ranks
+            .map(|demand| round_u32(demand.refused_per_s * RATE_FACTOR))
+            .collect(),
         avoided: summary.avoided.keys().copied().collect(),
         refusing: summary.refusing.keys().copied().collect(),
         leaving: summary.leaving.keys().copied().collect(),
@@ -215,6 +229,9 @@
         && digest.dc_live.len() == data_centre_count
         && digest.dc_heard.len() == data_centre_count
         && digest.dc_requests.len() == data_centre_count
+        && digest.rank_requests.len() == digest.rank_numbers.len()
+        && digest.rank_tokens.len() == digest.rank_numbers.len()
+        && digest.rank_refused.len() == digest.rank_numbers.len()
         && digest.slow_targets.len() == digest.slow_percents.len()
         && digest.limit_per_1000s.len() == digest.limit_targets.len()
         && digest.limit_ages_ms.len() == digest.limit_targets.len()
@@ -327,10 +344,19 @@
             };
             (*target, load)
         });
+    let ranks = digest.rank_numbers.iter().enumerate().map(|(index, rank)| {
+        let demand = RankDemand {
+            requests_per_s: f64::from(digest.rank_requests[index]) / RATE_FACTOR,
+            tokens_per_s: f64::from(digest.rank_tokens[index]),
+            refused_per_s: f64::from(digest.rank_refused[index]) / RATE_FACTOR,
+        };
+        (*rank, demand)
+    });
     let slow = digest.slow_targets.iter().zip(&digest.slow_percents);
     Summary {
         hosts: hosts.collect(),
         loads: loads.collect(),
+        ranks: ranks.collect(),
         avoided: counts(&digest.avoided),
         refusing: counts(&digest.refusing),
         leaving: counts(&digest.leaving),
--- a/crates/anvil_gateway/src/peers/tests.rs
+++ b/crates/anvil_gateway/src/peers/tests.rs
@@ -16,9 +16,16 @@
         Suspect,
         SuspectState, //
     },
-    request_digest::RequestDigest, //
+    request_digest::RequestDigest,
+    urgency::{
+        RankDemand,
+        demand::RANKS_MAX, //
+    },
+};
+use anvil_wire::{
+    codec,
+    generated::peer_digest as wire, //
 };
-use anvil_wire::generated::peer_digest as wire;
 use googletest::prelude::*;
 
 use super::*;
@@ -64,6 +71,7 @@
                 },
             )]),
             loads: BTreeMap::from([(7, load(2.0, 5000.0))]),
+            ranks: BTreeMap::new(),
             avoided: BTreeMap::from([(7, 1), (8, 1)]),
             refusing: BTreeMap::from([(9, 1)]),
             leaving: BTreeMap::from([(10, 1), (11, 1)]),
@@ -176,6 +184,61 @@
     expect_that!(written, eq(&bytes));
 }
 
+/// Returns the demand of as many ranks as a digest may carry.
+fn all_ranks() -> BTreeMap<u32, RankDemand> {
+    let demand = RankDemand {
+        requests_per_s: 1234.567,
+        tokens_per_s: 4e6,
+        refused_per_s: 321.5,
+    };
+    let ranks = (0..RANKS_MAX as u32).map(|rank| (u32::MAX - rank, demand));
+    ranks.collect()
+}
+
+/// Guards against a build that can't read the digests of one that knows no demand of ranks, or the other
+/// way round. The datagram of 7f27459 above is one without the lists.
+#[gtest]
+fn decode_reads_demand_of_ranks_and_former_build_skips_it() {
+    /// Some of the lists that the former build knows.
+    #[derive(serde::Deserialize)]
+    struct FormerDigest {
+        host: String,
+        load_targets: Vec<u32>,
+        part_names: Vec<String>,
+    }
+    let mut sent = digest("peer");
+    sent.summary.ranks = all_ranks();
+    let encoded = datagram::encode_authenticated(&sent, &key("a1")).unwrap();
+    let read = datagram::decode_authenticated(&encoded, &key("a1"));
+    expect_that!(read, some(eq(&sent)));
+    let former: FormerDigest =
+        codec::decode(&codec::encode(&message::to_wire(&sent)).unwrap()).unwrap();
+    expect_that!(former.host, eq("peer"));
+    expect_that!(former.load_targets, elements_are![eq(&7)]);
+    expect_that!(former.part_names.len(), eq(2));
+    let mut torn = message::to_wire(&sent);
+    torn.rank_tokens.pop();
+    expect_that!(message::from_wire(torn), none());
+}
+
+/// Guards against digests that no longer fit into a datagram, or hosts that lose the demand of ranks
+/// because there are many loads.
+#[gtest]
+fn encode_within_keeps_demand_of_ranks_beside_loads() {
+    let mut large = large_digest();
+    large.summary.ranks = all_ranks();
+    let order = LoadOrder {
+        is_near: &|_| false,
+        first: 0,
+    };
+    let encoded = datagram::encode_within(DATAGRAM_LIMIT_BYTES, &mut large, &order, &key("a1"));
+    let encoded = encoded.unwrap().unwrap();
+    expect_that!(encoded.datagram.len(), le(DATAGRAM_LIMIT_BYTES));
+    let decoded = datagram::decode_authenticated(&encoded.datagram, &key("a1")).unwrap();
+    expect_that!(decoded.summary.ranks, eq(&all_ranks()));
+    expect_that!(decoded.summary.loads.len(), ge(25));
+}
+
 /// Guards against hosts that hear nothing of one that has requests at many targets.
 /// Returns a digest with more loads than a datagram holds.
 fn large_digest() -> Digest {
--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -435,6 +435,7 @@
             team: request.team.as_ref(),
             path: &[],
             resume_after: None,
+            urgency: request.urgency(),
         };
         let mut out = Vec::with_capacity(1024 + request.body.len());
         gateway.platform.header_codec.write_forwarded(
--- a/crates/anvil_gateway/src/port.rs
+++ b/crates/anvil_gateway/src/port.rs
@@ -111,6 +111,9 @@
     /// Event after which the gateway resumes the stream, in place of the one that the caller names.
     /// `None` forwards what the caller sent.
     pub resume_after: Option<EventId>,
+    /// Urgency of the request among those of its service, from 0, the most urgent, to 9. It replaces the
+    /// one that the caller states. `None` where the service's requests don't compete.
+    pub urgency: Option<u8>,
 }
 
 /// Load that a target reports in an answer.
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -59,6 +59,10 @@
         Target, //
     },
     trial_place,
+    urgency::{
+        self,
+        Verdict, //
+    },
 };
 
 mod attempt;
@@ -121,7 +125,8 @@
     last_event_id: Option<EventId>,
     /// Whether bytes were passed on that belong to no event, so that the stream can't be resumed.
     has_unnumbered_bytes: bool,
-    /// The path of the next send, if a retry was taken from the budget for it.
+    /// The path of the next send, if a retry was taken from the budget for it, or the request was
+    /// admitted with it.
     reserved: Option<ChosenPath>,
     /// When the last event was sent to the caller.
     last_sent_at: Instant,
@@ -161,7 +166,17 @@
         kept: Vec::new(),
         may_have_run: false,
     };
-    relay.run(caller, trace).await
+    if let Some(engine) = relay.engine {
+        match urgency::pass(gateway, caller, request, engine, trace).await {
+            Verdict::Admitted(chosen) => relay.reserved = Some(chosen),
+            Verdict::Passed => {}
+            Verdict::Refused(error_response) => return RequestOutcome::Error(error_response),
+            Verdict::CallerDisconnected => return RequestOutcome::CallerDisconnected,
+        }
+    }
+    let request_outcome = relay.run(caller, trace).await;
+    urgency::record_end(gateway, request, trace);
+    request_outcome
 }
 
 impl Relay<'_> {
@@ -309,6 +324,9 @@
                     continue;
                 }
                 AttemptResult::NotRun(failure, at_fault) => {
+                    if trace.refused_sends > 0 {
+                        urgency::record_no_capacity(self.gateway, self.request, trace);
+                    }
                     self.gateway.release_trial(&attempt.admission);
                     let engine_at_fault = match self.engine {
                         Some(engine) => {
@@ -470,6 +488,9 @@
             return RequestOutcome::Error(ErrorResponse::unknown(reason));
         }
         let retry_after = match self.engine {
+            Some(_) if self.request.rank.is_some() => {
+                urgency::retry_after(self.gateway, self.request)
+            }
             Some(_) => paths::retry_after(self.gateway),
             None => plain::retry_after(self.gateway, self.request),
         };
--- a/crates/anvil_gateway/src/stream/send.rs
+++ b/crates/anvil_gateway/src/stream/send.rs
@@ -170,6 +170,7 @@
             team: self.request.team.as_ref(),
             path: &stages,
             resume_after: self.last_event_id,
+            urgency: self.request.urgency(),
         };
         let mut out = Vec::with_capacity(1024 + self.request.body.len());
         gateway.platform.header_codec.write_forwarded(
--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -113,6 +113,7 @@
         QuarantineEntry,
         RepathOrder,
         RepathResponse,
+        ReportedLoad,
         RequestMetadata,
         ResponseMetadata,
         ResumePoint,
@@ -155,6 +156,8 @@
 /// Longest time that a caller's connection is kept open without a request.
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_millis(400);
 pub(crate) const MODEL_PATH: &str = "/m/";
+/// Path of less urgent requests to the model in [`competing_table`].
+pub(crate) const BATCH_PATH: &str = "/m/batch/";
 
 /// An engine that holds the whole model, and answers requests to plain services as well.
 pub(crate) struct Engine {
@@ -196,6 +199,10 @@
     pub(crate) last_event: Cell<u32>,
     /// Bytes of its last answer that was cut from which on a caller may see a success.
     pub(crate) success_bytes: Cell<usize>,
+    /// Urgency that each request named; empty where it named none.
+    pub(crate) urgencies: RefCell<Vec<SmolStr>>,
+    /// Numbers of running and of waiting requests that its answers state.
+    pub(crate) stated_load: Cell<Option<(u32, u32)>>,
 }
 
 /// How a target treats a request that ends targets.
@@ -317,6 +324,8 @@
             head_delay: Cell::default(),
             last_event: Cell::default(),
             success_bytes: Cell::default(),
+            urgencies: RefCell::default(),
+            stated_load: Cell::default(),
         });
         spawn_local(Rc::clone(&engine).run(listener));
         engine
@@ -440,6 +449,8 @@
             let id = head.headers.text("id").unwrap_or_default();
             self.request_count.set(self.request_count.get() + 1);
             self.run_ids.borrow_mut().push(id.into());
+            let urgency = head.headers.text("urgency").unwrap_or_default();
+            self.urgencies.borrow_mut().push(urgency.into());
             let is_lethal = is_lethal(&head, &body);
             let must_fail = is_lethal && self.begin_lethal();
             let fails = must_fail || self.behaviour.get() == Behaviour::Fails;
@@ -549,8 +560,12 @@
                 true => "leaving: 1\r\n",
                 false => "",
             };
+            let load = self.stated_load.get();
+            let load = load.map_or_else(String::new, |(running, waiting)| {
+                format!("load: {running},{waiting}\r\n")
+            });
             let begun = format!(
-                "HTTP/1.1 200 OK\r\nid: {id}\r\nsealed: 1\r\n{limit}{leaving}Transfer-Encoding: chunked\r\n\r\n"
+                "HTTP/1.1 200 OK\r\nid: {id}\r\nsealed: 1\r\n{limit}{load}{leaving}Transfer-Encoding: chunked\r\n\r\n"
             );
             if let Behaviour::Cut { bytes, .. } = self.behaviour.get() {
                 let answer = format!("{begun}f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n");
@@ -716,7 +731,7 @@
         let text = |name| head.headers.text(name).unwrap_or_default();
         let forwarded = format!(
             "POST {} HTTP/1.1\r\nid: {}\r\nteam: {}\r\nparts: {}\r\nafter: {}\r\n\
-             Content-Length: {body_bytes}\r\n\r\n",
+             urgency: {}\r\nContent-Length: {body_bytes}\r\n\r\n",
             head.target,
             text("id"),
             forwarding.team.map_or("", |team| team.as_str()),
@@ -724,6 +739,9 @@
             forwarding
                 .resume_after
                 .map_or(text("after").into(), |id| format_smolstr!("{id}")),
+            forwarding
+                .urgency
+                .map_or(SmolStr::default(), |urgency| format_smolstr!("{urgency}")),
         );
         out.extend_from_slice(forwarded.as_bytes());
     }
@@ -738,6 +756,13 @@
                 .headers
                 .text("limit")
                 .and_then(|text| text.parse().ok()),
+            load: head.headers.text("load").and_then(|text| {
+                let (running, waiting) = text.split_once(',')?;
+                Some(ReportedLoad {
+                    running_requests: running.parse().ok()?,
+                    waiting_requests: waiting.parse().ok()?,
+                })
+            }),
             ..ResponseMetadata::default()
         }
     }
@@ -910,37 +935,65 @@
 }
 
 fn table() -> Table {
+    table_of(1, profile(1000.0))
+}
+
+/// Returns a table in which requests of two ranks compete for the model. Each engine has memory for one
+/// request at a time.
+pub(crate) fn competing_table(version: Version, batch_rank: u32) -> Table {
+    /// Memory for the weights of all layers and nine tenths of what two requests take.
+    const MEMORY_MEGABYTES: f64 = 4.027;
+    let batch = |route: &Route| Route {
+        name: BATCH_PATH.into(),
+        path_prefix: BATCH_PATH.into(),
+        priority: batch_rank,
+        ..route.clone()
+    };
+    table_with(version, profile(MEMORY_MEGABYTES), |routes| {
+        let model = routes.iter().find(|route| route.path_prefix == MODEL_PATH);
+        let batch = batch(model.unwrap());
+        routes.push(batch);
+    })
+}
+
+fn profile(memory_megabytes: f64) -> EngineProfile {
     let kind = AcceleratorSpec {
-        memory_megabytes: 1000.0,
+        memory_megabytes,
         step_factor: 1.0,
         prefill_factor: 1.0,
     };
-    table_of(
-        1,
-        EngineProfile {
-            model: "model".into(),
-            layer_count: LAYER_COUNT,
-            layer_megabytes: 1.0,
-            kv_token_bytes: 1000.0,
-            slot_limit_requests: 64,
-            step_ms: 1.0,
-            step_ms_per_sequence: 0.01,
-            step_ms_per_context_unit: 0.01,
-            prefill_tokens_per_s: 1e5,
-            steps_per_event: 1,
-            load_time: Duration::from_secs(10),
-            loads_at_once: 4,
-            mean_prompt_tokens: 10.0,
-            mean_answer_tokens: 10.0,
-            activation_bytes: 1000.0,
-            pipe_megabits_per_s: 0.0,
-            kinds: [("kind".into(), kind)].into(),
-        },
-    )
+    EngineProfile {
+        model: "model".into(),
+        layer_count: LAYER_COUNT,
+        layer_megabytes: 1.0,
+        kv_token_bytes: 1000.0,
+        slot_limit_requests: 64,
+        step_ms: 1.0,
+        step_ms_per_sequence: 0.01,
+        step_ms_per_context_unit: 0.01,
+        prefill_tokens_per_s: 1e5,
+        steps_per_event: 1,
+        load_time: Duration::from_secs(10),
+        loads_at_once: 4,
+        mean_prompt_tokens: 10.0,
+        mean_answer_tokens: 10.0,
+        activation_bytes: 1000.0,
+        pipe_megabits_per_s: 0.0,
+        kinds: [("kind".into(), kind)].into(),
+    }
 }
 
 /// Returns a table with a model that runs on engines of a profile.
 pub(crate) fn table_of(version: Version, engine: EngineProfile) -> Table {
+    table_with(version, engine, |_| {})
+}
+
+/// The same, with its routes changed.
+fn table_with(
+    version: Version,
+    engine: EngineProfile,
+    change: impl FnOnce(&mut Vec<Route>),
+) -> Table {
     let service = |engine| Service {
         health_path: HEALTH_PATH.into(),
         connection_limit: 100,
@@ -969,15 +1022,17 @@
         };
         (KeyDigest::of(key), team)
     };
+    let mut routes = vec![
+        route(MODEL_PATH, RequestSemantics::ResumableStream, "model"),
+        route("/safe/", RequestSemantics::Safe, "plain"),
+        route(EVENTS_PATH, RequestSemantics::ResumableStream, "plain"),
+        route(EVENTS_ONCE_PATH, RequestSemantics::Stream, "plain"),
+        route("/unsafe/", RequestSemantics::AtMostOnce, "plain"),
+    ];
+    change(&mut routes);
     Table::new(
         version,
-        [
-            route(MODEL_PATH, RequestSemantics::ResumableStream, "model"),
-            route("/safe/", RequestSemantics::Safe, "plain"),
-            route(EVENTS_PATH, RequestSemantics::ResumableStream, "plain"),
-            route(EVENTS_ONCE_PATH, RequestSemantics::Stream, "plain"),
-            route("/unsafe/", RequestSemantics::AtMostOnce, "plain"),
-        ],
+        routes,
         [
             ("model".into(), service(Some(engine))),
             ("plain".into(), service(None)),
@@ -1054,6 +1109,12 @@
         String::from_utf8_lossy(&received).into_owned()
     }
 
+    /// Replaces the table in force.
+    pub(crate) fn update_table(&self, table: Table) {
+        let cache = &self.gateway.table_cache;
+        cache.update(Some(table), BootTime::now(), Source::Read);
+    }
+
     /// Sends a request for a stream, and returns the connection on which the answer comes.
     pub(crate) async fn open_stream(&self, path: &str) -> TcpStream {
         let request = self.request(path, "Connection: close\r\n", "");
--- a/crates/anvil_observe/src/events.rs
+++ b/crates/anvil_observe/src/events.rs
@@ -20,6 +20,7 @@
 
 /// All events that the sources log.
 pub const EVENTS: &[Event] = events! {
+    "admission.level_changed": "The fraction of a rank's requests that this host admits to a service has changed. The line gives the rank (0 is the most urgent), the fraction, the used share of the service's memory, the fleet's demand of the rank, the age of the last digest, and the cause: capacity, refusals of more urgent ranks, order (a more urgent rank is limited), or free.",
     "admission.refused": "A request was refused at admission. The line gives the predicted wait and the queue length.",
     "answer.crossed": "A target sent an answer to a request other than the awaited one. The answer was dropped.",
     "answer.header_unreadable": "A header of a target's answer can't be read and was ignored.",
