--- a/crates/anvil_core/src/urgency/tests/service.rs
+++ b/crates/anvil_core/src/urgency/tests/service.rs
@@ -168,8 +168,8 @@
             self.load.per_s
         };
         let mean_size = 1.0 + self.load.large_share * (LARGE_FACTOR - 1.0);
-        for rank in 0..RANKS.len() {
-            if self.rng.random::<f64>() < per_s[rank] / mean_size * STEP_MS as f64 / 1e3 {
+        for (rank, per_s) in per_s.iter().enumerate() {
+            if self.rng.random::<f64>() < per_s / mean_size * STEP_MS as f64 / 1e3 {
                 self.begin(rank);
             }
         }
--- a/crates/anvil_gateway/src/urgency/gate.rs
+++ b/crates/anvil_gateway/src/urgency/gate.rs
@@ -226,11 +226,12 @@
                 .failed_search
                 .get()
                 .is_some_and(|at| at.elapsed() < SEARCH_INTERVAL_MIN);
-            if place.is_next() && !is_searched {
-                if let Some(chosen) = self.search_again() {
-                    place.leave_served();
-                    return WaitResult::Found(chosen);
-                }
+            if place.is_next()
+                && !is_searched
+                && let Some(chosen) = self.search_again()
+            {
+                place.leave_served();
+                return WaitResult::Found(chosen);
             }
             let poll_at = (Instant::now() + WAIT_POLL_INTERVAL).min(latest_start);
             tokio::select! {
