--- a/crates/anvil_core/src/entry/tests.rs
+++ b/crates/anvil_core/src/entry/tests.rs
@@ -84,3 +84,34 @@
     route.backends[0].weight = 0.0;
     expect_that!(choose_backend(&route, 0.0).unwrap().as_str(), eq("two"));
 }
+
+/// Returns the ranks that compete for the service `one`, where one team has a key.
+fn competing(route_ranks: &[Rank], team_rank: Option<Rank>, public: bool) -> Vec<Rank> {
+    let routes = route_ranks.iter().map(|priority| Route {
+        priority: *priority,
+        public,
+        ..route("any", "/a/")
+    });
+    let team = |key: &str, priority| {
+        let name = key.into();
+        (KeyDigest::of(key), Team { name, priority })
+    };
+    let service = Service {
+        health_path: "/".into(),
+        connection_limit: 1,
+        engine: Some(crate::engine_model::tests::engine()),
+    };
+    let teams = Some(vec![team("a", None), team("b", team_rank)]);
+    let limits = CallerLimits::default();
+    let table = Table::new(1, routes, [("one".into(), service)], teams, limits);
+    expect_that!(table.competing_ranks("two"), is_empty());
+    table.competing_ranks("one").to_vec()
+}
+
+#[gtest]
+fn competing_ranks_needs_two_ranks_of_routes_or_teams() {
+    expect_that!(competing(&[3, 0, 3], None, false), eq(&[0, 3]));
+    expect_that!(competing(&[3, 3], None, false), is_empty());
+    expect_that!(competing(&[2], Some(1), false), eq(&[1, 2]));
+    expect_that!(competing(&[2], Some(1), true), is_empty());
+}
--- a/crates/anvil_core/src/exchange/tests.rs
+++ b/crates/anvil_core/src/exchange/tests.rs
@@ -4,6 +4,7 @@
 use smol_str::format_smolstr;
 
 use super::*;
+use crate::urgency::RankDemand;
 
 fn record(id: &str, data_centre: &str, processor_millis: u32) -> HostRecord {
     HostRecord {
@@ -223,3 +224,25 @@
         expect_that!(exchange.is_reader(at_ms(2)), eq(expected), "{region_count}");
     }
 }
+
+/// Guards against demand that is counted for hosts which are gone, or twice.
+#[gtest]
+fn view_sums_demand_of_ranks_and_drops_that_of_silent_host() {
+    let mut exchange = first_relay();
+    for (host, requests_per_s, at) in [("one", 2.5, 0), ("two", 4.0, 1000)] {
+        let demand = RankDemand {
+            requests_per_s,
+            ..RankDemand::default()
+        };
+        let mut summary = presence("a");
+        summary.ranks.insert(1, demand);
+        let report = message(MessageKind::Report, 1, summary);
+        exchange.record(&host.into(), report, at_ms(at));
+    }
+    let asked = exchange.summary_for(&"two".into(), &presence("a"), at_ms(1100));
+    expect_that!(asked.ranks[&1].requests_per_s, near(2.5, 1e-9));
+    let mut seen = |at| exchange.view(at_ms(at)).ranks.get(&1).copied();
+    expect_that!(seen(1100).unwrap().requests_per_s, near(6.5, 1e-9));
+    expect_that!(seen(1600).unwrap().requests_per_s, near(4.0, 1e-9));
+    expect_that!(seen(2600), none());
+}
--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -155,6 +155,8 @@
 /// Longest time that a caller's connection is kept open without a request.
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_millis(400);
 pub(crate) const MODEL_PATH: &str = "/m/";
+/// Path of less urgent requests to the model in [`competing_table`].
+pub(crate) const BATCH_PATH: &str = "/m/batch/";
 
 /// An engine that holds the whole model, and answers requests to plain services as well.
 pub(crate) struct Engine {
@@ -196,6 +198,8 @@
     pub(crate) last_event: Cell<u32>,
     /// Bytes of its last answer that was cut from which on a caller may see a success.
     pub(crate) success_bytes: Cell<usize>,
+    /// Urgency that each request named; empty where it named none.
+    pub(crate) urgencies: RefCell<Vec<SmolStr>>,
 }
 
 /// How a target treats a request that ends targets.
@@ -317,6 +321,7 @@
             head_delay: Cell::default(),
             last_event: Cell::default(),
             success_bytes: Cell::default(),
+            urgencies: RefCell::default(),
         });
         spawn_local(Rc::clone(&engine).run(listener));
         engine
@@ -440,6 +445,8 @@
             let id = head.headers.text("id").unwrap_or_default();
             self.request_count.set(self.request_count.get() + 1);
             self.run_ids.borrow_mut().push(id.into());
+            let urgency = head.headers.text("urgency").unwrap_or_default();
+            self.urgencies.borrow_mut().push(urgency.into());
             let is_lethal = is_lethal(&head, &body);
             let must_fail = is_lethal && self.begin_lethal();
             let fails = must_fail || self.behaviour.get() == Behaviour::Fails;
@@ -716,7 +723,7 @@
         let text = |name| head.headers.text(name).unwrap_or_default();
         let forwarded = format!(
             "POST {} HTTP/1.1\r\nid: {}\r\nteam: {}\r\nparts: {}\r\nafter: {}\r\n\
-             Content-Length: {body_bytes}\r\n\r\n",
+             urgency: {}\r\nContent-Length: {body_bytes}\r\n\r\n",
             head.target,
             text("id"),
             forwarding.team.map_or("", |team| team.as_str()),
@@ -724,6 +731,9 @@
             forwarding
                 .resume_after
                 .map_or(text("after").into(), |id| format_smolstr!("{id}")),
+            forwarding
+                .urgency
+                .map_or(SmolStr::default(), |urgency| format_smolstr!("{urgency}")),
         );
         out.extend_from_slice(forwarded.as_bytes());
     }
@@ -939,8 +949,35 @@
     )
 }
 
+/// Returns a table in which requests of two ranks compete for the model. Each engine has memory for one
+/// request at a time.
+pub(crate) fn competing_table(version: Version, batch_rank: u32) -> Table {
+    /// Memory for the weights of all layers and nine tenths of what two requests take.
+    const MEMORY_MEGABYTES: f64 = 4.027;
+    let table = table();
+    let mut engine = table.service("model").unwrap().engine.clone().unwrap();
+    for kind in engine.kinds.values_mut() {
+        kind.memory_megabytes = MEMORY_MEGABYTES;
+    }
+    let batch = Route {
+        path_prefix: BATCH_PATH.into(),
+        priority: batch_rank,
+        ..table.route("test", MODEL_PATH).unwrap().clone()
+    };
+    table_with(version, engine, [batch])
+}
+
 /// Returns a table with a model that runs on engines of a profile.
 pub(crate) fn table_of(version: Version, engine: EngineProfile) -> Table {
+    table_with(version, engine, [])
+}
+
+/// The same, with more routes.
+fn table_with(
+    version: Version,
+    engine: EngineProfile,
+    more: impl IntoIterator<Item = Route>,
+) -> Table {
     let service = |engine| Service {
         health_path: HEALTH_PATH.into(),
         connection_limit: 100,
@@ -969,15 +1006,16 @@
         };
         (KeyDigest::of(key), team)
     };
+    let routes = [
+        route(MODEL_PATH, RequestSemantics::ResumableStream, "model"),
+        route("/safe/", RequestSemantics::Safe, "plain"),
+        route(EVENTS_PATH, RequestSemantics::ResumableStream, "plain"),
+        route(EVENTS_ONCE_PATH, RequestSemantics::Stream, "plain"),
+        route("/unsafe/", RequestSemantics::AtMostOnce, "plain"),
+    ];
     Table::new(
         version,
-        [
-            route(MODEL_PATH, RequestSemantics::ResumableStream, "model"),
-            route("/safe/", RequestSemantics::Safe, "plain"),
-            route(EVENTS_PATH, RequestSemantics::ResumableStream, "plain"),
-            route(EVENTS_ONCE_PATH, RequestSemantics::Stream, "plain"),
-            route("/unsafe/", RequestSemantics::AtMostOnce, "plain"),
-        ],
+        routes.into_iter().chain(more),
         [
             ("model".into(), service(Some(engine))),
             ("plain".into(), service(None)),
@@ -1054,6 +1092,12 @@
         String::from_utf8_lossy(&received).into_owned()
     }
 
+    /// Replaces the table in force.
+    pub(crate) fn update_table(&self, table: Table) {
+        let cache = &self.gateway.table_cache;
+        cache.update(Some(table), BootTime::now(), Source::Read);
+    }
+
     /// Sends a request for a stream, and returns the connection on which the answer comes.
     pub(crate) async fn open_stream(&self, path: &str) -> TcpStream {
         let request = self.request(path, "Connection: close\r\n", "");
