--- a/crates/anvil_core/src/layout/capacity.rs
+++ b/crates/anvil_core/src/layout/capacity.rs
@@ -88,6 +88,7 @@
                     slowdown: 1.0,
                     open: true,
                     may_be_first: true,
+                    held: Vec::new(),
                 })
             })
             .collect();
--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod rendezvous;
 pub mod replay;
 pub mod request_digest;
+pub mod residency;
 pub mod retry;
 pub mod route;
 pub mod stall;
--- a/crates/anvil_core/src/route/engine_driven.rs
+++ b/crates/anvil_core/src/route/engine_driven.rs
@@ -15,6 +15,10 @@
         LayerRange,
         TargetId, //
     },
+    residency::{
+        self,
+        HeldPrefix, //
+    },
 };
 
 use derive_more::{
@@ -68,6 +72,9 @@
     pub open: bool,
     /// Whether a path may begin with the engine.
     pub may_be_first: bool,
+    /// Prefixes of the request's prompt that the engine is expected to hold, longest first. Empty if
+    /// nothing is held or known.
+    pub held: Vec<HeldPrefix>,
 }
 
 /// Requirements of a request on its path.
@@ -120,6 +127,8 @@
     pub memory_share: f64,
     /// Number of times that the path crosses from one data centre to another.
     pub crossing_count: u32,
+    /// Expected number of prompt tokens that need no prefill, as a mean over the model's layers.
+    pub saved_tokens: f64,
 }
 
 /// Cheapest path to a boundary that ends in one data centre. Each hop is priced independently, so a
@@ -343,7 +352,30 @@
     // The factor must not depend on the layers: otherwise a layer range would be cheaper if split
     // into two hops.
     let used_share = memory_share(engine, worker, demand, 0);
-    Some(time_ms * (1.0 + MEMORY_WEIGHT * used_share * used_share))
+    let price_ms = time_ms * (1.0 + MEMORY_WEIGHT * used_share * used_share);
+    // The saving is not multiplied: used memory must not make a held prefix more attractive.
+    Some(price_ms - saving_ms(engine, worker, demand, layers))
+}
+
+/// Returns the expected number of prompt tokens that need no prefill at a worker, because it holds
+/// them, weighed with its memory.
+fn saved_tokens(
+    engine: &EngineProfile,
+    worker: &Worker,
+    demand: &Demand,
+    layers: LayerRange,
+) -> f64 {
+    if worker.held.is_empty() {
+        return 0.0;
+    }
+    let tokens = residency::expected_tokens(&worker.held, layers).min(demand.prompt_tokens);
+    tokens * residency::memory_factor(memory_share(engine, worker, demand, 0))
+}
+
+/// Returns the time that held prompt tokens save at a worker. Never more than [`prefill_ms`].
+fn saving_ms(engine: &EngineProfile, worker: &Worker, demand: &Demand, layers: LayerRange) -> f64 {
+    let tokens = saved_tokens(engine, worker, demand, layers);
+    worker.slowdown * engine.prefill_time_ms(worker.kind, layers.count(), tokens)
 }
 
 /// Returns the share of a worker's request memory in use, with this request on `layer_count`
@@ -442,9 +474,13 @@
     let mut largest_memory_share: f64 = 0.0;
     let mut previous_data_centre = demand.data_centre;
     let mut crossing_count = 0;
+    let mut saved_token_layers = 0.0;
     for (index, hop) in hops.iter().enumerate() {
         let worker = &workers[hop.worker];
-        prefill_total_ms += prefill_ms(engine, worker, demand, hop.layers);
+        prefill_total_ms += prefill_ms(engine, worker, demand, hop.layers)
+            - saving_ms(engine, worker, demand, hop.layers);
+        saved_token_layers +=
+            saved_tokens(engine, worker, demand, hop.layers) * f64::from(hop.layers.count());
         step_total_ms += HOP_MS + step_ms(engine, worker, demand, hop.layers);
         if worker.data_centre != previous_data_centre {
             step_total_ms += CROSSING_MS;
@@ -462,5 +498,6 @@
         pause_ms,
         memory_share: largest_memory_share,
         crossing_count,
+        saved_tokens: saved_token_layers / f64::from(engine.layer_count.max(1)),
     }
 }
--- a/crates/anvil_core/src/route/engine_driven/tests.rs
+++ b/crates/anvil_core/src/route/engine_driven/tests.rs
@@ -1,6 +1,8 @@
 use googletest::prelude::*;
 
 use super::*;
+
+mod held;
 use crate::engine_model::tests::engine;
 
 fn worker(name: &str, kind: &str, data_centre: usize, first: Layer, end: Layer) -> Worker {
@@ -15,6 +17,7 @@
         slowdown: 1.0,
         open: true,
         may_be_first: true,
+        held: Vec::new(),
     }
 }
 
