--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -40,6 +40,7 @@
     abandoned::AbandonedQueue,
     body_memory::BodyMemory,
     clock::BootTime,
+    held_prompts::HeldPrompts,
     http1::ResponseHead,
     knowledge::TableCache,
     link::Link,
@@ -124,6 +125,9 @@
     pub(crate) retry_budgets: RefCell<HashMap<ServiceId, window::Budget>>,
     /// Moving average of the callers' requests.
     request_rate: Cell<RequestRate>,
+    /// Prompts that this host's requests keep in the memory of engines; `None` if the settings switch
+    /// their use off.
+    pub(crate) held_prompts: Option<HeldPrompts>,
     /// Budget of tokens on paths that cross between data centres.
     crossing_budget: RefCell<crossing::Budget>,
     started: Instant,
@@ -142,6 +146,7 @@
             table_cache: TableCache::new(settings.bounds.config_apply),
             targets: Targets::new(settings.heartbeat),
             body_memory: BodyMemory::new(settings.body_memory_bytes()),
+            held_prompts: settings.held_prompts.then(HeldPrompts::new),
             settings,
             platform,
             link: Link::default(),
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod faults;
 pub mod follow;
 pub mod gateway;
+pub mod held_prompts;
 pub mod http1;
 pub mod knowledge;
 pub mod limits;
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -31,6 +31,7 @@
         RequestTrace, //
     },
     gateway::Gateway,
+    held_prompts::HeldPrompts,
     http1::Connection,
     peers,
     run::{
@@ -74,6 +75,9 @@
     store_era: IntGauge,
     quarantined: IntGauge,
     store_connections_given_up: IntGauge,
+    holder_choices: IntCounterVec,
+    saved_tokens: IntCounter,
+    held_prompts: IntGauge,
 }
 
 impl Metrics {
@@ -210,10 +214,30 @@
                 "anvil_store_connections_given_up",
                 "Connections to the store that were given up because they were silent, since the start",
             ),
+            holder_choices: counters(
+                "anvil_holder_choices_total",
+                "Chosen paths where engines held a prefix of the prompt, by whether the path uses one",
+                &["choice"],
+            ),
+            saved_tokens: counter(
+                "anvil_prompt_tokens_saved_total",
+                "Prompt tokens that are expected to have needed no prefill",
+            ),
+            held_prompts: gauge(
+                "anvil_held_prompts",
+                "Prompts recorded as held by engines, each once for every engine of its path",
+            ),
             registry,
         }
     }
 
+    /// Counts a path that was chosen while engines held a prefix of the prompt, and the prompt tokens
+    /// that it is expected to save.
+    pub fn record_holder_choice(&self, choice: &str, saved_tokens: u64) {
+        self.holder_choices.with_label_values(&[choice]).inc();
+        self.saved_tokens.inc_by(saved_tokens);
+    }
+
     /// Counts an extra send that the retry budget did not allow.
     pub fn record_retry_denied(&self) {
         self.retries_denied.inc();
@@ -325,6 +349,9 @@
             .peers
             .borrow_mut()
             .live_count(crate::clock::BootTime::now());
+        let held_count = (gateway.held_prompts.as_ref()).map_or(0, HeldPrompts::len);
+        self.held_prompts
+            .set(i64::try_from(held_count).unwrap_or(i64::MAX));
         self.is_relay.set(i64::from(peers::is_relay(gateway)));
         self.peers_heard
             .set(i64::try_from(live_peer_count).unwrap_or(i64::MAX));
--- a/crates/anvil_gateway/src/paths.rs
+++ b/crates/anvil_gateway/src/paths.rs
@@ -27,6 +27,7 @@
     clock::BootTime,
     exchange::RequestContext,
     gateway::Gateway,
+    held_prompts::HolderChoice,
     port::Stage,
     target::Target,
     trial_place::{
@@ -82,6 +83,8 @@
     /// The path as computed by the core, with the predicted times. Without hops and with times of zero
     /// for a target that is no engine.
     pub path: Path,
+    /// How the path stands to engines that hold a prefix of the prompt.
+    pub holder_choice: HolderChoice,
 }
 
 impl ChosenPath {
@@ -98,7 +101,9 @@
                 pause_ms: 0.0,
                 memory_share: 0.0,
                 crossing_count: 0,
+                saved_tokens: 0.0,
             },
+            holder_choice: HolderChoice::NoHolder,
         }
     }
 
@@ -377,7 +382,11 @@
                 layers: Some(hop.layers),
             })
             .collect();
-        ChosenPath { hops, path }
+        ChosenPath {
+            hops,
+            holder_choice: HolderChoice::of(&path, &self.workers),
+            path,
+        }
     }
 
     /// Collects the state of the listed engines of the service, with the load and the avoided
@@ -431,6 +440,10 @@
             .filter(|target| target.may_be_running());
         let is_first_limit_reached =
             running_first_engines.count() >= request.route.attempts_max as usize;
+        let held_prompts = gateway.held_prompts.as_ref().and_then(|held_prompts| {
+            let prefix = held_prompts.comparable_prefix(request.metadata)?;
+            Some((held_prompts, prefix))
+        });
         let mut demand = None;
         let (targets, mut workers): (Vec<Rc<Target>>, Vec<Worker>) = ready_targets
             .iter()
@@ -455,6 +468,24 @@
                     .get(&target.id_hash)
                     .copied()
                     .unwrap_or_default();
+                let slowdown = target.reported_slowdown(now).unwrap_or_else(|| {
+                    match peers_view.slow.get(&target.id_hash) {
+                        Some(slowdown) => *slowdown,
+                        None if is_any_slow => 1.0,
+                        None => target.slowdown(),
+                    }
+                });
+                let held = match &held_prompts {
+                    Some((held_prompts, prefix)) => {
+                        // The prefill of the other engines of the path may come first.
+                        let prompt_tokens = f64::from(request.metadata.prompt_tokens);
+                        let prefill_ms =
+                            engine.prefill_time_ms(kind, engine.layer_count, prompt_tokens);
+                        let delay = Duration::from_secs_f64(slowdown * prefill_ms / 1e3);
+                        held_prompts.held_at(target, prefix, now, delay)
+                    }
+                    None => Vec::new(),
+                };
                 let worker = Worker {
                     target: target.id.clone(),
                     data_centre,
@@ -465,16 +496,11 @@
                         + load.token_layers,
                     first_requests: own_load_factor * target.sent_requests.get()
                         + load.sent_requests,
-                    slowdown: target.reported_slowdown(now).unwrap_or_else(|| {
-                        match peers_view.slow.get(&target.id_hash) {
-                            Some(slowdown) => *slowdown,
-                            None if is_any_slow => 1.0,
-                            None => target.slowdown(),
-                        }
-                    }),
+                    slowdown,
                     open: !(is_avoided || is_avoided_by_peers || is_refusing_peers || is_excluded),
                     may_be_first: (!is_first_limit_reached || is_earlier_first)
                         && gateway.is_within_limit(target, &mut demand, now),
+                    held,
                 };
                 Some((Rc::clone(target), worker))
             })
--- a/crates/anvil_gateway/src/port.rs
+++ b/crates/anvil_gateway/src/port.rs
@@ -82,6 +82,9 @@
     /// Parts of the prompt that other requests may share, in order. At most
     /// [`SHARED_PARTS_MAX`]; later ones are left out.
     pub shared_parts: Vec<PartId>,
+    /// Numbers of tokens of the leading ones of `shared_parts`, in the same order. Ends before the
+    /// first part of the prompt that can't be read.
+    pub shared_part_tokens: Vec<u32>,
 }
 
 /// Most parts of a prompt that are read from a request.
--- a/crates/anvil_gateway/src/settings.rs
+++ b/crates/anvil_gateway/src/settings.rs
@@ -43,6 +43,8 @@
     #[serde(default)]
     bounds: BoundsOptions,
     #[serde(default)]
+    routing: RoutingOptions,
+    #[serde(default)]
     log: LogOptions,
 }
 
@@ -76,6 +78,12 @@
     stall_ms: Option<f64>,
 }
 
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RoutingOptions {
+    held_prompts: Option<bool>,
+}
+
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct LogOptions {
@@ -109,6 +117,8 @@
     pub lease_min: Duration,
     /// Bounds that the operators set.
     pub bounds: Bounds,
+    /// Whether engines that hold a prefix of a request's prompt are preferred.
+    pub held_prompts: bool,
     /// Log levels as written in the file, not parsed yet: a default level, and levels for prefixes
     /// of module paths or event names.
     pub log_level: String,
@@ -270,6 +280,7 @@
                 Duration::from_secs(1),
             )?,
             bounds: self.bounds(options.bounds)?,
+            held_prompts: options.routing.held_prompts.unwrap_or(false),
             log_level: options.log.level.unwrap_or_else(|| "info".to_owned()),
         })
     }
--- a/crates/anvil_gateway/src/settings/tests.rs
+++ b/crates/anvil_gateway/src/settings/tests.rs
@@ -38,6 +38,27 @@
     expect_that!(error.to_string(), contains_substring("revok_ms"));
 }
 
+/// Guards against prompt reuse in deployments that did not ask for it.
+#[gtest]
+fn read_switches_held_prompts_on_only_if_set() {
+    let held_prompts = |text: &str| {
+        read("file", &format!("{COMPLETE}{text}"))
+            .unwrap()
+            .held_prompts
+    };
+    expect_that!(held_prompts(""), eq(false));
+    expect_that!(held_prompts("\n[routing]\n"), eq(false));
+    expect_that!(held_prompts("\n[routing]\nheld_prompts = true"), eq(true));
+    let unknown = read(
+        "file",
+        &format!("{COMPLETE}\n[routing]\nheld_prompt = true"),
+    );
+    expect_that!(
+        unknown.unwrap_err().to_string(),
+        contains_substring("held_prompt")
+    );
+}
+
 #[gtest]
 fn read_rejects_bound_of_zero() {
     let error = read("file", &COMPLETE.replace("4000", "0")).unwrap_err();
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -37,8 +37,12 @@
         RequestOutcome,
         RequestTrace, //
     },
-    faults,
+    faults::{
+        self,
+        ProcessState, //
+    },
     gateway::Gateway,
+    held_prompts,
     http1::{
         Connection,
         LAST_CHUNK,
@@ -233,6 +237,12 @@
                         trace.predicted_first_ms = chosen.path.first_event_ms;
                         trace.predicted_pause_ms = chosen.path.pause_ms;
                     }
+                    held_prompts::record_choice(
+                        self.gateway,
+                        self.request.metadata,
+                        chosen.holder_choice,
+                        &chosen.path,
+                    );
                     let suspect_guard =
                         trial_place::begin(self.gateway, self.request, chosen.first());
                     let mut attempt = Attempt::new(chosen, admission, suspect_guard);
@@ -444,6 +454,11 @@
         if let Some(early) = attempt.progress.early() {
             let process_state = faults::check_state(self.gateway, engine).await;
             state = process_state.as_str();
+            if let (ProcessState::Ended, Some(held_prompts)) =
+                (process_state, &self.gateway.held_prompts)
+            {
+                held_prompts.end_engine(engine);
+            }
             let (request, admission) = (self.request, &attempt.admission);
             self.gateway
                 .record_lost_target(request, admission, engine, early, process_state);
--- a/crates/anvil_gateway/src/stream/attempt.rs
+++ b/crates/anvil_gateway/src/stream/attempt.rs
@@ -14,6 +14,7 @@
         EventTooLarge, //
     },
     gateway::Gateway,
+    held_prompts::HoldingGuard,
     http1::{
         BodyDecoder,
         Framing,
@@ -66,6 +67,9 @@
     pub(super) acquired: PooledConnection,
     /// Count the request at the engines of the path.
     pub(super) in_flight: Vec<InFlightGuard>,
+    /// Records that the engines of the path hold the prompt, from the first event to the next silence;
+    /// `None` outside of that.
+    pub(super) holding: Option<HoldingGuard>,
     /// The present period without events.
     pub(super) stall_timer: StallTimer,
     /// The part of the answer that has been read.
--- a/crates/anvil_gateway/src/stream/repair.rs
+++ b/crates/anvil_gateway/src/stream/repair.rs
@@ -216,6 +216,8 @@
                 .check_target(attempt, upstream, is_resumable, trace)
                 .await;
         };
+        // An engine of the path may be lost, or may have preempted the request and freed its memory.
+        upstream.holding = None;
         let stall_timer = &mut upstream.stall_timer;
         if is_resumable && Instant::now() >= stall_timer.resend_at() {
             return self.resend(attempt, upstream, "silence", trace).await;
--- a/crates/anvil_gateway/src/stream/send.rs
+++ b/crates/anvil_gateway/src/stream/send.rs
@@ -22,6 +22,10 @@
         are_keys_stale, //
     },
     faults,
+    held_prompts::{
+        self,
+        HoldingGuard, //
+    },
     http1::{
         BodyDecoder,
         Chunks,
@@ -31,6 +35,10 @@
         ResponseHead, //
     },
     link,
+    paths::{
+        self,
+        ChosenPath, //
+    },
     plain::{
         CROSSED_ANSWERS_MAX,
         READ_AHEAD_LIMIT_BYTES,
@@ -196,6 +204,7 @@
         Ok(Upstream {
             acquired,
             in_flight,
+            holding: None,
             stall_timer: StallTimer::start(sent_at, gateway.run_clock.lost_time()),
             answer: Answer::none(),
         })
@@ -449,6 +458,7 @@
             if begun.is_first {
                 chosen.first().record_begun();
             }
+            self.record_held(chosen, &mut upstream.holding, trace.events, now);
             if !begun.is_first && self.engine.is_some() {
                 let pause = now.saturating_duration_since(silent_since);
                 faults::query_slow_engine(self.gateway, chosen, pause);
@@ -476,6 +486,28 @@
         }
     }
 
+    /// Records that the engines of a path hold the prompt of the request, since an event arrived. `events`
+    /// is the number of those before it.
+    fn record_held(
+        &self,
+        chosen: &ChosenPath,
+        holding: &mut Option<HoldingGuard>,
+        events: u32,
+        now: Instant,
+    ) {
+        let (Some(held_prompts), Some(engine)) = (&self.gateway.held_prompts, self.engine) else {
+            return;
+        };
+        match holding {
+            Some(holding) => holding.confirm(now),
+            None => {
+                let demand = paths::demand(self.request, engine);
+                let rest = held_prompts::expected_rest(engine, &demand, &chosen.path, events);
+                *holding = held_prompts.begin(self.request.metadata, &chosen.hops, rest, now);
+            }
+        }
+    }
+
     /// Passes on the end of an answer, or returns why it can't be the end of the stream.
     async fn end(
         &mut self,
--- a/crates/anvil_gateway/src/target.rs
+++ b/crates/anvil_gateway/src/target.rs
@@ -90,6 +90,8 @@
     last_progress: Cell<Option<Instant>>,
     /// When the head of an answer last came from the target, whatever it answers; `None` if none did.
     last_answer: Cell<Option<Instant>>,
+    /// When the target was last found unresponsive; `None` if it never was.
+    unresponsive_at: Cell<Option<Instant>>,
     avoided_until: Cell<Option<Instant>>,
     /// Time until which other targets are preferred; `None` if they never were.
     slower_until: Cell<Option<Instant>>,
@@ -127,6 +129,7 @@
             last_heartbeat: Cell::new(Instant::now()),
             last_progress: Cell::new(None),
             last_answer: Cell::new(None),
+            unresponsive_at: Cell::new(None),
             avoided_until: Cell::new(None),
             slower_until: Cell::new(None),
             avoid_reason: Cell::new(AvoidReason::Failure),
@@ -267,9 +270,15 @@
 
     /// Records that the target did not respond.
     pub fn record_unresponsive(&self, now: Instant) {
+        self.unresponsive_at.set(Some(now));
         self.avoid(now, AVOID_UNRESPONSIVE_MIN, AvoidReason::Unresponsive);
     }
 
+    /// Returns when the target was last found unresponsive; `None` if it never was.
+    pub fn unresponsive_at(&self) -> Option<Instant> {
+        self.unresponsive_at.get()
+    }
+
     /// Records that a stream which was silent at the target went on elsewhere. For a while the target is
     /// used only where there is no path without it. Peers are not informed.
     pub fn record_slower(&self, now: Instant) {
--- a/crates/anvil_observe/src/events.rs
+++ b/crates/anvil_observe/src/events.rs
@@ -139,6 +139,7 @@
     "store.regained": "A read from the store succeeded after one or more failures.",
     "store.wait_abandoned": "A call that waited at the store for changes was abandoned, and the table is read instead. The line gives the reason.",
     "stream.lost": "The connection of a stream to its engine ended. The line gives how far the engine had come, the shared parts of the prompt, the digest of the request, and whether the engine still accepts connections.",
+    "stream.prefix_held": "Engines held a prefix of a request's prompt when its path was chosen. The line tells whether the path goes through one of them, and gives the prompt tokens that this is expected to save.",
     "stream.repair_unknown": "An order to continue a request on another path was not answered.",
     "stream.silent": "The cause of a silent stream was investigated. The line tells whether the stream continues on another path, for how long this host itself did not run, and how many of the engines that carry its requests are silent.",
     "stream.state_unknown": "The first engine of a silent stream could not be asked what it is waiting for.",
