--- a/crates/anvil_gateway/src/paths.rs
+++ b/crates/anvil_gateway/src/paths.rs
@@ -36,6 +36,9 @@
     },
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Largest random change of an engine's price, relative to the price, so that hosts with the same
 /// knowledge choose different engines.
 const PRICE_NOISE: f64 = 0.15;
--- /dev/null
+++ b/crates/anvil_gateway/src/paths/tests.rs
@@ -0,0 +1,131 @@
+use std::cell::{
+    Cell,
+    OnceCell, //
+};
+
+use googletest::prelude::*;
+
+use super::*;
+use crate::{
+    http1::{
+        Framing,
+        RequestHead, //
+    },
+    port::RequestMetadata,
+    tests::fleet::{
+        MODEL_PATH,
+        gateway_without_network, //
+    },
+};
+
+const SWITCHED_ON: &str = "[routing]\nheld_prompts = true\n";
+const ENGINES: u8 = 12;
+
+/// Returns a request whose prompt is much longer than its answer, so that a saving outweighs the random
+/// changes of prices.
+fn metadata() -> RequestMetadata {
+    RequestMetadata {
+        prompt_tokens: 10_000,
+        answer_limit_tokens: 10,
+        shared_parts: vec!["system".into(), "tools".into()],
+        shared_part_tokens: vec![8000, 1999],
+        ..RequestMetadata::default()
+    }
+}
+
+/// Chooses a path for a first attempt.
+fn chosen_path(gateway: &Gateway) -> ChosenPath {
+    let metadata = metadata();
+    let head = RequestHead {
+        method: "POST".into(),
+        target: MODEL_PATH.into(),
+        headers: Default::default(),
+        framing: Framing::Length(0),
+        keep_alive: true,
+    };
+    let table = gateway.table_cache.table().unwrap();
+    let route = table.route("test", MODEL_PATH).unwrap();
+    let service_id = &route.backends[0].service;
+    let service = table.service(service_id).unwrap();
+    let now = Instant::now();
+    let request = RequestContext {
+        head: &head,
+        metadata: &metadata,
+        body: Default::default(),
+        body_memory: gateway.body_memory.reserve(),
+        route,
+        table: &table,
+        service_id,
+        service,
+        team: None,
+        arrived: now,
+        deadline: now + Duration::from_secs(10),
+        keep_alive: Cell::new(true),
+        is_answer_begun: Cell::new(false),
+        digest: OnceCell::new(),
+        suspects: OnceCell::new(),
+    };
+    let attempts = PriorAttempts {
+        first_engines: &[],
+        failed: &[],
+        standing: Standing::Any,
+    };
+    let engine = service.engine.as_ref().unwrap();
+    choose(gateway, &request, engine, &attempts).unwrap()
+}
+
+/// Guards against a path choice that does not learn what is held, or learns it from requests that ended.
+/// Load: holder free.
+#[gtest]
+fn choose_follows_holder_while_its_request_runs() {
+    let gateway = gateway_without_network(SWITCHED_ON, ENGINES);
+    let held_prompts = gateway.held_prompts.as_ref().unwrap();
+    let earlier = chosen_path(&gateway);
+    expect_that!(earlier.holder_choice, eq(HolderChoice::NoHolder));
+    let expected = Duration::from_secs(60);
+    let guard = held_prompts.begin(&metadata(), &earlier.hops, expected, Instant::now());
+    for _ in 0..20 {
+        let path = chosen_path(&gateway);
+        expect_that!(path.first().id, eq(&earlier.first().id));
+        expect_that!(path.holder_choice, eq(HolderChoice::Followed));
+        expect_that!(path.path.saved_tokens, gt(9000.0));
+    }
+    drop(guard);
+    expect_that!(
+        chosen_path(&gateway).holder_choice,
+        eq(HolderChoice::NoHolder)
+    );
+    expect_that!(chosen_path(&gateway).path.saved_tokens, eq(0.0));
+}
+
+/// Guards against a path through a holder that can't take the request, or a saving at it. Load: holder
+/// busy, by its memory; then lost.
+#[gtest]
+fn choose_goes_against_busy_holder_and_ignores_lost_one() {
+    let gateway = gateway_without_network(SWITCHED_ON, ENGINES);
+    let held_prompts = gateway.held_prompts.as_ref().unwrap();
+    let earlier = chosen_path(&gateway);
+    let holder = earlier.first();
+    let expected = Duration::from_secs(60);
+    let _guard = held_prompts.begin(&metadata(), &earlier.hops, expected, Instant::now());
+    holder.token_layers.set(1e9);
+    let path = chosen_path(&gateway);
+    expect_that!(path.first().id, not(eq(&holder.id)));
+    expect_that!(path.holder_choice, eq(HolderChoice::Against));
+    holder.token_layers.set(0.0);
+    holder.record_unresponsive(Instant::now());
+    let path = chosen_path(&gateway);
+    expect_that!(path.first().id, not(eq(&holder.id)));
+    expect_that!(path.holder_choice, eq(HolderChoice::NoHolder));
+}
+
+/// Guards against reuse in deployments that did not switch it on.
+#[gtest]
+fn choose_knows_no_holder_if_switched_off() {
+    let gateway = gateway_without_network("", ENGINES);
+    expect_that!(gateway.held_prompts.is_none(), eq(true));
+    expect_that!(
+        chosen_path(&gateway).holder_choice,
+        eq(HolderChoice::NoHolder)
+    );
+}
--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -44,6 +44,7 @@
 use bytes::Bytes;
 use rand::{
     RngExt,
+    SeedableRng,
     rngs::SmallRng, //
 };
 use smol_str::{
@@ -991,6 +992,32 @@
     )
 }
 
+/// Returns a gateway that has no listeners and peers. Its table is that of [`Fleet`], and its list has
+/// `engine_count` engines of the model, which don't run.
+pub(crate) fn gateway_without_network(settings: &str, engine_count: u8) -> Gateway {
+    let text = format!(
+        "host_id = \"host\"\ndata_centre = \"a\"\n[listen]\ncallers = \"10.0.0.1:81\"\n\
+         readiness = \"10.0.0.1:82\"\npeers = \"10.0.0.1:83\"\n\
+         [platform]\nstore = \"10.0.0.1:84\"\n{settings}"
+    );
+    let platform = Platform {
+        header_codec: Rc::new(TestHeaders),
+        store: Rc::new(SharedStore::default()),
+        orders: Rc::new(RecordedOrders::default()),
+    };
+    let settings = settings::read("test", &text).unwrap();
+    let gateway = Gateway::with_rng(settings, platform, SmallRng::seed_from_u64(7));
+    let put = |index| {
+        let address = SocketAddr::from(([10, 0, 1, index], 80));
+        TargetChange::Put(format_smolstr!("engine-{index}"), entry(address))
+    };
+    let now = BootTime::now();
+    gateway.table_cache.update(Some(table()), now, Source::Read);
+    let listed = (0..engine_count).map(put).collect();
+    gateway.targets.replace(listed, Position::new(0, 1), now);
+    gateway
+}
+
 /// How an answer ended for its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CallerResult {
