--- a/crates/anvil_core/src/residency.rs
+++ b/crates/anvil_core/src/residency.rs
@@ -32,6 +32,10 @@
 #[cfg(test)]
 mod tests;
 
+/// Share of an engine's request memory in use from which on a held prefix attracts no request. An
+/// engine takes requests up to a share of 0.96, and running answers grow.
+pub const SAVING_USED_SHARE_MAX: f64 = 0.8;
+
 /// Bounds on the number of requests that a [`Residency`] remembers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -266,7 +270,3 @@
 pub fn memory_factor(used_share: f64) -> f64 {
     (1.0 - used_share / SAVING_USED_SHARE_MAX).clamp(0.0, 1.0)
 }
-
-/// Share of an engine's request memory in use from which on a held prefix attracts no request. An
-/// engine takes requests up to a share of 0.96, and running answers grow.
-pub const SAVING_USED_SHARE_MAX: f64 = 0.8;
--- a/crates/anvil_core/src/residency/holding.rs
+++ b/crates/anvil_core/src/residency/holding.rs
@@ -15,15 +15,15 @@
     Prefix, //
 };
 
-/// Smallest remaining time of a request that still runs, as a share of its expected time. Requests
-/// that are over their expected time go on for a while: expected lengths of answers are right at the
-/// median only.
+/// Smallest remaining time of a request that still runs, as a share of its expected time, or of its time
+/// so far if that is longer. Expected lengths of answers are right at the median only, and engines may
+/// be slower than predicted.
 const OVERDUE_SHARE: f64 = 0.1;
-/// Multiple of the expected time after which a record is removed.
-const TERM_FACTOR_MAX: u32 = 4;
 /// Time after which progress that was seen counts a factor of e less. A stream that makes no progress
 /// for some 300 ms is examined, since it may have lost its engine or may have been preempted.
 const SEEN_AGE_SCALE: Duration = Duration::from_millis(500);
+/// Age of the last progress after which a record is removed; it would count a fiftieth.
+const SEEN_AGE_MAX: Duration = Duration::from_secs(2);
 
 /// Since when a request runs, and for how long it is expected to run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,9 +55,7 @@
 impl Holding {
     /// Returns whether an engine in `state` can still hold the prompt.
     pub(super) fn is_valid(&self, state: EngineState, now: Instant) -> bool {
-        let lasts = now.saturating_duration_since(self.term.since)
-            <= self.term.expected.saturating_mul(TERM_FACTOR_MAX);
-        lasts
+        now.saturating_duration_since(self.seen_at) <= SEEN_AGE_MAX
             && self.started_unix_ms == state.started_unix_ms
             && self.version == state.version
             && state.layers.contains(self.layers)
@@ -69,7 +67,7 @@
         let age = now.saturating_duration_since(self.seen_at);
         let run_time = now.saturating_duration_since(self.term.since);
         let left = self.term.expected.saturating_sub(run_time);
-        let left = left.max(self.term.expected.mul_f64(OVERDUE_SHARE));
+        let left = left.max(self.term.expected.max(run_time).mul_f64(OVERDUE_SHARE));
         if left.is_zero() {
             return 0.0;
         }
--- a/crates/anvil_gateway/src/held_prompts.rs
+++ b/crates/anvil_gateway/src/held_prompts.rs
@@ -34,9 +34,6 @@
     target::Target, //
 };
 
-#[cfg(test)]
-mod tests;
-
 /// Whether a chosen path goes through an engine that holds a prefix of the request's prompt.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum HolderChoice {
--- a/crates/anvil_gateway/src/paths/tests.rs
+++ b/crates/anvil_gateway/src/paths/tests.rs
@@ -7,6 +7,7 @@
 
 use super::*;
 use crate::{
+    held_prompts::HoldingGuard,
     http1::{
         Framing,
         RequestHead, //
@@ -18,7 +19,6 @@
     },
 };
 
-const SWITCHED_ON: &str = "[routing]\nheld_prompts = true\n";
 const ENGINES: u8 = 12;
 
 /// Returns a request whose prompt is much longer than its answer, so that a saving outweighs the random
@@ -74,16 +74,22 @@
     choose(gateway, &request, engine, &attempts).unwrap()
 }
 
-/// Guards against a path choice that does not learn what is held, or learns it from requests that ended.
-/// Load: holder free.
-#[gtest]
-fn choose_follows_holder_while_its_request_runs() {
-    let gateway = gateway_without_network(SWITCHED_ON, ENGINES);
-    let held_prompts = gateway.held_prompts.as_ref().unwrap();
+/// Returns a gateway with the record of a request that runs along a path of its engines.
+fn gateway_with_holder() -> (Gateway, ChosenPath, Option<HoldingGuard>) {
+    let gateway = gateway_without_network("[routing]\nheld_prompts = true\n", ENGINES);
     let earlier = chosen_path(&gateway);
     expect_that!(earlier.holder_choice, eq(HolderChoice::NoHolder));
+    let held_prompts = gateway.held_prompts.as_ref().unwrap();
     let expected = Duration::from_secs(60);
     let guard = held_prompts.begin(&metadata(), &earlier.hops, expected, Instant::now());
+    (gateway, earlier, guard)
+}
+
+/// Guards against a path choice that does not learn what is held, or learns it from requests that ended,
+/// and against reuse in deployments that did not switch it on. Load: holder free.
+#[gtest]
+fn choose_follows_holder_while_its_request_runs() {
+    let (gateway, earlier, guard) = gateway_with_holder();
     for _ in 0..20 {
         let path = chosen_path(&gateway);
         expect_that!(path.first().id, eq(&earlier.first().id));
@@ -91,41 +97,45 @@
         expect_that!(path.path.saved_tokens, gt(9000.0));
     }
     drop(guard);
-    expect_that!(
-        chosen_path(&gateway).holder_choice,
-        eq(HolderChoice::NoHolder)
-    );
-    expect_that!(chosen_path(&gateway).path.saved_tokens, eq(0.0));
-}
-
-/// Guards against a path through a holder that can't take the request, or a saving at it. Load: holder
-/// busy, by its memory; then lost.
-#[gtest]
-fn choose_goes_against_busy_holder_and_ignores_lost_one() {
-    let gateway = gateway_without_network(SWITCHED_ON, ENGINES);
-    let held_prompts = gateway.held_prompts.as_ref().unwrap();
-    let earlier = chosen_path(&gateway);
-    let holder = earlier.first();
-    let expected = Duration::from_secs(60);
-    let _guard = held_prompts.begin(&metadata(), &earlier.hops, expected, Instant::now());
-    holder.token_layers.set(1e9);
-    let path = chosen_path(&gateway);
-    expect_that!(path.first().id, not(eq(&holder.id)));
-    expect_that!(path.holder_choice, eq(HolderChoice::Against));
-    holder.token_layers.set(0.0);
-    holder.record_unresponsive(Instant::now());
-    let path = chosen_path(&gateway);
-    expect_that!(path.first().id, not(eq(&holder.id)));
-    expect_that!(path.holder_choice, eq(HolderChoice::NoHolder));
+    for gateway in [gateway, gateway_without_network("", ENGINES)] {
+        let path = chosen_path(&gateway);
+        expect_that!(path.holder_choice, eq(HolderChoice::NoHolder));
+        expect_that!(path.path.saved_tokens, eq(0.0));
+    }
 }
 
-/// Guards against reuse in deployments that did not switch it on.
+/// Guards against a path through a holder that can't take the request, or a saving by memory that is gone.
+/// Load: holder busy, by its memory; holder lost: it has another version or no layers, is not listed, does
+/// not respond, or has ended.
 #[gtest]
-fn choose_knows_no_holder_if_switched_off() {
-    let gateway = gateway_without_network("", ENGINES);
-    expect_that!(gateway.held_prompts.is_none(), eq(true));
-    expect_that!(
-        chosen_path(&gateway).holder_choice,
-        eq(HolderChoice::NoHolder)
-    );
+fn choose_leaves_busy_holder_and_ignores_lost_one() {
+    use HolderChoice::{
+        Against,
+        NoHolder, //
+    };
+    let changes: [(HolderChoice, fn(&Gateway, &Target)); 6] = [
+        (Against, |_, holder| holder.token_layers.set(1e9)),
+        (NoHolder, |_, holder| {
+            holder.entry.borrow_mut().layers.as_mut().unwrap().1 = 8
+        }),
+        (NoHolder, |_, holder| {
+            holder.entry.borrow_mut().layers = None
+        }),
+        (NoHolder, |_, holder| holder.is_removed.set(true)),
+        (NoHolder, |_, holder| {
+            holder.record_unresponsive(Instant::now())
+        }),
+        (NoHolder, |gateway, holder| {
+            gateway.held_prompts.as_ref().unwrap().end_engine(holder)
+        }),
+    ];
+    for (index, (expected, change)) in changes.into_iter().enumerate() {
+        let (gateway, earlier, _guard) = gateway_with_holder();
+        expect_that!(
+            chosen_path(&gateway).holder_choice,
+            eq(HolderChoice::Followed)
+        );
+        change(&gateway, earlier.first());
+        expect_that!(chosen_path(&gateway).holder_choice, eq(expected), "{index}");
+    }
 }
--- a/crates/anvil_gateway/src/settings/tests.rs
+++ b/crates/anvil_gateway/src/settings/tests.rs
@@ -41,22 +41,10 @@
 /// Guards against prompt reuse in deployments that did not ask for it.
 #[gtest]
 fn read_switches_held_prompts_on_only_if_set() {
-    let held_prompts = |text: &str| {
-        read("file", &format!("{COMPLETE}{text}"))
-            .unwrap()
-            .held_prompts
-    };
-    expect_that!(held_prompts(""), eq(false));
-    expect_that!(held_prompts("\n[routing]\n"), eq(false));
-    expect_that!(held_prompts("\n[routing]\nheld_prompts = true"), eq(true));
-    let unknown = read(
-        "file",
-        &format!("{COMPLETE}\n[routing]\nheld_prompt = true"),
-    );
-    expect_that!(
-        unknown.unwrap_err().to_string(),
-        contains_substring("held_prompt")
-    );
+    let read = |text: &str| read("file", &format!("{COMPLETE}\n[routing]\n{text}"));
+    expect_that!(read("").unwrap().held_prompts, eq(false));
+    expect_that!(read("held_prompts = true").unwrap().held_prompts, eq(true));
+    expect_that!(read("held_prompt = true").is_err(), eq(true));
 }
 
 #[gtest]
