--- a/crates/anvil_gateway/src/paths/tests.rs
+++ b/crates/anvil_gateway/src/paths/tests.rs
@@ -113,7 +113,8 @@
         Against,
         NoHolder, //
     };
-    let changes: [(HolderChoice, fn(&Gateway, &Target)); 6] = [
+    type Change = fn(&Gateway, &Target);
+    let changes: [(HolderChoice, Change); 6] = [
         (Against, |_, holder| holder.token_layers.set(1e9)),
         (NoHolder, |_, holder| {
             holder.entry.borrow_mut().layers.as_mut().unwrap().1 = 8
