--- a/crates/anvil_core/src/residency/tests.rs
+++ b/crates/anvil_core/src/residency/tests.rs
@@ -75,6 +75,7 @@
     let at = |ms| now + Duration::from_millis(ms);
     let mut residency = Residency::default();
     let id = begin(&mut residency, "a", now);
+    expect_that!(held(&mut residency, STATE, now, Duration::MAX), eq(0.0));
     let silent = [50, 300, 1000].map(|ms| held(&mut residency, STATE, at(ms), Duration::ZERO));
     expect_that!(silent[0], gt(0.9 * 800.0));
     expect_that!(silent[1], all![lt(0.6 * 800.0), gt(0.5 * 800.0)]);
--- a/crates/anvil_gateway/src/paths.rs
+++ b/crates/anvil_gateway/src/paths.rs
@@ -484,7 +484,8 @@
                         let prompt_tokens = f64::from(request.metadata.prompt_tokens);
                         let prefill_ms =
                             engine.prefill_time_ms(kind, engine.layer_count, prompt_tokens);
-                        let delay = Duration::from_secs_f64(slowdown * prefill_ms / 1e3);
+                        let delay = Duration::try_from_secs_f64(slowdown * prefill_ms / 1e3);
+                        let delay = delay.unwrap_or(Duration::MAX);
                         held_prompts.held_at(target, prefix, now, delay)
                     }
                     None => Vec::new(),
