--- a/crates/anvil_gateway/src/settings/tests.rs
+++ b/crates/anvil_gateway/src/settings/tests.rs
@@ -38,6 +38,15 @@
     expect_that!(error.to_string(), contains_substring("revok_ms"));
 }
 
+/// Guards against prompt reuse in deployments that did not ask for it.
+#[gtest]
+fn read_switches_held_prompts_on_only_if_set() {
+    let read = |text: &str| read("file", &format!("{COMPLETE}\n[routing]\n{text}"));
+    expect_that!(read("").unwrap().held_prompts, eq(false));
+    expect_that!(read("held_prompts = true").unwrap().held_prompts, eq(true));
+    expect_that!(read("held_prompt = true").is_err(), eq(true));
+}
+
 #[gtest]
 fn read_rejects_bound_of_zero() {
     let error = read("file", &COMPLETE.replace("4000", "0")).unwrap_err();
