--- a/crates/anvil_core/src/layout/capacity.rs
+++ b/crates/anvil_core/src/layout/capacity.rs
@@ -86,6 +86,7 @@
                     used_token_layers: 0.0,
                     first_requests: 0.0,
                     slowdown: 1.0,
+                    prefill_wait_ms: 0.0,
                     open: true,
                     may_be_first: true,
                 })
--- a/crates/anvil_core/src/route.rs
+++ b/crates/anvil_core/src/route.rs
@@ -10,6 +10,7 @@
 mod choose;
 mod cost;
 pub mod crossing;
+pub mod displaced;
 pub mod engine_driven;
 mod graph;
 mod path;
--- a/crates/anvil_core/src/route/engine_driven.rs
+++ b/crates/anvil_core/src/route/engine_driven.rs
@@ -64,6 +64,9 @@
     pub first_requests: f64,
     /// Ratio of observed to predicted time. Invariant: at least 1.
     pub slowdown: f64,
+    /// Expected wait for prefill behind requests that move from lost engines; see
+    /// [`displaced`](super::displaced).
+    pub prefill_wait_ms: f64,
     /// Whether the engine may be part of a new path.
     pub open: bool,
     /// Whether a path may begin with the engine.
@@ -324,7 +327,8 @@
     demand.answer_tokens * CROSSING_MS + PIPE_WEIGHT * demand.tokens() * engine.pipe_time_ms()
 }
 
-/// Returns the time of the whole request at one worker, increased by the share of used memory.
+/// Returns the time of the whole request at one worker, increased by the share of used memory, and the
+/// wait for prefill there.
 /// Returns `None` if the worker is not open or has too little memory.
 fn request_cost_ms(
     engine: &EngineProfile,
@@ -343,7 +347,8 @@
     // The factor must not depend on the layers: otherwise a layer range would be cheaper if split
     // into two hops.
     let used_share = memory_share(engine, worker, demand, 0);
-    Some(time_ms * (1.0 + MEMORY_WEIGHT * used_share * used_share))
+    let memory_factor = 1.0 + MEMORY_WEIGHT * used_share * used_share;
+    Some(worker.prefill_wait_ms + time_ms * memory_factor)
 }
 
 /// Returns the share of a worker's request memory in use, with this request on `layer_count`
@@ -438,6 +443,7 @@
 /// Predicts the performance of a path with these hops.
 fn predict(engine: &EngineProfile, workers: &[Worker], demand: &Demand, hops: Vec<Hop>) -> Path {
     let mut prefill_total_ms = 0.0;
+    let mut longest_wait_ms: f64 = 0.0;
     let mut step_total_ms = 0.0;
     let mut largest_memory_share: f64 = 0.0;
     let mut previous_data_centre = demand.data_centre;
@@ -445,6 +451,8 @@
     for (index, hop) in hops.iter().enumerate() {
         let worker = &workers[hop.worker];
         prefill_total_ms += prefill_ms(engine, worker, demand, hop.layers);
+        // The waits pass at the same time.
+        longest_wait_ms = longest_wait_ms.max(worker.prefill_wait_ms);
         step_total_ms += HOP_MS + step_ms(engine, worker, demand, hop.layers);
         if worker.data_centre != previous_data_centre {
             step_total_ms += CROSSING_MS;
@@ -458,7 +466,7 @@
     let pause_ms = f64::from(engine.steps_per_event) * step_total_ms;
     Path {
         hops,
-        first_event_ms: prefill_total_ms + pause_ms,
+        first_event_ms: longest_wait_ms + prefill_total_ms + pause_ms,
         pause_ms,
         memory_share: largest_memory_share,
         crossing_count,
--- a/crates/anvil_core/src/route/engine_driven/tests.rs
+++ b/crates/anvil_core/src/route/engine_driven/tests.rs
@@ -13,6 +13,7 @@
         used_token_layers: 0.0,
         first_requests: 0.0,
         slowdown: 1.0,
+        prefill_wait_ms: 0.0,
         open: true,
         may_be_first: true,
     }
--- a/crates/anvil_gateway/src/faults.rs
+++ b/crates/anvil_gateway/src/faults.rs
@@ -23,10 +23,7 @@
         LIVENESS_WINDOW, //
     },
     plain::THROUGH_PEER_TIMEOUT,
-    target::{
-        AvoidReason,
-        Target, //
-    },
+    target::Target, //
 };
 
 /// Share of an engine's memory in known use from which on a refusal may be for lack of capacity.
@@ -221,9 +218,8 @@
     let peers_view = gateway.peers_view();
     let probes = chosen.hops.iter().map(|hop| {
         let target = &hop.target;
-        let is_avoided = target.is_avoided(now)
-            && target.avoid_reason.get() == AvoidReason::Unresponsive
-            || peers_view.avoided.contains_key(&target.id_hash);
+        let is_avoided =
+            target.is_unresponsive(now) || peers_view.avoided.contains_key(&target.id_hash);
         async move {
             if target.progressed_since(silent_since + SAME_PASS_TIME) {
                 return Evidence::Alive;
--- a/crates/anvil_gateway/src/paths.rs
+++ b/crates/anvil_gateway/src/paths.rs
@@ -12,12 +12,18 @@
         Layer,
         LayerRange, //
     },
-    route::engine_driven::{
-        self,
-        Demand,
-        NoPath,
-        Path,
-        Worker, //
+    route::{
+        displaced::{
+            self,
+            Displaced, //
+        },
+        engine_driven::{
+            self,
+            Demand,
+            NoPath,
+            Path,
+            Worker, //
+        },
     }, //
 };
 use derive_more::Display;
@@ -472,6 +478,7 @@
                             None => target.slowdown(),
                         }
                     }),
+                    prefill_wait_ms: 0.0,
                     open: !(is_avoided || is_avoided_by_peers || is_refusing_peers || is_excluded),
                     may_be_first: (!is_first_limit_reached || is_earlier_first)
                         && gateway.is_within_limit(target, &mut demand, now),
@@ -480,6 +487,25 @@
             })
             .unzip();
         trial_place::restrict(gateway, engine, attempts.standing, &targets, &mut workers);
+        let is_lost = |target: &Target| {
+            target.is_unresponsive(now)
+                || trusts_avoidance && peers_view.avoided.contains_key(&target.id_hash)
+        };
+        let displaced: Vec<Displaced> = targets
+            .iter()
+            .zip(&workers)
+            .filter_map(|(target, worker)| {
+                let used = worker.used_token_layers;
+                let (since, token_layers) = target.record_lost(is_lost(target), now, used)?;
+                Some(Displaced {
+                    data_centre: worker.data_centre,
+                    layers: worker.layers,
+                    token_layers,
+                    age: now.duration_since(since),
+                })
+            })
+            .collect();
+        forecast_prefill_waits(gateway, request, engine, &displaced, &mut workers);
         Self {
             targets,
             workers,
@@ -489,6 +515,35 @@
     }
 }
 
+/// Sets the wait for prefill at each engine behind the requests of lost engines. Each request assumes a
+/// random place among them, so that requests spread over the engines that take over. Nothing is set
+/// while the longest wait is too short for callers to notice.
+fn forecast_prefill_waits(
+    gateway: &Gateway,
+    request: &RequestContext<'_>,
+    engine: &EngineProfile,
+    displaced: &[Displaced],
+    workers: &mut [Worker],
+) {
+    if displaced.is_empty() {
+        return;
+    }
+    let route = request.route;
+    let noticed = route.pause_objective.unwrap_or(route.latency_objective);
+    let noticed_ms = noticed.as_secs_f64() * 1e3;
+    let is_noticed = workers
+        .iter()
+        .filter(|worker| worker.open)
+        .any(|worker| displaced::prefill_wait_ms(engine, worker, displaced, 1.0) > noticed_ms);
+    if !is_noticed {
+        return;
+    }
+    for worker in workers.iter_mut().filter(|worker| worker.open) {
+        let share = gateway.random_unit();
+        worker.prefill_wait_ms = displaced::prefill_wait_ms(engine, worker, displaced, share);
+    }
+}
+
 /// Returns the index of a name, which is appended if it is missing.
 fn index_or_insert(names: &mut Vec<smol_str::SmolStr>, name: &smol_str::SmolStr) -> usize {
     names
--- a/crates/anvil_gateway/src/target.rs
+++ b/crates/anvil_gateway/src/target.rs
@@ -99,6 +99,9 @@
     /// Requests that the target answered with an error of its own, since it last began an answer.
     consecutive_errors: Cell<u32>,
     slowdown: Cell<f64>,
+    /// When the target was first seen as unresponsive, and the memory that all requests took there then,
+    /// in tokens times layers; `None` while it responds.
+    lost: Cell<Option<(Instant, f64)>>,
     /// When the target last reported a slowdown, and that slowdown.
     reported: Cell<Option<(Instant, f64)>>,
     /// Whether the target stated that it is shutting down. Invariant: never reset.
@@ -133,6 +136,7 @@
             consecutive_failures: Cell::new(0),
             consecutive_errors: Cell::new(0),
             slowdown: Cell::new(1.0),
+            lost: Cell::new(None),
             reported: Cell::new(None),
             says_leaving: Cell::new(false),
             closed_until: Cell::new(None),
@@ -325,6 +329,29 @@
         self.consecutive_failures.set(0);
     }
 
+    /// Records whether the target is unresponsive. Returns since when it has been, and the memory that all
+    /// requests took there then, in tokens times layers; `None` if it responds. `token_layers` is that
+    /// memory now.
+    pub fn record_lost(
+        &self,
+        is_unresponsive: bool,
+        now: Instant,
+        token_layers: f64,
+    ) -> Option<(Instant, f64)> {
+        let lost = match (is_unresponsive, self.lost.get()) {
+            (false, _) => None,
+            (true, None) => Some((now, token_layers)),
+            (true, known) => known,
+        };
+        self.lost.set(lost);
+        lost
+    }
+
+    /// Returns whether this host avoids the target at `now` because it did not respond.
+    pub fn is_unresponsive(&self, now: Instant) -> bool {
+        self.is_avoided(now) && self.avoid_reason.get() == AvoidReason::Unresponsive
+    }
+
     /// Records that a request made progress at the target.
     pub fn record_progress(&self, now: Instant) {
         self.last_progress.set(Some(now));
