--- a/crates/anvil_core/src/request_digest.rs
+++ b/crates/anvil_core/src/request_digest.rs
@@ -31,6 +31,17 @@
     /// Returns the digest of a request: its method, host, path with query, the caller's team, and the
     /// body. Ids, deadlines and keys differ between requests that are otherwise equal, and are left out.
     pub fn of(method: &str, host: &str, path: &str, team: Option<&TeamId>, body: &[u8]) -> Self {
+        Self::of_segments(method, host, path, team, [body])
+    }
+
+    /// Returns the same for a body in segments. It doesn't depend on where the body is divided.
+    pub fn of_segments<'a>(
+        method: &str,
+        host: &str,
+        path: &str,
+        team: Option<&TeamId>,
+        body: impl IntoIterator<Item = &'a [u8]>,
+    ) -> Self {
         let mut hasher = Sha256::new();
         let team = team.map_or("", |team| team.as_str());
         for field in [method, host, path, team] {
@@ -38,7 +49,9 @@
             hasher.update((field.len() as u64).to_be_bytes());
             hasher.update(field);
         }
-        hasher.update(body);
+        for segment in body {
+            hasher.update(segment);
+        }
         let hash = hasher.finalize();
         let first = hash.first_chunk().expect("a SHA-256 has 32 bytes");
         Self(u64::from_be_bytes(*first))
--- a/crates/anvil_core/src/request_digest/tests.rs
+++ b/crates/anvil_core/src/request_digest/tests.rs
@@ -30,3 +30,12 @@
         expect_that!(RequestDigest::from_str(text), err(anything()), "{text}");
     }
 }
+
+/// Guards against equal requests that are not recognised because their bodies arrived in other pieces.
+#[gtest]
+fn of_segments_does_not_depend_on_division() {
+    let whole = RequestDigest::of("GET", "host", "/path", None, b"body");
+    let segments: [&[u8]; 3] = [b"b", b"", b"ody"];
+    let divided = RequestDigest::of_segments("GET", "host", "/path", None, segments);
+    expect_that!(divided, eq(whole));
+}
--- a/crates/anvil_gateway/src/answer.rs
+++ b/crates/anvil_gateway/src/answer.rs
@@ -34,6 +34,8 @@
     HeadTooLarge,
     /// Its body exceeds the limit.
     BodyTooLarge,
+    /// Its body stopped arriving.
+    BodyTooSlow,
     /// Its key is missing or unknown.
     UnknownKey,
     /// No route matches it.
@@ -65,6 +67,7 @@
             Self::BadRequest => "bad_request",
             Self::HeadTooLarge => "head_too_large",
             Self::BodyTooLarge => "body_too_large",
+            Self::BodyTooSlow => "body_too_slow",
             Self::UnknownKey => "unknown_key",
             Self::NoRoute => "no_route",
             Self::Unconfigured => "unconfigured",
@@ -84,6 +87,7 @@
             (Self::BadRequest, _) => (400, "Bad Request"),
             (Self::UnknownKey, _) => (401, "Unauthorized"),
             (Self::NoRoute, _) => (404, "Not Found"),
+            (Self::BodyTooSlow, _) => (408, "Request Timeout"),
             (Self::BodyTooLarge, _) => (413, "Content Too Large"),
             (Self::HeadTooLarge, _) => (431, "Request Header Fields Too Large"),
             (_, ExecutionState::NotRun) => (503, "Service Unavailable"),
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -5,6 +5,7 @@
         Cell,
         OnceCell, //
     },
+    pin::pin,
     rc::Rc,
     time::Duration, //
 };
@@ -22,12 +23,12 @@
     quarantine::Suspect,
     request_digest::RequestDigest, //
 };
-use bytes::Bytes;
 use tokio::{
     net::TcpStream,
     time::{
         Instant,
-        sleep, //
+        sleep,
+        timeout, //
     },
 };
 
@@ -36,22 +37,26 @@
         ErrorReason,
         ErrorResponse, //
     },
-    body_memory::{
-        NoMemory,
-        Reservation, //
-    },
     gateway::{
         CountGuard,
         Gateway,
         Phase, //
     },
     http1::{
+        Body,
         BodyDecoder,
+        BodySize,
         Connection,
         HeadError,
         ReadError,
         RequestHead, //
     },
+    intake::{
+        Charge,
+        Place,
+        Shortage,
+        ledger::Stage, //
+    },
     plain,
     port::{
         RequestMetadata,
@@ -82,8 +87,16 @@
 /// Longest time for a request to begin on a connection that was opened when this host had begun to
 /// close: some round trips, and the time in which a busy caller writes.
 const LATE_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
-/// Longest time that reading a request's body may take.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time in which [`BODY_PROGRESS_BYTES`] of a request's body, or its end, must arrive.
+const BODY_PROGRESS_TIMEOUT: Duration = Duration::from_secs(10);
+/// A sender on the slowest link in use sends this within some milliseconds.
+const BODY_PROGRESS_BYTES: usize = 4 << 10;
+/// Memory that a request takes while it is served, beside its head and body as they arrived: the state of
+/// its task, the list of its headers, and what is rendered for a target.
+pub(crate) const REQUEST_STATE_BYTES: usize = 24 << 10;
+/// Answer to a connection that is refused. Nothing was read from it.
+const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\
+    Retry-After: 0.05\r\nConnection: close\r\n\r\n";
 
 /// A request that was read whole, with its route, service and deadline.
 pub struct RequestContext<'a> {
@@ -92,9 +105,11 @@
     /// The values that the gateway reads from the head.
     pub metadata: &'a RequestMetadata,
     /// The complete body.
-    pub body: Bytes,
-    /// The memory that the body takes.
-    pub body_memory: Reservation,
+    pub body: Body,
+    /// The memory that the body takes; `None` if it is empty.
+    pub body_charge: Option<Charge>,
+    /// The place of the caller's connection.
+    pub place: &'a Place,
     /// The route that matches host and path.
     pub route: &'a Route,
     /// The routing table that holds the route and the service.
@@ -127,14 +142,16 @@
         *self.digest.get_or_init(|| {
             let host = self.head.headers.text("host").unwrap_or_default();
             let team = self.team.as_ref();
-            RequestDigest::of(&self.head.method, host, &self.head.target, team, &self.body)
+            let body = self.body.segments();
+            RequestDigest::of_segments(&self.head.method, host, &self.head.target, team, body)
         })
     }
 
     /// Returns whether the head of the answer, which is written now, announces that the connection stays
-    /// open. A host that began to stop since the request arrived announces that it closes it.
+    /// open. A host that began to stop since the request arrived, or has many connections, announces that it
+    /// closes it.
     pub fn announce_keep_alive(&self, gateway: &Gateway) -> bool {
-        let keep_alive = self.keep_alive.get() && gateway.phase() == Phase::Serving;
+        let keep_alive = self.keep_alive.get() && may_keep_connections(gateway);
         self.keep_alive.set(keep_alive);
         keep_alive
     }
@@ -235,24 +252,51 @@
     }
 }
 
-/// Serves a caller's connection until either side closes it.
+/// Serves a caller's connection until either side closes it, or refuses it where no place is left.
 pub async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
+    match gateway.intake.open() {
+        Some(place) => serve_admitted(gateway, stream, place).await,
+        None => refuse(&stream),
+    }
+}
+
+/// Refuses a connection without a place. Nothing is read from it, so that no request on it has run.
+pub fn refuse(stream: &TcpStream) {
+    // A caller whose bytes have arrived may see a reset instead.
+    let _written = stream.try_write(REFUSAL);
+}
+
+/// Serves the connection of a caller that has a place, until either side closes it.
+pub async fn serve_admitted(gateway: Rc<Gateway>, stream: TcpStream, place: Rc<Place>) {
     let _count_guard = CountGuard::begin(&gateway.open_connections);
-    let mut connection = Connection::new(stream);
+    let mut connection = Connection::of_caller(stream, Rc::clone(&place));
     let mut is_kept = false;
     loop {
-        let head = match read_head(&gateway, &mut connection, is_kept).await {
+        let head = tokio::select! {
+            biased;
+            head = read_head(&gateway, &mut connection, is_kept) => head,
+            () = place.ended() => Err(ReadError::Shortage(Shortage::Ended)),
+        };
+        let head = match head {
             Ok(Some(head)) => head,
             Ok(None) => return connection.close(CLOSE_TIMEOUT).await,
             Err(ReadError::Head(error)) => {
                 return reject_head(&gateway, connection, error).await;
             }
+            Err(ReadError::Shortage(_)) => return reject_short(&gateway, connection).await,
             Err(ReadError::Io(_) | ReadError::Closed | ReadError::Body(_)) => return,
         };
         is_kept = true;
+        let Ok(request_charge) = place.reserve(REQUEST_STATE_BYTES).await else {
+            return reject_short(&gateway, connection).await;
+        };
         let count_guard = CountGuard::begin(&gateway.open_requests);
-        let action = serve_request(&gateway, &mut connection, &head).await;
-        drop(count_guard);
+        // The task of an idle connection stays small.
+        let serving = serve_request(&gateway, &mut connection, &place, &head);
+        debug_assert!(size_of_val(&serving) <= REQUEST_STATE_BYTES);
+        let action = Box::pin(serving).await;
+        drop((count_guard, head, request_charge));
+        connection.end_request();
         match action {
             ConnectionAction::ReadNext => {}
             ConnectionAction::Close => return connection.close(CLOSE_TIMEOUT).await,
@@ -316,13 +360,26 @@
         }
     };
     spdlog::info!("request.malformed", kv: { error: });
-    let error_response = ErrorResponse::not_run(reason, None);
-    let answer = error_response.render(
-        gateway.platform.header_codec.request_id_header(),
-        &"".into(),
-        false,
-    );
-    if connection.write_all(&answer).await.is_ok() {
+    reject(gateway, connection, ErrorResponse::not_run(reason, None)).await;
+}
+
+/// Ends a connection for lack of memory or connections. A request that has begun on it is refused.
+async fn reject_short(gateway: &Gateway, connection: Connection) {
+    if !connection.has_buffered_bytes() {
+        return;
+    }
+    let retry_after = Some(OTHER_HOST_RETRY_AFTER);
+    let error_response = ErrorResponse::not_run(ErrorReason::Overloaded, retry_after);
+    reject(gateway, connection, error_response).await;
+}
+
+/// Refuses a request of which no head was read, and closes its connection.
+async fn reject(gateway: &Gateway, mut connection: Connection, error_response: ErrorResponse) {
+    connection.drop_received();
+    let id_header = gateway.platform.header_codec.request_id_header();
+    let answer = error_response.render(id_header, &"".into(), false);
+    let written = timeout(CLOSE_TIMEOUT, connection.write_all(&answer)).await;
+    if matches!(written, Ok(Ok(()))) {
         connection.close(CLOSE_TIMEOUT).await;
     }
 }
@@ -330,14 +387,17 @@
 async fn serve_request(
     gateway: &Gateway,
     connection: &mut Connection,
+    place: &Place,
     head: &RequestHead,
 ) -> ConnectionAction {
     let arrived = Instant::now();
-    let keep_alive = head.keep_alive && gateway.phase() == Phase::Serving;
+    let keep_alive = head.keep_alive && may_keep_connections(gateway);
     let lost_before = gateway.run_clock.lost_time();
     let mut trace = RequestTrace::default();
-    let (metadata, request_outcome, is_body_read) =
-        process_request(gateway, connection, head, arrived, keep_alive, &mut trace).await;
+    let (metadata, request_outcome, is_body_read) = process_request(
+        gateway, connection, place, head, arrived, keep_alive, &mut trace,
+    )
+    .await;
     trace.host_late_ms = (gateway.run_clock.lost_time() - lost_before).as_millis() as u64;
     log_outcome(gateway, head, &metadata, arrived, &request_outcome, &trace);
     match request_outcome {
@@ -356,9 +416,18 @@
             let keep_alive = keep_alive
                 && is_body_read
                 && !lacks_current_config
-                && gateway.phase() == Phase::Serving;
+                && may_keep_connections(gateway);
             let id_header = gateway.platform.header_codec.request_id_header();
             let answer = error_response.render(id_header, &metadata.id, keep_alive);
+            if !is_body_read {
+                // What was read of the body, or behind it, is not used.
+                connection.drop_received();
+                let written = timeout(CLOSE_TIMEOUT, connection.write_all(&answer)).await;
+                return match written {
+                    Ok(Ok(())) => ConnectionAction::Close,
+                    Ok(Err(_)) | Err(_) => ConnectionAction::Drop,
+                };
+            }
             match connection.write_all(&answer).await {
                 Err(_) => ConnectionAction::Drop,
                 Ok(()) if keep_alive => ConnectionAction::ReadNext,
@@ -368,6 +437,11 @@
     }
 }
 
+/// Returns whether a connection may stay open after an answer that is written now.
+fn may_keep_connections(gateway: &Gateway) -> bool {
+    gateway.phase() == Phase::Serving && !gateway.intake.is_crowded()
+}
+
 /// Returns the table in force. A host that has just started waits for its first table and target list
 /// until [`START_TIMEOUT`].
 ///
@@ -389,6 +463,7 @@
 async fn process_request(
     gateway: &Gateway,
     connection: &mut Connection,
+    place: &Place,
     head: &RequestHead,
     arrived: Instant,
     keep_alive: bool,
@@ -417,11 +492,16 @@
     };
     let body = tokio::select! {
         biased;
-        body = read_body(gateway, connection, head, limits.body_limit_bytes) => body,
+        body = read_body(gateway, connection, place, head, limits.body_limit_bytes) => body,
         () = gateway.reached(Phase::Ending) => return (metadata, stopping(), false),
+        () = place.ended() => Ok(Err(ErrorReason::Overloaded)),
+        () = budget_spent(metadata.budget) => Ok(Err(ErrorReason::Timeout)),
     };
-    let (body, body_memory) = match body {
-        Ok(Ok(body)) => body,
+    let (body, body_charge) = match body {
+        Ok(Ok(body)) => {
+            place.set_stage(Stage::Complete);
+            body
+        }
         Ok(Err(reason @ ErrorReason::Overloaded)) => {
             let retry_after = Some(OTHER_HOST_RETRY_AFTER);
             let error_response = ErrorResponse::not_run(reason, retry_after);
@@ -429,7 +509,14 @@
         }
         Ok(Err(reason)) => return (metadata, rejected(reason), false),
         Err(ReadError::Body(_)) => return (metadata, rejected(ErrorReason::BadRequest), false),
-        Err(_) => return (metadata, RequestOutcome::CallerDisconnected, false),
+        Err(ReadError::Shortage(_)) => {
+            let retry_after = Some(OTHER_HOST_RETRY_AFTER);
+            let error_response = ErrorResponse::not_run(ErrorReason::Overloaded, retry_after);
+            return (metadata, RequestOutcome::Error(error_response), false);
+        }
+        Err(ReadError::Io(_) | ReadError::Closed | ReadError::Head(_)) => {
+            return (metadata, RequestOutcome::CallerDisconnected, false);
+        }
     };
     if gateway.phase() >= Phase::Closing {
         // Too little time is left to serve it before this host stops; another host can.
@@ -485,7 +572,8 @@
         head,
         metadata: &metadata,
         body,
-        body_memory,
+        body_charge,
+        place,
         route,
         table: &table,
         service_id,
@@ -543,32 +631,69 @@
     gateway.table_cache.age().is_none_or(|age| age > bound)
 }
 
+/// Waits until the time that a caller gives for a request is over, and forever if it states none.
+async fn budget_spent(budget: Option<Duration>) {
+    match budget {
+        Some(budget) => sleep(budget).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Reads a request's body, with the memory that it takes. Returns the reason to refuse the request if the
-/// body is larger than `limit_bytes`, or than the memory that is left.
+/// body is larger than `limit_bytes` or than the memory that is left, or if it stops arriving.
 async fn read_body(
     gateway: &Gateway,
     connection: &mut Connection,
+    place: &Place,
     head: &RequestHead,
     limit_bytes: usize,
-) -> Result<Result<(Bytes, Reservation), ErrorReason>, ReadError> {
+) -> Result<Result<(Body, Option<Charge>), ErrorReason>, ReadError> {
+    let mut decoder = BodyDecoder::new(head.framing);
+    if decoder
+        .length_left()
+        .is_some_and(|length| length > limit_bytes as u64)
+    {
+        return Ok(Err(ErrorReason::BodyTooLarge));
+    }
     if head.headers.contains_token("expect", "100-continue") {
         connection
             .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
             .await
             .map_err(ReadError::Io)?;
     }
-    let mut decoder = BodyDecoder::new(head.framing);
-    let mut reservation = gateway.body_memory.reserve();
-    let body = connection.read_body_while(&mut decoder, |bytes| {
-        if bytes > limit_bytes {
-            return Err(ErrorReason::BodyTooLarge);
+    let arrived_bytes = Cell::new(0);
+    let mut charge: Option<Charge> = None;
+    let body = {
+        let read = connection.read_body_while(&mut decoder, async |size: BodySize| {
+            arrived_bytes.set(size.arrived_bytes);
+            if size.arrived_bytes > limit_bytes {
+                return Err(ErrorReason::BodyTooLarge);
+            }
+            let charged_bytes = charge.as_ref().map_or(0, Charge::bytes);
+            if size.held_bytes > charged_bytes {
+                let more = place.reserve(size.held_bytes - charged_bytes).await;
+                let more = more.map_err(|_| ErrorReason::Overloaded)?;
+                match &mut charge {
+                    Some(charge) => charge.absorb(more),
+                    None => charge = Some(more),
+                }
+            }
+            Ok(())
+        });
+        let mut read = pin!(read);
+        loop {
+            let before_bytes = arrived_bytes.get();
+            let step = gateway
+                .run_clock
+                .timeout(BODY_PROGRESS_TIMEOUT, read.as_mut());
+            match step.await {
+                Ok(body) => break body?,
+                Err(_) if arrived_bytes.get() >= before_bytes + BODY_PROGRESS_BYTES => {}
+                Err(_) => return Ok(Err(ErrorReason::BodyTooSlow)),
+            }
         }
-        let resized = reservation.resize(bytes);
-        resized.map_err(|NoMemory| ErrorReason::Overloaded)
-    });
-    let body = gateway.run_clock.timeout(BODY_TIMEOUT, body).await;
-    let body = body.unwrap_or(Err(ReadError::Closed))?;
-    Ok(body.map(|body| (body, reservation)))
+    };
+    Ok(body.map(|body| (body, charge)))
 }
 
 fn log_outcome(
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -38,9 +38,15 @@
 
 use crate::{
     abandoned::AbandonedQueue,
-    body_memory::BodyMemory,
     clock::BootTime,
     http1::ResponseHead,
+    intake::{
+        Intake,
+        budget::{
+            Budget,
+            process_descriptors, //
+        }, //
+    },
     knowledge::TableCache,
     link::Link,
     metrics::Metrics,
@@ -83,8 +89,10 @@
     pub table_cache: TableCache,
     /// Target list, with this host's load at each target.
     pub targets: Targets,
-    /// Memory for the bodies that this host holds.
-    pub body_memory: Rc<BodyMemory>,
+    /// What this host holds for callers.
+    pub intake: Rc<Intake>,
+    /// How its memory and descriptors are divided.
+    pub budget: Budget,
     /// Links of this host to targets.
     pub link: Link,
     /// Time in which this host did not run.
@@ -112,8 +120,6 @@
     pub tunnels: Tunnels,
     /// Number of tunnels that this host serves to others now.
     pub open_tunnels: Cell<u32>,
-    /// Number of peers' questions for the table that are being answered.
-    pub table_questions: Cell<u32>,
     /// Number of requests that are open now.
     pub open_requests: Cell<u32>,
     /// Number of caller connections that are open now.
@@ -137,11 +143,15 @@
 
     /// Creates a gateway that draws its random delays and choices from `rng`.
     pub fn with_rng(settings: Settings, platform: Platform, rng: SmallRng) -> Self {
+        let descriptors = settings.descriptors.unwrap_or(usize::MAX);
+        let descriptors = descriptors.min(process_descriptors());
+        let budget = Budget::new(settings.memory_megabytes, descriptors);
         Self {
             peers: RefCell::new(PeerRegistry::new(&settings)),
             table_cache: TableCache::new(settings.bounds.config_apply),
             targets: Targets::new(settings.heartbeat),
-            body_memory: BodyMemory::new(settings.body_memory_bytes()),
+            intake: Intake::new("callers", budget.callers),
+            budget,
             settings,
             platform,
             link: Link::default(),
@@ -156,7 +166,6 @@
             awaits_targets: Cell::new(false),
             tunnels: Tunnels::default(),
             open_tunnels: Cell::new(0),
-            table_questions: Cell::new(0),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
             phase: watch::Sender::new(Phase::Serving),
--- a/crates/anvil_gateway/src/http1.rs
+++ b/crates/anvil_gateway/src/http1.rs
@@ -9,7 +9,10 @@
 mod chunks;
 mod connection;
 mod head;
+mod segments;
 
+#[cfg(test)]
+mod fuzz;
 #[cfg(test)]
 mod tests;
 
@@ -24,6 +27,7 @@
     LAST_CHUNK, //
 };
 pub use connection::{
+    BodySize,
     ConnectError,
     Connection,
     ReadError, //
@@ -35,3 +39,4 @@
     RequestHead,
     ResponseHead, //
 };
+pub use segments::Body;
--- a/crates/anvil_gateway/src/http1/body.rs
+++ b/crates/anvil_gateway/src/http1/body.rs
@@ -82,6 +82,47 @@
         self.state == State::Done
     }
 
+    /// Returns how many of the next bytes on the connection belong to the body; `None` if framing comes
+    /// next, or the end.
+    pub(super) fn unframed_bytes(&self) -> Option<u64> {
+        match self.state {
+            State::Length { remaining_bytes } | State::ChunkData { remaining_bytes } => {
+                Some(remaining_bytes)
+            }
+            State::UntilClose => Some(u64::MAX),
+            State::ChunkSize | State::ChunkEnd | State::Trailers { .. } | State::Done => None,
+        }
+    }
+
+    /// Returns how many bytes of the body are left; `None` if its head doesn't state that.
+    pub fn length_left(&self) -> Option<u64> {
+        match self.state {
+            State::Length { remaining_bytes } => Some(remaining_bytes),
+            State::Done => Some(0),
+            State::ChunkSize
+            | State::ChunkData { .. }
+            | State::ChunkEnd
+            | State::Trailers { .. }
+            | State::UntilClose => None,
+        }
+    }
+
+    /// Records bytes of the body that were read without the decoder, at most [`Self::unframed_bytes`].
+    pub(super) fn record_unframed(&mut self, bytes: usize) {
+        let bytes = bytes as u64;
+        self.state = match self.state {
+            State::Length { remaining_bytes } if remaining_bytes == bytes => State::Done,
+            State::Length { remaining_bytes } => State::Length {
+                remaining_bytes: remaining_bytes - bytes,
+            },
+            State::ChunkData { remaining_bytes } if remaining_bytes == bytes => State::ChunkEnd,
+            State::ChunkData { remaining_bytes } => State::ChunkData {
+                remaining_bytes: remaining_bytes - bytes,
+            },
+            state => state,
+        };
+    }
+
     /// Takes the next piece off the front of `buffer`.
     ///
     /// # Errors
@@ -140,10 +181,10 @@
                         return Ok(Piece::NeedMore);
                     };
                     let read_bytes = read_bytes + end + 1;
-                    if read_bytes > TRAILER_LIMIT_BYTES {
+                    if read_bytes > TRAILER_LIMIT_BYTES || !buffer[..end].ends_with(b"\r") {
                         return Err(BodyError::MalformedChunk);
                     }
-                    let is_last = end == 0 || (end == 1 && buffer[0] == b'\r');
+                    let is_last = end == 1;
                     buffer.advance(end + 1);
                     self.state = if is_last {
                         State::Done
@@ -196,12 +237,18 @@
     if end > CHUNK_LINE_LIMIT_BYTES {
         return Err(BodyError::MalformedChunk);
     }
-    let line = &buffer[..end];
+    // Programs differ in what they take for the end of a line. A lone CR or LF could hide a chunk from one
+    // of them.
+    let line = match buffer[..end].strip_suffix(b"\r") {
+        Some(line) if memchr::memchr(b'\r', line).is_none() => line,
+        Some(_) | None => return Err(BodyError::MalformedChunk),
+    };
     let digit_count = line
         .iter()
         .position(|byte| !byte.is_ascii_hexdigit())
         .unwrap_or(line.len());
-    let has_valid_delimiter = matches!(line.get(digit_count), None | Some(b'\r' | b';' | b' '));
+    let extension = line[digit_count..].trim_ascii_start();
+    let has_valid_delimiter = matches!(extension.first(), None | Some(b';'));
     if digit_count == 0 || digit_count > 15 || !has_valid_delimiter {
         return Err(BodyError::MalformedChunk);
     }
--- a/crates/anvil_gateway/src/http1/connection.rs
+++ b/crates/anvil_gateway/src/http1/connection.rs
@@ -4,10 +4,12 @@
     cell::Cell,
     io,
     net::SocketAddr,
+    rc::Rc,
     time::Duration, //
 };
 
 use bytes::{
+    BufMut,
     Bytes,
     BytesMut, //
 };
@@ -21,10 +23,21 @@
 };
 use tokio::{
     net::TcpStream,
-    time::timeout, //
+    time::{
+        sleep,
+        timeout, //
+    }, //
 };
 
-use crate::run_clock::RunClock;
+use crate::{
+    intake::{
+        Charge,
+        Place,
+        Shortage,
+        ledger::Stage, //
+    },
+    run_clock::RunClock, //
+};
 
 use super::{
     body::{
@@ -36,13 +49,21 @@
         HeadError,
         RequestHead,
         ResponseHead, //
+    },
+    segments::{
+        Body,
+        BodyBuilder, //
     }, //
 };
 
 /// Space reserved in the buffer for each read. Most requests and events fit.
 const READ_RESERVE_BYTES: usize = 4096;
+/// Space in the buffer of a caller's connection below which it is made larger, or cleared, before a read.
+const SPARE_MIN_BYTES: usize = 512;
+/// Time after which reading ahead is tried again where no memory was left for it.
+const SHORTAGE_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Largest body that is copied so that it can be written together with its head.
-const JOINED_BODY_MAX_BYTES: usize = 64 << 10;
+const JOINED_BODY_MAX_BYTES: usize = 16 << 10;
 /// Largest head of an answer. Engines and services send far smaller ones.
 const RESPONSE_HEAD_LIMIT_BYTES: usize = 32 << 10;
 /// Most interim answers before an answer. A peer that sends them without end would otherwise keep
@@ -105,6 +126,18 @@
     /// The body breaks the protocol.
     #[display("{_0}")]
     Body(BodyError),
+    /// No memory is left for what arrives, or the connection was ended for others.
+    #[display("{_0}")]
+    Shortage(Shortage),
+}
+
+/// The size of a body that is being read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BodySize {
+    /// Bytes of the body that arrived so far. A last part may lack.
+    pub arrived_bytes: usize,
+    /// Bytes of the memory that the body takes, or is about to take.
+    pub held_bytes: usize,
 }
 
 /// A TCP connection with its receive buffer.
@@ -116,6 +149,20 @@
     is_tunnel: bool,
     /// Bytes that were sent since the peer last sent some. It may not have read them.
     unread_bytes: Cell<usize>,
+    /// What the connection of a caller holds; `None` for other connections.
+    account: Option<Account>,
+}
+
+/// The memory that the buffer of a caller's connection takes.
+#[derive(Debug)]
+struct Account {
+    place: Rc<Place>,
+    /// The buffer's own memory.
+    buffer: Option<Charge>,
+    /// Earlier memory of the buffer to which the head of the current request refers.
+    head: Option<Charge>,
+    /// Whether the head of the current request refers to the buffer's own memory.
+    is_head_in_buffer: bool,
 }
 
 impl Connection {
@@ -130,9 +177,57 @@
             buffer: BytesMut::new(),
             is_tunnel: false,
             unread_bytes: Cell::new(0),
+            account: None,
         }
     }
 
+    /// Takes over the stream of a caller. What is read is reserved at its place first.
+    pub fn of_caller(stream: TcpStream, place: Rc<Place>) -> Self {
+        Self {
+            account: Some(Account {
+                place,
+                buffer: None,
+                head: None,
+                is_head_in_buffer: false,
+            }),
+            ..Self::new(stream)
+        }
+    }
+
+    fn set_stage(&self, stage: Stage) {
+        if let Some(account) = &self.account {
+            account.place.set_stage(stage);
+        }
+    }
+
+    /// Records that the last request has ended and nothing refers to its head any more. Frees the buffer
+    /// if it is empty.
+    pub fn end_request(&mut self) {
+        let is_empty = self.buffer.is_empty();
+        if is_empty {
+            self.buffer = BytesMut::new();
+        }
+        if let Some(account) = &mut self.account {
+            account.head = None;
+            account.is_head_in_buffer = false;
+            if is_empty {
+                account.buffer = None;
+            }
+        }
+    }
+
+    /// Keeps the connection without its place. Nothing that it holds counts any more.
+    pub fn leave_place(&mut self) {
+        self.account = None;
+    }
+
+    /// Drops what was received but not consumed, with its memory. The connection is only written to and
+    /// closed after this.
+    pub fn drop_received(&mut self) {
+        self.buffer = BytesMut::new();
+        self.end_request();
+    }
+
     /// Returns the connection as one whose bytes another host passes on. It carries one request, and
     /// its end completes no body.
     pub fn into_tunnel(self) -> Self {
@@ -195,14 +290,20 @@
         head_timeout: Duration,
     ) -> Result<Option<RequestHead>, ReadError> {
         if self.buffer.is_empty() {
+            self.set_stage(Stage::Idle);
             match clock.timeout(idle_timeout, self.fill()).await {
                 Ok(Ok(0)) | Err(_) => return Ok(None),
                 Ok(Ok(_)) => {}
-                Ok(Err(error)) => return Err(ReadError::Io(error)),
+                Ok(Err(error)) => return Err(error),
             }
         }
+        self.set_stage(Stage::Unfinished);
         let read = clock.timeout(head_timeout, self.read_head(limit_bytes));
-        read.await.unwrap_or(Err(ReadError::Closed)).map(Some)
+        let head = read.await.unwrap_or(Err(ReadError::Closed))?;
+        if let Some(account) = &mut self.account {
+            account.is_head_in_buffer = true;
+        }
+        Ok(Some(head))
     }
 
     async fn read_head(&mut self, limit_bytes: usize) -> Result<RequestHead, ReadError> {
@@ -211,8 +312,18 @@
             if let Some(head) = head.map_err(ReadError::Head)? {
                 return Ok(head);
             }
-            if self.fill().await.map_err(ReadError::Io)? == 0 {
-                return Err(ReadError::Closed);
+            // A head is only parsed again once a line of it has ended. Otherwise a sender of single bytes
+            // would have all of it parsed for each.
+            loop {
+                let count = self.fill().await?;
+                if count == 0 {
+                    return Err(ReadError::Closed);
+                }
+                self.record_progress(count);
+                let arrived = &self.buffer[self.buffer.len() - count..];
+                if memchr::memchr(b'\n', arrived).is_some() || self.buffer.len() > limit_bytes {
+                    break;
+                }
             }
         }
     }
@@ -238,7 +349,7 @@
                 }
                 return Ok(head);
             }
-            if self.fill().await.map_err(ReadError::Io)? == 0 {
+            if self.fill().await? == 0 {
                 return Err(ReadError::Closed);
             }
         }
@@ -260,15 +371,20 @@
                 Piece::End => return Ok(None),
                 Piece::NeedMore => {}
             }
-            if self.fill().await.map_err(ReadError::Io)? == 0 {
-                if self.is_tunnel {
-                    return Err(ReadError::Closed);
-                }
-                decoder.end_of_connection().map_err(ReadError::Body)?;
+            if self.fill().await? == 0 {
+                self.end_body(decoder)?;
             }
         }
     }
 
+    /// Handles the end of the connection within a body, or as its end.
+    fn end_body(&self, decoder: &mut BodyDecoder) -> Result<(), ReadError> {
+        match self.is_tunnel {
+            true => Err(ReadError::Closed),
+            false => decoder.end_of_connection().map_err(ReadError::Body),
+        }
+    }
+
     /// Reads a complete body of at most `limit_bytes`; returns `None` if it is larger.
     ///
     /// # Errors
@@ -279,15 +395,22 @@
         decoder: &mut BodyDecoder,
         limit_bytes: usize,
     ) -> Result<Option<Bytes>, ReadError> {
-        let body = self.read_body_while(decoder, |bytes| match bytes <= limit_bytes {
-            true => Ok(()),
-            false => Err(()),
-        });
-        body.await.map(Result::ok)
+        let mut body = BytesMut::new();
+        while let Some(piece) = self.read_body(decoder).await? {
+            if body.len() + piece.len() > limit_bytes {
+                return Ok(None);
+            }
+            if body.is_empty() {
+                body = BytesMut::from(piece);
+            } else {
+                body.extend_from_slice(&piece);
+            }
+        }
+        Ok(Some(body.freeze()))
     }
 
-    /// Reads a complete body for as long as `admit` accepts its size so far, in bytes. Returns the error of
-    /// `admit` if it doesn't.
+    /// Reads a complete body in segments, for as long as `admit` accepts its size. It is asked before
+    /// memory is taken, and after bytes have arrived. Returns the error of `admit` if it doesn't accept.
     ///
     /// # Errors
     ///
@@ -295,20 +418,63 @@
     pub async fn read_body_while<E>(
         &mut self,
         decoder: &mut BodyDecoder,
-        mut admit: impl FnMut(usize) -> Result<(), E>,
-    ) -> Result<Result<Bytes, E>, ReadError> {
-        let mut body = BytesMut::new();
-        while let Some(piece) = self.read_body(decoder).await? {
-            if let Err(error) = admit(body.len() + piece.len()) {
-                return Ok(Err(error));
-            }
-            if body.is_empty() {
-                body = BytesMut::from(piece);
+        mut admit: impl AsyncFnMut(BodySize) -> Result<(), E>,
+    ) -> Result<Result<Body, E>, ReadError> {
+        let mut body = BodyBuilder::default();
+        loop {
+            // Bytes of the body are read into its own memory, unless the buffer holds some of them.
+            if let Some(unframed_bytes) = decoder.unframed_bytes()
+                && self.buffer.is_empty()
+            {
+                self.stream.readable().await.map_err(ReadError::Io)?;
+                let length_left = decoder.length_left().unwrap_or(u64::MAX);
+                if let Err(error) = make_spare(&mut body, length_left, &mut admit).await {
+                    return Ok(Err(error));
+                }
+                let limit_bytes = usize::try_from(unframed_bytes).unwrap_or(usize::MAX);
+                match self.stream.try_read_buf(&mut body.spare(limit_bytes)) {
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
+                    Err(error) => return Err(ReadError::Io(error)),
+                    Ok(0) => self.end_body(decoder)?,
+                    Ok(count) => {
+                        self.record_read();
+                        body.record_read(count);
+                        decoder.record_unframed(count);
+                        self.record_progress(count);
+                    }
+                }
             } else {
-                body.extend_from_slice(&piece);
+                let piece = match decoder.next(&mut self.buffer).map_err(ReadError::Body)? {
+                    Piece::Data(data) => data,
+                    Piece::End => return Ok(Ok(body.finish())),
+                    Piece::NeedMore => {
+                        if !(self.buffer.is_empty() && decoder.unframed_bytes().is_some())
+                            && self.fill().await? == 0
+                        {
+                            self.end_body(decoder)?;
+                        }
+                        continue;
+                    }
+                };
+                let mut rest = piece.as_ref();
+                while !rest.is_empty() {
+                    let length_left = decoder.length_left().unwrap_or(u64::MAX);
+                    let length_left = length_left.saturating_add(rest.len() as u64);
+                    if let Err(error) = make_spare(&mut body, length_left, &mut admit).await {
+                        return Ok(Err(error));
+                    }
+                    rest = &rest[body.append(rest)..];
+                }
+                self.record_progress(piece.len());
+            }
+            let size = BodySize {
+                arrived_bytes: body.len(),
+                held_bytes: body.capacity(),
+            };
+            if let Err(error) = admit(size).await {
+                return Ok(Err(error));
             }
         }
-        Ok(Ok(body.freeze()))
     }
 
     /// Writes all of `data`.
@@ -319,12 +485,19 @@
     pub async fn write_all(&self, data: &[u8]) -> io::Result<()> {
         self.record_written(data.len());
         let mut remaining = data;
+        let mut is_waiting = false;
         while !remaining.is_empty() {
             match self.stream.try_write(remaining) {
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-                Ok(count) => remaining = &remaining[count..],
+                Ok(count) => {
+                    remaining = &remaining[count..];
+                    if std::mem::take(&mut is_waiting) {
+                        self.set_read();
+                    }
+                }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    self.stream.writable().await?;
+                    is_waiting = true;
+                    self.wait_for_reader().await?;
                 }
                 Err(error) => return Err(error),
             }
@@ -332,18 +505,49 @@
         Ok(())
     }
 
+    /// Waits until the peer takes more bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection fails, or is ended because its reader takes nothing while memory
+    /// or connections are short.
+    async fn wait_for_reader(&self) -> io::Result<()> {
+        let Some(account) = &self.account else {
+            return self.stream.writable().await;
+        };
+        account.place.set_unread();
+        tokio::select! {
+            biased;
+            ready = self.stream.writable() => ready,
+            () = account.place.ended() => Err(io::ErrorKind::ConnectionAborted.into()),
+        }
+    }
+
+    fn set_read(&self) {
+        if let Some(account) = &self.account {
+            account.place.set_read();
+        }
+    }
+
     /// Writes a head and a body. A small body is written together with the head, a larger one is not copied.
     ///
     /// # Errors
     ///
     /// Returns an error if the connection fails.
-    pub async fn write_both(&self, mut head: Vec<u8>, body: &[u8]) -> io::Result<()> {
+    pub async fn write_both(&self, mut head: Vec<u8>, body: &Body) -> io::Result<()> {
         if body.len() <= JOINED_BODY_MAX_BYTES {
-            head.extend_from_slice(body);
+            head.reserve_exact(body.len());
+            for segment in body.segments() {
+                head.extend_from_slice(segment);
+            }
             return self.write_all(&head).await;
         }
         self.write_all(&head).await?;
-        self.write_all(body).await
+        drop(head);
+        for segment in body.segments() {
+            self.write_all(segment).await?;
+        }
+        Ok(())
     }
 
     /// Waits until the peer closes the connection or it fails. Bytes that arrive meanwhile are
@@ -355,6 +559,8 @@
                 return std::future::pending().await;
             }
             match self.fill().await {
+                // Its close is noticed later, when memory is free or the answer is written.
+                Err(ReadError::Shortage(_)) => sleep(SHORTAGE_RETRY_DELAY).await,
                 Ok(0) | Err(_) => return,
                 Ok(_) => {}
             }
@@ -387,7 +593,10 @@
 
     /// Reads available bytes into the buffer, or waits for some. Returns their number, which is 0
     /// at the end of the connection.
-    async fn fill(&mut self) -> io::Result<usize> {
+    async fn fill(&mut self) -> Result<usize, ReadError> {
+        if self.account.is_some() {
+            return self.fill_within_account().await;
+        }
         loop {
             self.buffer.reserve(READ_RESERVE_BYTES);
             match self.stream.try_read_buf(&mut self.buffer) {
@@ -396,16 +605,61 @@
                         // The buffer of an idle connection is freed.
                         self.buffer = BytesMut::new();
                     }
-                    self.stream.readable().await?;
+                    self.stream.readable().await.map_err(ReadError::Io)?;
                 }
                 result => {
                     self.record_read();
-                    return result;
+                    return result.map_err(ReadError::Io);
                 }
             }
         }
     }
 
+    /// Does the same on a caller's connection: memory is reserved before it is allocated, and only once
+    /// bytes have arrived.
+    async fn fill_within_account(&mut self) -> Result<usize, ReadError> {
+        loop {
+            self.stream.readable().await.map_err(ReadError::Io)?;
+            self.make_spare().await?;
+            let spare_bytes = self.buffer.capacity() - self.buffer.len();
+            match (self.stream).try_read_buf(&mut (&mut self.buffer).limit(spare_bytes)) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                result => {
+                    self.record_read();
+                    return result.map_err(ReadError::Io);
+                }
+            }
+        }
+    }
+
+    /// Makes the buffer of a caller's connection larger unless it has room.
+    async fn make_spare(&mut self) -> Result<(), ReadError> {
+        let Some(account) = &mut self.account else {
+            return Ok(());
+        };
+        let has_spare = self.buffer.capacity() - self.buffer.len() >= SPARE_MIN_BYTES;
+        if has_spare || account.buffer.is_some() && self.buffer.try_reclaim(SPARE_MIN_BYTES) {
+            return Ok(());
+        }
+        let size = (2 * self.buffer.len()).max(READ_RESERVE_BYTES);
+        let charge = account.place.reserve(size).await;
+        let charge = charge.map_err(ReadError::Shortage)?;
+        let mut buffer = BytesMut::with_capacity(size);
+        buffer.extend_from_slice(&self.buffer);
+        self.buffer = buffer;
+        let before = account.buffer.replace(charge);
+        if std::mem::take(&mut account.is_head_in_buffer) {
+            account.head = before;
+        }
+        Ok(())
+    }
+
+    fn record_progress(&self, bytes: usize) {
+        if let Some(account) = &self.account {
+            account.place.record_progress(bytes);
+        }
+    }
+
     fn record_written(&self, bytes: usize) {
         let before = self.unread_bytes.get();
         let after = before.saturating_add(bytes);
@@ -432,6 +686,8 @@
     /// Bytes that arrive meanwhile are read and discarded, since unread ones could cause a reset
     /// that destroys the last answer.
     pub async fn close(mut self, limit: Duration) {
+        self.drop_received();
+        self.set_stage(Stage::Closing);
         if SockRef::from(&self.stream)
             .shutdown(std::net::Shutdown::Write)
             .is_err()
@@ -441,8 +697,13 @@
         }
         let discard = async {
             loop {
-                self.buffer.clear();
-                match self.fill().await {
+                if self.stream.readable().await.is_err() {
+                    return;
+                }
+                // It is not held while nothing arrives.
+                let mut discarded = [0; READ_RESERVE_BYTES];
+                match self.stream.try_read(&mut discarded) {
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                     Ok(0) | Err(_) => return,
                     Ok(_) => {}
                 }
@@ -453,6 +714,25 @@
     }
 }
 
+/// Adds a segment to a body that has no room, if `admit` accepts it. The body has `bytes_left` at most.
+async fn make_spare<E>(
+    body: &mut BodyBuilder,
+    bytes_left: u64,
+    admit: &mut impl AsyncFnMut(BodySize) -> Result<(), E>,
+) -> Result<(), E> {
+    if body.spare_bytes() > 0 {
+        return Ok(());
+    }
+    let next = body.next_segment(bytes_left);
+    let size = BodySize {
+        arrived_bytes: body.len(),
+        held_bytes: next.capacity_after,
+    };
+    admit(size).await?;
+    body.push_segment(next);
+    Ok(())
+}
+
 pub(super) fn set_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
--- a/crates/anvil_gateway/src/http1/head.rs
+++ b/crates/anvil_gateway/src/http1/head.rs
@@ -193,11 +193,19 @@
         let minor_version = request.version.unwrap_or(0);
         let spans = value_spans(buffer, request.headers);
         let headers = split_off_headers(buffer, length, spans);
+        if headers.values("host").nth(1).is_some() {
+            return Err(HeadError::Malformed);
+        }
+        let framing = headers.framing()?.unwrap_or(Framing::Length(0));
+        if minor_version == 0 && framing == Framing::Chunked {
+            // A sender of HTTP/1.0 may not know chunks, so that the end of the body is unclear.
+            return Err(HeadError::AmbiguousLength);
+        }
         let keep_alive = is_keep_alive(minor_version, &headers);
         Ok(Some(Self {
             method,
             target,
-            framing: headers.framing()?.unwrap_or(Framing::Length(0)),
+            framing,
             keep_alive,
             headers,
         }))
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -6,7 +6,6 @@
 
 pub mod abandoned;
 pub mod answer;
-pub mod body_memory;
 pub mod calls;
 pub mod clock;
 pub mod events;
@@ -15,6 +14,7 @@
 pub mod follow;
 pub mod gateway;
 pub mod http1;
+pub mod intake;
 pub mod knowledge;
 pub mod limits;
 pub mod link;
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -17,13 +17,7 @@
     Registry,
     TextEncoder, //
 };
-use tokio::{
-    net::{
-        TcpListener,
-        TcpStream, //
-    },
-    task::spawn_local, //
-};
+use tokio::net::TcpListener;
 
 use crate::{
     exchange::{
@@ -31,13 +25,12 @@
         RequestTrace, //
     },
     gateway::Gateway,
-    http1::Connection,
-    peers,
-    run::{
-        READINESS_HEAD_LIMIT_BYTES,
-        READINESS_TIMEOUT,
-        accept, //
+    intake::{
+        Cause,
+        Intake, //
     },
+    peers,
+    run, //
 };
 
 /// Upper bounds of the latency buckets in seconds, from a plain answer to the longest stream.
@@ -74,6 +67,9 @@
     store_era: IntGauge,
     quarantined: IntGauge,
     store_connections_given_up: IntGauge,
+    caller_connections: IntGauge,
+    caller_bytes: IntGauge,
+    shortages: IntCounterVec,
 }
 
 impl Metrics {
@@ -210,6 +206,19 @@
                 "anvil_store_connections_given_up",
                 "Connections to the store that were given up because they were silent, since the start",
             ),
+            caller_connections: gauge(
+                "anvil_caller_connections",
+                "Connections of callers that are open now",
+            ),
+            caller_bytes: gauge(
+                "anvil_caller_memory_bytes",
+                "Memory that unfinished and complete requests of callers, and answers to them, hold now",
+            ),
+            shortages: counters(
+                "anvil_caller_shortages_total",
+                "Connections of callers that were ended or refused for lack of memory or connections",
+                &["cause"],
+            ),
             registry,
         }
     }
@@ -328,6 +337,15 @@
         self.is_relay.set(i64::from(peers::is_relay(gateway)));
         self.peers_heard
             .set(i64::try_from(live_peer_count).unwrap_or(i64::MAX));
+        let intake = &gateway.intake;
+        self.caller_connections
+            .set(i64::try_from(intake.connections()).unwrap_or(i64::MAX));
+        self.caller_bytes
+            .set(i64::try_from(intake.used_bytes()).unwrap_or(i64::MAX));
+        for cause in Cause::ALL {
+            let counter = self.shortages.with_label_values(&[cause.as_str()]);
+            counter.inc_by(intake.occurrences(cause).saturating_sub(counter.get()));
+        }
         let mut text = Vec::new();
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
             spdlog::warn!("metrics.encode_failed", kv: { error: });
@@ -342,35 +360,21 @@
     }
 }
 
-/// Accepts connections on the metrics address and serves them; never returns.
+/// Accepts connections on the metrics address and answers each request on them with the metrics, whatever
+/// its path. Never returns.
 pub async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
-    loop {
-        let stream = accept(&listener).await;
-        spawn_local(serve_connection(Rc::clone(&gateway), stream));
-    }
-}
-
-/// Answers each request of a connection with the metrics, whatever its path.
-async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream) {
-    let mut connection = Connection::new(stream);
-    while let Ok(Some(head)) = connection
-        .read_request(
-            &gateway.run_clock,
-            READINESS_HEAD_LIMIT_BYTES,
-            READINESS_TIMEOUT,
-            READINESS_TIMEOUT,
-        )
-        .await
-    {
-        let text = gateway.metrics.render(&gateway);
-        let mut out = format!(
-            "HTTP/1.1 200 OK\r\nContent-Type: text/plain; version=0.0.4\r\nContent-Length: {}\r\n\r\n",
-            text.len()
-        )
-        .into_bytes();
-        out.extend_from_slice(&text);
-        if connection.write_all(&out).await.is_err() || !head.keep_alive {
-            return;
-        }
-    }
+    let intake = Intake::new("metrics", gateway.budget.metrics);
+    run::accept_all(listener, intake, |connection, place| {
+        run::answer_all(Rc::clone(&gateway), connection, place, |gateway| {
+            let text = gateway.metrics.render(gateway);
+            let mut out = format!(
+                "HTTP/1.1 200 OK\r\nContent-Type: text/plain; version=0.0.4\r\nContent-Length: {}\r\n\r\n",
+                text.len()
+            )
+            .into_bytes();
+            out.extend_from_slice(&text);
+            out
+        })
+    })
+    .await;
 }
--- a/crates/anvil_gateway/src/peers/table.rs
+++ b/crates/anvil_gateway/src/peers/table.rs
@@ -27,11 +27,7 @@
     format_smolstr, //
 };
 use tokio::{
-    net::{
-        TcpListener,
-        TcpStream, //
-    },
-    task::spawn_local,
+    net::TcpListener,
     time::{
         sleep,
         timeout, //
@@ -44,15 +40,17 @@
         CallPool, //
     },
     clock::BootTime,
-    gateway::{
-        CountGuard,
-        Gateway, //
-    },
+    gateway::Gateway,
     http1::{
         Connection,
         RequestHead,
         ResponseHead, //
     },
+    intake::{
+        Intake,
+        Place,
+        ledger::Stage, //
+    },
     knowledge::Source,
     port::Era,
     run,
@@ -74,9 +72,6 @@
 const QUESTION_TIMEOUT: Duration = Duration::from_secs(1);
 /// Largest head of a question.
 const QUESTION_LIMIT_BYTES: usize = 4 << 10;
-/// Most questions that are answered at the same time. The hosts of a data centre ask together after
-/// a change.
-const QUESTIONS_MAX: u32 = 128;
 /// Longest time for an answer. The store is asked after it, within the bound on changes.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Longest random delay before a question, which spreads the questions after a change.
@@ -110,32 +105,30 @@
 
 /// Serves this host's table, and tunnels to targets, to its peers. Never returns.
 pub async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
-    loop {
-        let stream = run::accept(&listener).await;
-        spawn_local(serve_connection(Rc::clone(&gateway), stream));
-    }
+    let intake = Intake::new("peers", gateway.budget.peers);
+    run::accept_all(listener, intake, |connection, place| {
+        serve_connection(Rc::clone(&gateway), connection, place)
+    })
+    .await;
 }
 
-async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream) {
-    if gateway.table_questions.get() >= QUESTIONS_MAX {
-        return;
-    }
-    let count = CountGuard::begin(&gateway.table_questions);
-    let mut connection = Connection::new(stream);
-    let question = connection
-        .read_request(
+async fn serve_connection(gateway: Rc<Gateway>, mut connection: Connection, place: Rc<Place>) {
+    let question = tokio::select! {
+        biased;
+        question = connection.read_request(
             &gateway.run_clock,
             QUESTION_LIMIT_BYTES,
             QUESTION_TIMEOUT,
             QUESTION_TIMEOUT,
-        )
-        .await;
+        ) => question,
+        () = place.ended() => return,
+    };
     let Ok(Some(head)) = question else {
         return;
     };
+    place.set_stage(Stage::Complete);
     if head.path() == tunnel::PATH {
-        drop(count);
-        return tunnel::serve(&gateway, connection, &head).await;
+        return tunnel::serve(&gateway, connection, place, &head).await;
     }
     let written = connection.write_all(&answer(&gateway, &head)).await;
     if let Err(error) = written {
--- a/crates/anvil_gateway/src/peers/tunnel.rs
+++ b/crates/anvil_gateway/src/peers/tunnel.rs
@@ -64,6 +64,7 @@
         Connection,
         RequestHead, //
     },
+    intake::Place,
     link,
     target::Target, //
 };
@@ -81,8 +82,6 @@
 pub(super) const PATH: &str = "/v1/tunnel";
 /// Label of what the tag of a request authenticates.
 const LABEL: &str = "tunnel";
-/// Most tunnels that a host serves at the same time. Each takes two descriptors.
-const TUNNELS_MAX: u32 = 512;
 /// Longest time for the answer of one host: a few round trips and the time to accept, at both ends.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for which the other host tries to reach the target.
@@ -415,9 +414,19 @@
 }
 
 /// Serves a host's request for a tunnel until one of its two connections ends.
-pub(super) async fn serve(gateway: &Gateway, connection: Connection, head: &RequestHead) {
+pub(super) async fn serve(
+    gateway: &Gateway,
+    mut connection: Connection,
+    place: Rc<Place>,
+    head: &RequestHead,
+) {
     let status = match open_for_peer(gateway, head).await {
-        Ok(upstream) => return relay(gateway, connection, upstream).await,
+        Ok(upstream) => {
+            // Tunnels have a limit of their own.
+            connection.leave_place();
+            drop(place);
+            return relay(gateway, connection, upstream).await;
+        }
         Err(status) => status,
     };
     let answer = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
@@ -434,7 +443,8 @@
         spdlog::warn!("peers.forged", kv: { reason = "request for a tunnel" });
         return Err("403 Forbidden");
     };
-    let may_serve = gateway.phase() == Phase::Serving && gateway.open_tunnels.get() < TUNNELS_MAX;
+    let has_room = (gateway.open_tunnels.get() as usize) < gateway.budget.tunnels;
+    let may_serve = gateway.phase() == Phase::Serving && has_room;
     let Some(target) = gateway.targets.by_id(&target).filter(|_| may_serve) else {
         return Err("503 Service Unavailable");
     };
--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -21,7 +21,6 @@
     },
     retry::window::Need,
 };
-use bytes::Bytes;
 use futures::{
     StreamExt,
     stream::FuturesUnordered, //
@@ -42,10 +41,6 @@
         RelayedBody,
         render_head, //
     },
-    body_memory::{
-        NoMemory,
-        Reservation, //
-    },
     exchange::{
         RequestContext,
         RequestOutcome,
@@ -55,11 +50,17 @@
     faults,
     gateway::Gateway,
     http1::{
+        Body,
         BodyDecoder,
+        BodySize,
         ConnectError,
         Connection,
         ResponseHead, //
     },
+    intake::{
+        AnswerMemory,
+        NoMemory, //
+    },
     link,
     liveness::{
         self,
@@ -90,8 +91,9 @@
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(50);
 /// Largest random addition to [`RETRY_AFTER_MIN`], so that callers don't retry at the same time.
 const RETRY_AFTER_JITTER: Duration = Duration::from_millis(150);
-/// Most bytes of a caller's next request that are buffered while this one is served.
-pub const READ_AHEAD_LIMIT_BYTES: usize = 64 << 10;
+/// Most bytes of a caller's next request that are buffered while this one is served. Reading ahead only
+/// serves to notice that the caller leaves; callers that don't pipeline send nothing.
+pub const READ_AHEAD_LIMIT_BYTES: usize = 4 << 10;
 /// Cost of choosing a target in another data centre, in requests in flight.
 const REMOTE_COST_REQUESTS: f64 = 0.5;
 /// Shortest time that a repeatable request waits for a target before it is sent to another one as well,
@@ -124,8 +126,8 @@
 
 /// The body of an answer, with the memory that it takes.
 struct HeldBody {
-    bytes: Bytes,
-    _reservation: Reservation,
+    body: Body,
+    _memory: AnswerMemory,
 }
 
 /// Serves a request, and writes the answer of a target to the caller.
@@ -156,14 +158,14 @@
             request.is_answer_begun.set(true);
             let out = render_head(
                 &head,
-                RelayedBody::Length(body.bytes.len()),
+                RelayedBody::Length(body.body.len()),
                 request.announce_keep_alive(gateway),
             );
-            let body: &[u8] = match request.head.method.as_str() {
-                "HEAD" => &[],
-                _ => &body.bytes,
+            let written = match request.head.method.as_str() {
+                "HEAD" => connection.write_all(&out).await,
+                _ => connection.write_both(out, &body.body).await,
             };
-            match connection.write_both(out, body).await {
+            match written {
                 Ok(()) => RequestOutcome::Answered {
                     status: head.status,
                 },
@@ -436,14 +438,13 @@
             path: &[],
             resume_after: None,
         };
-        let mut out = Vec::with_capacity(1024 + request.body.len());
+        let mut out = Vec::with_capacity(1024);
         gateway.platform.header_codec.write_forwarded(
             request.head,
             request.body.len(),
             &forwarding,
             &mut out,
         );
-        out.extend_from_slice(&request.body);
         target.charge_limit(Instant::now());
         let has_begun = Rc::new(Cell::new(false));
         let is_reused = acquired.is_reused;
@@ -454,7 +455,7 @@
                 request,
                 target,
                 &mut acquired,
-                &out,
+                out,
                 &has_begun
             ));
             let answered = gateway
@@ -697,7 +698,7 @@
     }
 }
 
-/// Writes a request and reads the answer to it; skips answers to other requests. Sets `has_begun` when
+/// Writes a request with the head `out` and reads the answer to it; skips answers to other requests. Sets `has_begun` when
 /// the head of the answer has arrived.
 ///
 /// # Errors
@@ -708,13 +709,13 @@
     request: &RequestContext<'_>,
     target: &Target,
     acquired: &mut PooledConnection,
-    out: &[u8],
+    out: Vec<u8>,
     has_begun: &Cell<bool>,
 ) -> Result<(ResponseHead, ResponseMetadata, HeldBody), &'static str> {
     let is_reused = acquired.is_reused;
     let connection = &mut acquired.connection;
     connection
-        .write_all(out)
+        .write_both(out, &request.body)
         .await
         .map_err(|_| "connection failed while sending")?;
     for _ in 0..=CROSSED_ANSWERS_MAX {
@@ -728,19 +729,19 @@
             "HEAD" => BodyDecoder::new(crate::http1::Framing::Length(0)),
             _ => BodyDecoder::new(head.framing),
         };
-        let mut reservation = gateway.body_memory.reserve();
-        let body = connection.read_body_while(&mut decoder, |bytes| {
-            if bytes > RESPONSE_LIMIT_BYTES {
+        let mut memory = request.place.begin_answer();
+        let body = connection.read_body_while(&mut decoder, async |size: BodySize| {
+            if size.arrived_bytes > RESPONSE_LIMIT_BYTES {
                 return Err("answer is larger than the limit");
             }
-            let resized = reservation.resize(bytes);
-            resized.map_err(|NoMemory| "no memory for the answer")
+            let grown = memory.grow(size.held_bytes).await;
+            grown.map_err(|NoMemory| "no memory for the answer")
         });
         let body = HeldBody {
-            bytes: body
+            body: body
                 .await
                 .map_err(|_| "connection ended within the answer")??,
-            _reservation: reservation,
+            _memory: memory,
         };
         if metadata.id.is_none() && is_reused {
             return Err(UNNAMED_ANSWER);
--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -33,6 +33,10 @@
         Phase, //
     },
     http1::Connection,
+    intake::{
+        Intake,
+        Place, //
+    },
     link,
     metrics,
     peers::{
@@ -51,6 +55,9 @@
 
 /// Most connections that wait to be accepted, per listener.
 const BACKLOG_CONNECTIONS: u32 = 1024;
+/// Size of each of the system's two buffers for a caller's connection, which the system doubles for its own
+/// use. It grows them to several MB otherwise. A caller 50 ms away still gets some 10 Mbit/s.
+const CALLER_SOCKET_BUFFER_BYTES: u32 = 64 << 10;
 /// Pause after a connection could not be accepted, for example because descriptors ran out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Time from the signal to stop until the load balancer sends no more connections: it checks
@@ -65,14 +72,14 @@
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Time between two removals of what has expired: idle connections, evidence against prompt parts.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
-/// Longest time that a readiness request may take to arrive, and that its connection may stay idle.
-pub(crate) const READINESS_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest time that a readiness request, or one for the metrics, may take to arrive, and that its connection may stay idle.
+const READINESS_TIMEOUT: Duration = Duration::from_secs(10);
 /// Share of the revocation bound (`bounds.revoke_ms`) that the table may age without confirmation
 /// from the store before this host is not ready. The load balancer needs two checks, a second
 /// apart, to notice.
 const READY_AGE_RATIO: f64 = 0.6;
-/// Largest head of a readiness request.
-pub(crate) const READINESS_HEAD_LIMIT_BYTES: usize = 8 << 10;
+/// Largest head of a readiness request, and of one for the metrics.
+const READINESS_HEAD_LIMIT_BYTES: usize = 8 << 10;
 
 /// How a run ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -95,7 +102,7 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
-    let callers = listen(settings.callers)?;
+    let callers = listen_for_callers(settings.callers)?;
     let readiness = listen(settings.readiness)?;
     let tables = listen(settings.peers)?;
     let gateway = Rc::new(Gateway::new(settings, platform));
@@ -140,7 +147,19 @@
 }
 
 fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    listen_on(TcpSocket::new_v4()?, address)
+}
+
+/// Opens the listener for callers, whose connections have bounded buffers in the system.
+fn listen_for_callers(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
+    // Accepted connections take these over.
+    socket.set_send_buffer_size(CALLER_SOCKET_BUFFER_BYTES)?;
+    socket.set_recv_buffer_size(CALLER_SOCKET_BUFFER_BYTES)?;
+    listen_on(socket, address)
+}
+
+fn listen_on(socket: TcpSocket, address: SocketAddr) -> io::Result<TcpListener> {
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
     socket.listen(BACKLOG_CONNECTIONS)
@@ -214,7 +233,13 @@
     let accept_all = async {
         loop {
             let stream = accept(&listener).await;
-            spawn_local(exchange::serve(Rc::clone(&gateway), stream));
+            match gateway.intake.open() {
+                Some(place) => {
+                    let serving = exchange::serve_admitted(Rc::clone(&gateway), stream, place);
+                    spawn_local(serving);
+                }
+                None => exchange::refuse(&stream),
+            }
         }
     };
     tokio::select! {
@@ -224,31 +249,64 @@
     }
 }
 
-async fn accept_readiness(gateway: Rc<Gateway>, listener: TcpListener) {
+/// Accepts connections to a listener that callers don't use, each with a place at `intake`, and serves
+/// them. Never returns.
+pub(crate) async fn accept_all<F: Future<Output = ()> + 'static>(
+    listener: TcpListener,
+    intake: Rc<Intake>,
+    serve: impl Fn(Connection, Rc<Place>) -> F,
+) {
     loop {
         let stream = accept(&listener).await;
-        spawn_local(answer_readiness(Rc::clone(&gateway), stream));
+        if let Some(place) = intake.open() {
+            let connection = Connection::of_caller(stream, Rc::clone(&place));
+            spawn_local(serve(connection, place));
+        }
     }
 }
 
-async fn answer_readiness(gateway: Rc<Gateway>, stream: TcpStream) {
-    let mut connection = Connection::new(stream);
-    while let Ok(Some(head)) = connection
-        .read_request(
-            &gateway.run_clock,
-            READINESS_HEAD_LIMIT_BYTES,
-            READINESS_TIMEOUT,
-            READINESS_TIMEOUT,
-        )
-        .await
-    {
-        let response: &[u8] = match is_ready(&gateway) {
-            true => b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
-            false => b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
-        };
-        if connection.write_all(response).await.is_err() || !head.keep_alive {
-            return;
+async fn accept_readiness(gateway: Rc<Gateway>, listener: TcpListener) {
+    let intake = Intake::new("readiness", gateway.budget.readiness);
+    accept_all(listener, intake, |connection, place| {
+        answer_all(Rc::clone(&gateway), connection, place, |gateway| {
+            let response: &[u8] = match is_ready(gateway) {
+                true => b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                false => b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+            };
+            response.to_vec()
+        })
+    })
+    .await;
+}
+/// Answers each request on a connection with what `render` returns, whatever its path.
+pub(crate) async fn answer_all(
+    gateway: Rc<Gateway>,
+    mut connection: Connection,
+    place: Rc<Place>,
+    render: impl Fn(&Gateway) -> Vec<u8>,
+) {
+    let answer = async {
+        while let Ok(Some(head)) = connection
+            .read_request(
+                &gateway.run_clock,
+                READINESS_HEAD_LIMIT_BYTES,
+                READINESS_TIMEOUT,
+                READINESS_TIMEOUT,
+            )
+            .await
+        {
+            let answer = render(&gateway);
+            if connection.write_all(&answer).await.is_err() || !head.keep_alive {
+                return;
+            }
+            drop(head);
+            connection.end_request();
         }
+    };
+    tokio::select! {
+        biased;
+        () = answer => {}
+        () = place.ended() => {}
     }
 }
 
--- a/crates/anvil_gateway/src/settings.rs
+++ b/crates/anvil_gateway/src/settings.rs
@@ -24,9 +24,6 @@
 
 /// Memory of a host where the settings name none.
 const MEMORY_DEFAULT_MEGABYTES: f64 = 128.0;
-/// Share of the host's memory that bodies may take. A body that grows takes up to three times its size
-/// while it is copied.
-const BODY_MEMORY_SHARE: f64 = 0.16;
 
 /// The content of a settings file, before checks and defaults.
 #[derive(Clone, Debug, Deserialize)]
@@ -36,6 +33,7 @@
     data_centre: Option<DataCentreId>,
     processor_share: Option<f64>,
     memory_megabytes: Option<f64>,
+    descriptors: Option<f64>,
     #[serde(default)]
     listen: ListenOptions,
     #[serde(default)]
@@ -93,6 +91,8 @@
     pub processor_share: f64,
     /// Memory available to this host, in megabytes. Above 0.
     pub memory_megabytes: f64,
+    /// Descriptors available to this host; `None` leaves it to the limit of the process.
+    pub descriptors: Option<usize>,
     /// Address of the listener for callers.
     pub callers: SocketAddr,
     /// Address of the listener that reports whether the host is ready for callers.
@@ -115,12 +115,6 @@
 }
 
 impl Settings {
-    /// Returns the memory that the bodies of all open requests may take together, in bytes.
-    pub fn body_memory_bytes(&self) -> usize {
-        // The conversion saturates for huge values.
-        (self.memory_megabytes * 1e6 * BODY_MEMORY_SHARE) as usize
-    }
-
     /// Returns the processor time available to the host, in thousandths of a core.
     pub fn processor_millis(&self) -> u32 {
         // The conversion saturates for huge values.
@@ -254,6 +248,7 @@
                 options.memory_megabytes,
                 MEMORY_DEFAULT_MEGABYTES,
             )?,
+            descriptors: self.descriptors(options.descriptors)?,
             callers: self.required("listen.callers", listen.callers)?,
             readiness: self.required("listen.readiness", listen.readiness)?,
             peers: self.required("listen.peers", listen.peers)?,
@@ -314,6 +309,14 @@
         })
     }
 
+    fn descriptors(&self, value: Option<f64>) -> Result<Option<usize>, SettingsError> {
+        // The conversion saturates for huge values.
+        value
+            .map(|value| self.positive("descriptors", Some(value), value))
+            .map(|checked| checked.map(|value| value as usize))
+            .transpose()
+    }
+
     fn required<T>(&self, key: &'static str, value: Option<T>) -> Result<T, SettingsError> {
         value.ok_or_else(|| SettingsError::Missing {
             path: self.path.to_owned(),
--- a/crates/anvil_gateway/src/settings/tests.rs
+++ b/crates/anvil_gateway/src/settings/tests.rs
@@ -24,6 +24,17 @@
     expect_that!(settings.bounds.revoke, eq(Duration::from_secs(4)));
     expect_that!(settings.bounds.stall, eq(Duration::from_secs(3)));
     expect_that!(settings.metrics, none());
+    expect_that!(settings.descriptors, none());
+}
+
+#[gtest]
+fn read_takes_limits_of_machine() {
+    let text = format!("memory_megabytes = 112\ndescriptors = 2870\n{COMPLETE}");
+    let settings = read("file", &text).unwrap();
+    expect_that!(settings.memory_megabytes, eq(112.0));
+    expect_that!(settings.descriptors, some(eq(2870)));
+    let error = read("file", &text.replace("2870", "0")).unwrap_err();
+    expect_that!(error.to_string(), contains_substring("descriptors"));
 }
 
 #[gtest]
--- a/crates/anvil_gateway/src/stream/attempt.rs
+++ b/crates/anvil_gateway/src/stream/attempt.rs
@@ -5,10 +5,6 @@
 use tokio::time::Instant;
 
 use crate::{
-    body_memory::{
-        NoMemory,
-        Reservation, //
-    },
     events::{
         EventDecoder,
         EventTooLarge, //
@@ -19,6 +15,11 @@
         Framing,
         ResponseHead, //
     },
+    intake::{
+        AnswerMemory,
+        NoMemory,
+        Place, //
+    },
     paths::ChosenPath,
     plain::is_response_to,
     pool::PooledConnection,
@@ -101,7 +102,7 @@
     /// Splits the body into events.
     pub(super) event_decoder: EventDecoder,
     /// The memory that the incomplete event takes.
-    event_memory: Reservation,
+    event_memory: AnswerMemory,
     /// Whether the answer was recorded for the quarantine.
     pub(super) is_recorded: bool,
     /// Whether no event was passed on yet.
@@ -110,7 +111,7 @@
 
 impl Begun {
     pub(super) fn new(
-        gateway: &Gateway,
+        place: &Place,
         head: ResponseHead,
         metadata: ResponseMetadata,
         method: &str,
@@ -124,7 +125,7 @@
             metadata,
             decoder: BodyDecoder::new(framing),
             event_decoder: EventDecoder::default(),
-            event_memory: gateway.body_memory.reserve(),
+            event_memory: place.begin_answer(),
             is_recorded: false,
             is_first: true,
         })
@@ -182,8 +183,12 @@
                 return KeptResult::Failed;
             }
             self.attempt.progress.record_head();
-            self.upstream.answer =
-                Answer::Begun(Begun::new(gateway, head, metadata, &request.head.method));
+            self.upstream.answer = Answer::Begun(Begun::new(
+                request.place,
+                head,
+                metadata,
+                &request.head.method,
+            ));
         }
         let Answer::Begun(begun) = &mut self.upstream.answer else {
             return KeptResult::Failed;
--- a/crates/anvil_gateway/src/stream/send.rs
+++ b/crates/anvil_gateway/src/stream/send.rs
@@ -171,14 +171,13 @@
             path: &stages,
             resume_after: self.last_event_id,
         };
-        let mut out = Vec::with_capacity(1024 + self.request.body.len());
+        let mut out = Vec::with_capacity(1024);
         gateway.platform.header_codec.write_forwarded(
             self.request.head,
             self.request.body.len(),
             &forwarding,
             &mut out,
         );
-        out.extend_from_slice(&self.request.body);
         first.charge_limit(Instant::now());
         trace.record_send(chosen.to_log_string());
         if !self
@@ -189,7 +188,8 @@
             self.first_engines.push(Rc::clone(first));
         }
         let sent_at = Instant::now();
-        if acquired.connection.write_all(&out).await.is_err() {
+        let written = acquired.connection.write_both(out, &self.request.body);
+        if written.await.is_err() {
             first.record_failure(Instant::now());
             return Err(AttemptResult::Lost("connection failed while sending"));
         }
@@ -283,7 +283,7 @@
             }
             attempt.progress.record_head();
             let method = self.request.head.method.as_str();
-            upstream.answer = Answer::Begun(Begun::new(gateway, head, metadata, method));
+            upstream.answer = Answer::Begun(Begun::new(self.request.place, head, metadata, method));
         }
         if let Answer::Begun(begun) = &upstream.answer
             && !self.is_head_sent
--- a/crates/anvil_observe/src/events.rs
+++ b/crates/anvil_observe/src/events.rs
@@ -65,6 +65,7 @@
     "host.stopped": "The host stopped. The line tells how many requests were still open.",
     "host.stopping": "The host was told to stop. It is no longer ready and finishes its open requests.",
     "host.timer_late": "This host did not run for a while: its process was stopped, it had no processor time, or one task occupied its only thread. What came meanwhile was read later.",
+    "intake.short": "Connections of callers were ended or refused because they held too much memory or were too many. The line gives the cause, and the number since its last line; each cause has one line a second at most.",
     "lease.lapsed": "This host's lease expired before it was renewed. The host sends no more orders.",
     "lease.lost": "Another host holds the lease.",
     "lease.taken": "This host acquired the lease.",
