--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -5,7 +5,10 @@
         Cell,
         OnceCell, //
     },
-    pin::pin,
+    pin::{
+        Pin,
+        pin, //
+    },
     rc::Rc,
     time::Duration, //
 };
@@ -279,27 +282,26 @@
         };
         let head = match head {
             Ok(Some(head)) => head,
-            Ok(None) => return connection.close(CLOSE_TIMEOUT).await,
+            Ok(None) => return Box::pin(connection.close(CLOSE_TIMEOUT)).await,
             Err(ReadError::Head(error)) => {
-                return reject_head(&gateway, connection, error).await;
+                return Box::pin(reject_head(&gateway, connection, error)).await;
+            }
+            Err(ReadError::Shortage(_)) => {
+                return Box::pin(reject_short(&gateway, connection)).await;
             }
-            Err(ReadError::Shortage(_)) => return reject_short(&gateway, connection).await,
             Err(ReadError::Io(_) | ReadError::Closed | ReadError::Body(_)) => return,
         };
         is_kept = true;
         let Ok(request_charge) = place.reserve(REQUEST_STATE_BYTES).await else {
-            return reject_short(&gateway, connection).await;
+            return Box::pin(reject_short(&gateway, connection)).await;
         };
         let count_guard = CountGuard::begin(&gateway.open_requests);
-        // The task of an idle connection stays small.
-        let serving = serve_request(&gateway, &mut connection, &place, &head);
-        debug_assert!(size_of_val(&serving) <= REQUEST_STATE_BYTES);
-        let action = Box::pin(serving).await;
+        let action = box_request(&gateway, &mut connection, &place, &head).await;
         drop((count_guard, head, request_charge));
         connection.end_request();
         match action {
             ConnectionAction::ReadNext => {}
-            ConnectionAction::Close => return connection.close(CLOSE_TIMEOUT).await,
+            ConnectionAction::Close => return Box::pin(connection.close(CLOSE_TIMEOUT)).await,
             ConnectionAction::Drop => return,
         }
     }
@@ -384,6 +386,18 @@
     }
 }
 
+/// Serves a request in memory of its own, so that the task of an idle connection stays small.
+fn box_request<'a>(
+    gateway: &'a Gateway,
+    connection: &'a mut Connection,
+    place: &'a Place,
+    head: &'a RequestHead,
+) -> Pin<Box<impl Future<Output = ConnectionAction> + 'a>> {
+    let serving = serve_request(gateway, connection, place, head);
+    debug_assert!(size_of_val(&serving) <= REQUEST_STATE_BYTES);
+    Box::pin(serving)
+}
+
 async fn serve_request(
     gateway: &Gateway,
     connection: &mut Connection,
--- a/crates/anvil_gateway/src/intake.rs
+++ b/crates/anvil_gateway/src/intake.rs
@@ -130,7 +130,8 @@
         self.ledger.borrow().connections()
     }
 
-    /// Returns whether so many connections are open that none is to be kept after an answer.
+    /// Returns whether so many connections are open, or requests hold so much, that no connection is to be
+    /// kept after an answer.
     pub fn is_crowded(&self) -> bool {
         self.ledger.borrow().is_crowded()
     }
--- a/crates/anvil_gateway/src/intake/ledger.rs
+++ b/crates/anvil_gateway/src/intake/ledger.rs
@@ -20,8 +20,8 @@
 const PROGRESS_HALF_LIFE: Duration = Duration::from_secs(1);
 /// Progress with which a request begins, so that one that has just begun is not the first to end.
 const FIRST_PROGRESS_BYTES: f64 = 4096.0;
-/// Share of the connections from which on none is kept open after an answer, so that callers that send one
-/// request after the other don't keep others out.
+/// Share of the connections, and of the bytes for requests, from which on no connection is kept open after
+/// an answer, so that callers that send one request after the other don't keep others out.
 const CROWDED_SHARE: f64 = 0.875;
 /// Time for which a reader must have taken nothing of an answer before its connection may be ended.
 const READER_STALL_MIN: Duration = Duration::from_millis(250);
@@ -177,9 +177,12 @@
         self.entries.len()
     }
 
-    /// Returns whether so many connections are open that none is to be kept after an answer.
+    /// Returns whether so many connections are open, or requests hold so much, that no connection is to be
+    /// kept after an answer.
     pub fn is_crowded(&self) -> bool {
-        self.entries.len() as f64 >= self.limits.connections as f64 * CROWDED_SHARE
+        let is_over = |used: usize, limit: usize| used as f64 >= limit as f64 * CROWDED_SHARE;
+        is_over(self.entries.len(), self.limits.connections)
+            || is_over(self.request_bytes, self.limits.request_bytes())
     }
 
     /// Returns the bytes that requests and answers hold.
--- a/crates/anvil_gateway/src/intake/ledger/tests.rs
+++ b/crates/anvil_gateway/src/intake/ledger/tests.rs
@@ -315,3 +315,22 @@
         other => panic!("{other:?}"),
     }
 }
+
+/// Guards against callers that keep all connections or memory by one request after the other (LOST).
+#[gtest]
+fn is_crowded_before_limits_are_reached() {
+    let mut play = Play::new(LIMITS);
+    for _ in 0..LIMITS.connections - 2 {
+        play.open(Stage::Complete);
+    }
+    expect_that!(play.ledger.is_crowded(), eq(false));
+    play.open(Stage::Complete);
+    expect_that!(play.ledger.is_crowded(), eq(true));
+    let mut play = Play::new(LIMITS);
+    let large = play.open(Stage::Unfinished);
+    let bytes = LIMITS.request_bytes() / 8;
+    expect_that!(play.receive(large, 6 * bytes), eq(&Reserving::Granted));
+    expect_that!(play.ledger.is_crowded(), eq(false));
+    expect_that!(play.receive(large, bytes), eq(&Reserving::Granted));
+    expect_that!(play.ledger.is_crowded(), eq(true));
+}
