--- a/crates/anvil_core/src/route/displaced/tests.rs
+++ b/crates/anvil_core/src/route/displaced/tests.rs
@@ -40,6 +40,7 @@
         prefill_wait_ms: 0.0,
         open: true,
         may_be_first: true,
+        held: Vec::new(),
     }
 }
 
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -6,7 +6,6 @@
 
 pub mod abandoned;
 pub mod answer;
-pub mod body_memory;
 pub mod calls;
 pub mod clock;
 pub mod events;
@@ -16,6 +15,7 @@
 pub mod gateway;
 pub mod held_prompts;
 pub mod http1;
+pub mod intake;
 pub mod knowledge;
 pub mod limits;
 pub mod link;
--- a/crates/anvil_gateway/src/paths/tests.rs
+++ b/crates/anvil_gateway/src/paths/tests.rs
@@ -48,11 +48,13 @@
     let service_id = &route.backends[0].service;
     let service = table.service(service_id).unwrap();
     let now = Instant::now();
+    let place = gateway.intake.open().unwrap();
     let request = RequestContext {
         head: &head,
         metadata: &metadata,
         body: Default::default(),
-        body_memory: gateway.body_memory.reserve(),
+        body_charge: None,
+        place: &place,
         route,
         table: &table,
         service_id,
--- a/crates/anvil_gateway/src/urgency.rs
+++ b/crates/anvil_gateway/src/urgency.rs
@@ -60,7 +60,7 @@
 /// Most requests that wait for one service at this host. A host receives a few requests a second, so
 /// that more of them can't be sent within the wait.
 const WAITING_REQUESTS_MAX: usize = 64;
-/// Share of the memory for bodies that waiting requests may take.
+/// Share of the memory for requests that waiting ones may take.
 const WAITING_BYTES_SHARE: f64 = 0.25;
 /// Shortest time between two log lines about one rank's level.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
@@ -273,7 +273,7 @@
         if let Some(admission) = services.get(service) {
             return Rc::clone(admission);
         }
-        let bytes = gateway.settings.body_memory_bytes() as f64 * WAITING_BYTES_SHARE;
+        let bytes = gateway.budget.callers.bytes as f64 * WAITING_BYTES_SHARE;
         let admission = Rc::new(Admission::new(Bounds {
             requests: WAITING_REQUESTS_MAX,
             bytes: bytes as usize,
