--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -26,6 +26,9 @@
 #[cfg(test)]
 mod tests;
 
+/// Weight of the first priority in a rank.
+const RANK_FACTOR: u32 = 1000;
+
 /// Whether a route's requests may run more than once, and what kind of answer they have.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum RequestSemantics {
@@ -79,7 +82,7 @@
     /// Longest pause between two events of a stream that is on time.
     pub pause_objective: Option<Duration>,
     /// Priority of the requests; 0 is the most urgent.
-    pub priority: Rank,
+    pub priority: u32,
     /// Services that serve the route, with their weights.
     pub backends: Vec<Backend>,
     /// Largest number of targets to which one request may be sent. Invariant: at least 1.
@@ -104,8 +107,8 @@
 pub struct Team {
     /// Name that the operators gave the team.
     pub name: TeamId,
-    /// Priority that overrides the route's; `None` keeps the route's.
-    pub priority: Option<Rank>,
+    /// Priority that comes before the route's; `None` for the route's alone.
+    pub priority: Option<u32>,
 }
 
 /// Limits on what callers send.
@@ -217,7 +220,7 @@
     }
 
     /// Returns the distinct ranks of a service's requests, most urgent first, if they compete: the
-    /// service has engines, and its requests at least two ranks. Otherwise returns an empty slice.
+    /// service has engines, and routes of at least two priorities send to it. Otherwise returns an empty slice.
     pub fn competing_ranks(&self, service: &str) -> &[Rank] {
         self.ranks.get(service).map_or(&[], Vec::as_slice)
     }
@@ -234,41 +237,50 @@
     }
 }
 
-/// Returns the ranks of each service with engines to which requests of at least two ranks are sent.
+/// Returns the ranks of each service with engines to which routes of at least two priorities send.
 fn competing_ranks(
     routes: &HashMap<SmolStr, Vec<Route>>,
     services: &HashMap<ServiceId, Service>,
     teams: Option<&[(KeyDigest, Team)]>,
 ) -> HashMap<ServiceId, Vec<Rank>> {
-    let team_ranks: Option<BTreeSet<Option<Rank>>> =
-        teams.map(|teams| teams.iter().map(|(_, team)| team.priority).collect());
+    let team_priorities: BTreeSet<Option<u32>> = teams.map_or_else(BTreeSet::new, |teams| {
+        teams.iter().map(|(_, team)| team.priority).collect()
+    });
+    let mut priorities: HashMap<ServiceId, BTreeSet<u32>> = HashMap::new();
     let mut ranks: HashMap<ServiceId, BTreeSet<Rank>> = HashMap::new();
     for route in routes.values().flatten() {
-        let of_route: BTreeSet<Rank> = match &team_ranks {
-            Some(team_ranks) if !route.public => {
-                let of_teams = team_ranks.iter();
-                of_teams
-                    .map(|rank| rank.unwrap_or(route.priority))
-                    .collect()
-            }
-            Some(_) | None => BTreeSet::from([route.priority]),
+        let of_route: BTreeSet<Rank> = match teams.is_some() && !route.public {
+            true => (team_priorities.iter().copied())
+                .map(|team_priority| rank(team_priority, route.priority))
+                .collect(),
+            false => BTreeSet::from([rank(None, route.priority)]),
         };
         for backend in route.backends.iter().filter(|backend| backend.weight > 0.0) {
             let service = services.get(&backend.service);
             if service.is_some_and(|service| service.engine.is_some()) {
+                let of_service = priorities.entry(backend.service.clone()).or_default();
+                of_service.insert(route.priority);
                 let of_service = ranks.entry(backend.service.clone()).or_default();
                 of_service.extend(&of_route);
             }
         }
     }
-    ranks.retain(|_, ranks| ranks.len() > 1);
-    let sorted = |ranks: BTreeSet<Rank>| ranks.into_iter().collect();
+    let competes = |service: &ServiceId| priorities[service].len() > 1;
     ranks
         .into_iter()
-        .map(|(service, ranks)| (service, sorted(ranks)))
+        .filter(|(service, ranks)| competes(service) && ranks.len() > 1)
+        .map(|(service, ranks)| (service, ranks.into_iter().collect()))
         .collect()
 }
 
+/// Returns the rank of a request: the priority of its team, or of its route where the team has none,
+/// comes first, and the route's decides among equals. The first weighs 1,000 times as much; a priority
+/// above 999 counts as 999.
+pub fn rank(team_priority: Option<u32>, route_priority: u32) -> Rank {
+    let first = team_priority.unwrap_or(route_priority).min(RANK_FACTOR - 1);
+    RANK_FACTOR * first + route_priority.min(RANK_FACTOR - 1)
+}
+
 /// Chooses a route's service with a probability proportional to its weight, where `draw` is uniform
 /// in `0.0..1.0`. Returns `None` if no service has a weight above 0.
 pub fn choose_backend(route: &Route, draw: f64) -> Option<&ServiceId> {
--- a/crates/anvil_core/src/entry/tests.rs
+++ b/crates/anvil_core/src/entry/tests.rs
@@ -86,7 +86,7 @@
 }
 
 /// Returns the ranks that compete for the service `one`, where one team has a key.
-fn competing(route_ranks: &[Rank], team_rank: Option<Rank>, public: bool) -> Vec<Rank> {
+fn competing(route_ranks: &[u32], team_rank: Option<u32>, public: bool) -> Vec<Rank> {
     let routes = route_ranks.iter().map(|priority| Route {
         priority: *priority,
         public,
@@ -109,9 +109,20 @@
 }
 
 #[gtest]
-fn competing_ranks_needs_two_ranks_of_routes_or_teams() {
-    expect_that!(competing(&[3, 0, 3], None, false), eq(&[0, 3]));
+fn competing_ranks_needs_routes_of_two_priorities() {
+    expect_that!(competing(&[3, 0, 3], None, false), eq(&[0, 3003]));
     expect_that!(competing(&[3, 3], None, false), is_empty());
-    expect_that!(competing(&[2], Some(1), false), eq(&[1, 2]));
-    expect_that!(competing(&[2], Some(1), true), is_empty());
+    expect_that!(competing(&[2], Some(1), false), is_empty());
+    expect_that!(competing(&[0, 2], Some(1), true), eq(&[0, 2002]));
+}
+
+#[gtest]
+fn competing_ranks_puts_team_before_route() {
+    // Where all teams have one priority, the routes' must still decide.
+    expect_that!(
+        competing(&[0, 2], Some(1), false),
+        eq(&[0, 1000, 1002, 2002])
+    );
+    expect_that!(rank(Some(1), 2), lt(rank(None, 2)));
+    expect_that!(rank(Some(5000), 1), eq(rank(Some(999), 1)));
 }
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -19,7 +19,8 @@
         Route,
         Service,
         Table,
-        choose_backend, //
+        choose_backend,
+        rank, //
     },
     id::ServiceId,
     id::TeamId,
@@ -578,7 +579,7 @@
         trace.record_failure("the last event is no event id");
         return (metadata, rejected(ErrorReason::BadRequest), true);
     }
-    let mut team_rank = None;
+    let mut team_priority = None;
     let team = if table.needs_key(route) {
         if are_keys_stale(gateway) {
             let error_response =
@@ -587,7 +588,7 @@
         }
         match metadata.key.as_deref().and_then(|key| table.team(key)) {
             Some(team) => {
-                team_rank = team.priority;
+                team_priority = team.priority;
                 Some(team.name.clone())
             }
             None => return (metadata, rejected_by_table(ErrorReason::UnknownKey), true),
@@ -601,7 +602,7 @@
     };
     gateway.record_request(service_id);
     let competes = !table.competing_ranks(service_id).is_empty();
-    let rank = competes.then(|| team_rank.unwrap_or(route.priority));
+    let rank = competes.then(|| rank(team_priority, route.priority));
     trace.rank = rank;
     let time_limit = metadata
         .budget
