--- a/crates/anvil_command_line/src/anvilctl.rs
+++ b/crates/anvil_command_line/src/anvilctl.rs
@@ -54,7 +54,7 @@
             long: "json",
             short: None,
             value: None,
-            about: "print the response of the host as JSON",
+            about: "print the response of the host, or the findings of a check, as JSON",
         },
     ],
     commands: &[
@@ -108,6 +108,17 @@
             arguments: &["VERSION"],
             options: &[],
         },
+        Command {
+            name: "config check",
+            about: "Checks a configuration file of the platform's store on this machine, by the rules of the hosts. The exit status is 0 without findings, 1 with warnings only and 2 with errors; differences don't count.",
+            arguments: &["FILE"],
+            options: &[Opt {
+                long: "against",
+                short: None,
+                value: Some("CURRENT"),
+                about: "file with the configuration now in force, with which FILE is compared",
+            }],
+        },
         Command {
             name: "patch submit",
             about: "Submits a patch file in TOML. The patch is rejected if the configuration has changed since its base version.",
--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -19,6 +19,7 @@
     key_digest::KeyDigest, //
 };
 
+pub mod check;
 #[cfg(test)]
 mod tests;
 
@@ -128,7 +129,52 @@
     }
 }
 
-/// One version of the operators' configuration.
+/// A team with the digests of its keys.
+#[derive(Clone, Debug)]
+pub struct TeamKeys {
+    /// The team.
+    pub team: Team,
+    /// Digests of the keys that belong to the team.
+    pub keys: Vec<KeyDigest>,
+}
+
+/// One version of the operators' configuration, with all entries in the order in which they were
+/// written.
+#[derive(Clone, Debug, Default)]
+pub struct Configuration {
+    /// Number of the version.
+    pub version: Version,
+    /// The routes.
+    pub routes: Vec<Route>,
+    /// The services, by name.
+    pub services: Vec<(ServiceId, Service)>,
+    /// The teams; if it is `None`, no request needs a key.
+    pub teams: Option<Vec<TeamKeys>>,
+    /// Limits on what callers send.
+    pub limits: CallerLimits,
+}
+
+impl From<Configuration> for Table {
+    fn from(configuration: Configuration) -> Self {
+        let teams = configuration.teams.map(|teams| {
+            let keys = |entry: TeamKeys| {
+                let team = entry.team;
+                let keys = entry.keys.into_iter();
+                keys.map(move |key| (key, team.clone()))
+            };
+            teams.into_iter().flat_map(keys).collect()
+        });
+        Self::new(
+            configuration.version,
+            configuration.routes,
+            configuration.services,
+            teams,
+            configuration.limits,
+        )
+    }
+}
+
+/// One version of the operators' configuration, indexed for the look-ups of a request.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     version: Version,
--- a/crates/anvil_gateway/src/settings.rs
+++ b/crates/anvil_gateway/src/settings.rs
@@ -26,7 +26,7 @@
 const MEMORY_DEFAULT_MEGABYTES: f64 = 128.0;
 /// Share of the host's memory that bodies may take. A body that grows takes up to three times its size
 /// while it is copied.
-const BODY_MEMORY_SHARE: f64 = 0.16;
+pub const BODY_MEMORY_SHARE: f64 = 0.16;
 
 /// The content of a settings file, before checks and defaults.
 #[derive(Clone, Debug, Deserialize)]
--- a/crates/anvilctl/src/commands.rs
+++ b/crates/anvilctl/src/commands.rs
@@ -1,5 +1,6 @@
 //! The subcommands.
 
+pub mod check;
 mod claims;
 mod config;
 mod control;
--- a/crates/anvilctl/src/failure.rs
+++ b/crates/anvilctl/src/failure.rs
@@ -83,6 +83,26 @@
         /// Every problem found in the file.
         problems: Vec<Problem>,
     },
+    /// A file with a configuration can't be read, or the version in force can't be decoded.
+    #[display("configuration file {path}: {message}")]
+    #[from(skip)]
+    ConfigFile {
+        /// The file.
+        path: String,
+        /// What is wrong.
+        message: String,
+    },
+    /// A configuration has findings, which are printed to the output.
+    #[display("{path}: errors: {error_count}, warnings: {warning_count}")]
+    #[from(skip)]
+    ConfigCheck {
+        /// The file.
+        path: String,
+        /// Number of errors.
+        error_count: usize,
+        /// Number of warnings.
+        warning_count: usize,
+    },
     /// The output can't be written.
     #[display("can't write the output: {_0}")]
     Output(std::io::Error),
@@ -101,10 +121,13 @@
             | Self::Missing { .. }
             | Self::Address { .. }
             | Self::Call { .. }
+            | Self::ConfigFile { .. }
             | Self::Output(_) => ExitStatus::Error,
             Self::Refused { .. } | Self::PatchFile { .. } | Self::Settings { .. } => {
                 ExitStatus::Refused
             }
+            Self::ConfigCheck { error_count: 0, .. } => ExitStatus::Refused,
+            Self::ConfigCheck { .. } => ExitStatus::Error,
             Self::Patch { status, .. } => *status,
         }
     }
--- a/crates/anvilctl/src/run.rs
+++ b/crates/anvilctl/src/run.rs
@@ -17,7 +17,10 @@
 
 use crate::{
     client::Client,
-    commands,
+    commands::{
+        self,
+        check, //
+    },
     failure::Failure,
     output::OutputFormat, //
 };
@@ -70,6 +73,7 @@
             write!(output, "{}", completion::bash(&PROGRAM))?;
             Ok(())
         }
+        "config check" => check::config_check(&invocation, output_format(&invocation), output),
         "settings check" => commands::settings_check(&invocation, output),
         _ => {
             let session = open_session(&invocation, &environment)?;
@@ -101,12 +105,15 @@
     let timeout = invocation
         .number("timeout-ms")?
         .map_or(DEFAULT_TIMEOUT, Duration::from_millis);
-    let format = match invocation.has("json") {
-        true => OutputFormat::Json,
-        false => OutputFormat::Table,
-    };
     Ok(Session {
         client: Client::new(address, token.trim(), timeout),
-        format,
+        format: output_format(invocation),
     })
 }
+
+fn output_format(invocation: &Invocation) -> OutputFormat {
+    match invocation.has("json") {
+        true => OutputFormat::Json,
+        false => OutputFormat::Table,
+    }
+}
