--- a/crates/anvil_gateway/src/intake/budget.rs
+++ b/crates/anvil_gateway/src/intake/budget.rs
@@ -12,7 +12,7 @@
 
 /// Share of the host's memory that requests and answers may hold. The rest is for the process itself, for
 /// the fixed part of each connection, and for what the allocator can't reuse at once.
-const BYTES_SHARE: f64 = 0.35;
+pub const BYTES_SHARE: f64 = 0.35;
 /// Share of the host's memory for the fixed part of connections.
 const CONNECTIONS_SHARE: f64 = 0.1;
 /// Memory for the fixed part of a connection: its task, its socket and its timers.
