--- a/crates/anvil_core/src/route/displaced/tests.rs
+++ b/crates/anvil_core/src/route/displaced/tests.rs
@@ -77,10 +77,9 @@
     ];
     let mut taken = vec![0; workers.len()];
     for _ in 0..STREAMS {
-        for index in 0..workers.len() {
+        for worker in &mut workers {
             let share = rng.random_range(0.0..1.0);
-            workers[index].prefill_wait_ms =
-                prefill_wait_ms(&engine(), &workers[index], displaced, share);
+            worker.prefill_wait_ms = prefill_wait_ms(&engine(), worker, displaced, share);
         }
         let path = repair(&engine(), &workers, &DEMAND, 1, &kept, || {
             rng.random_range(0.85..1.15)
