--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -286,14 +286,18 @@
             Err(ReadError::Head(error)) => {
                 return Box::pin(reject_head(&gateway, connection, error)).await;
             }
-            Err(ReadError::Shortage(_)) => {
-                return Box::pin(reject_short(&gateway, connection)).await;
+            Err(ReadError::Shortage(shortage)) => {
+                return Box::pin(reject_short(&gateway, connection, shortage)).await;
             }
             Err(ReadError::Io(_) | ReadError::Closed | ReadError::Body(_)) => return,
         };
         is_kept = true;
-        let Ok(request_charge) = place.reserve(REQUEST_STATE_BYTES).await else {
-            return Box::pin(reject_short(&gateway, connection)).await;
+        let request_charge = match place.reserve(REQUEST_STATE_BYTES).await {
+            Ok(charge) => charge,
+            Err(_) => {
+                // The head was read, so that there is a request to refuse.
+                return Box::pin(reject_short(&gateway, connection, Shortage::Refused)).await;
+            }
         };
         let count_guard = CountGuard::begin(&gateway.open_requests);
         let action = box_request(&gateway, &mut connection, &place, &head).await;
@@ -366,8 +370,8 @@
 }
 
 /// Ends a connection for lack of memory or connections. A request that has begun on it is refused.
-async fn reject_short(gateway: &Gateway, connection: Connection) {
-    if !connection.has_buffered_bytes() {
+async fn reject_short(gateway: &Gateway, connection: Connection, shortage: Shortage) {
+    if shortage == Shortage::Ended && !connection.has_buffered_bytes() {
         return;
     }
     let retry_after = Some(OTHER_HOST_RETRY_AFTER);
--- a/crates/anvil_gateway/src/intake/ledger.rs
+++ b/crates/anvil_gateway/src/intake/ledger.rs
@@ -20,6 +20,9 @@
 const PROGRESS_HALF_LIFE: Duration = Duration::from_secs(1);
 /// Progress with which a request begins, so that one that has just begun is not the first to end.
 const FIRST_PROGRESS_BYTES: f64 = 4096.0;
+/// Time from its beginning in which a request is ended only if all others that may end are as new. An
+/// ordinary request is complete within it.
+const NEW_REQUEST_TIME: Duration = Duration::from_millis(500);
 /// Share of the connections, and of the bytes for requests, from which on no connection is kept open after
 /// an answer, so that callers that send one request after the other don't keep others out.
 const CROWDED_SHARE: f64 = 0.875;
@@ -104,6 +107,11 @@
         self.progress.bytes_at(now) / self.held_bytes as f64
     }
 
+    /// Returns whether the request has begun only now.
+    fn is_new(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.since) < NEW_REQUEST_TIME
+    }
+
     /// Returns whether the answer is ready and its reader has taken nothing for so long that the
     /// connection may be ended.
     fn is_stalled(&self, now: Instant) -> bool {
@@ -277,7 +285,7 @@
 
     /// Decides on bytes that a request wants to take. If they are not free, the connections with the least
     /// progress for the bytes that they hold are to end, then those whose readers have taken nothing for
-    /// longest. None is ended whose request is complete and whose answer is not ready or is being read.
+    /// longest, then requests that have only begun. None is ended whose request is complete and whose answer is not ready or is being read.
     pub fn reserve(&mut self, id: ConnectionId, bytes: usize, now: Instant) -> Reserving {
         match self.entries.get_mut(&id) {
             None => Reserving::Refused,
@@ -319,6 +327,7 @@
             .filter(|(_, entry)| bytes_of(entry) > 0)
             .filter_map(|(id, entry)| {
                 let order = match entry.stage {
+                    Stage::Unfinished if entry.is_new(now) => (2, entry.yield_at(now)),
                     Stage::Unfinished => (0, entry.yield_at(now)),
                     Stage::Unread if entry.is_stalled(now) => (1, 0.0),
                     Stage::Idle
--- a/crates/anvil_gateway/src/intake/ledger/tests.rs
+++ b/crates/anvil_gateway/src/intake/ledger/tests.rs
@@ -334,3 +334,26 @@
     expect_that!(play.receive(large, bytes), eq(&Reserving::Granted));
     expect_that!(play.ledger.is_crowded(), eq(true));
 }
+
+/// Guards against ordinary requests that are ended as soon as they begin, since they have brought less than
+/// those that hold the memory (LOST).
+#[gtest]
+fn reserve_ends_new_request_last() {
+    let mut play = Play::new(LIMITS);
+    let mut older = Vec::new();
+    for _ in 0..4 {
+        let id = play.open(Stage::Unfinished);
+        let bytes = LIMITS.request_bytes() / 4 - 2048;
+        expect_that!(play.receive(id, bytes), eq(&Reserving::Granted));
+        older.push(id);
+    }
+    play.wait_ms(NEW_REQUEST_TIME.as_millis() as u64);
+    for id in &older {
+        play.ledger.record_progress(*id, 64 << 20, play.now);
+    }
+    let new = play.open(Stage::Unfinished);
+    expect_that!(play.receive(new, 4096), eq(&Reserving::Granted));
+    let reserving = play.receive(new, 24 << 10);
+    expect_that!(reserving, eq(&Reserving::Awaited(vec![older[0]])));
+    expect_that!(play.ledger.stage(new), some(eq(Stage::Unfinished)));
+}
