--- a/crates/anvil_core/src/urgency/forecast.rs
+++ b/crates/anvil_core/src/urgency/forecast.rs
@@ -81,6 +81,9 @@
     pub release_tokens_per_s: f64,
     /// Demand of all hosts.
     pub demand: BTreeMap<Rank, RankDemand>,
+    /// Whether refusals of more urgent requests limit less urgent ones. Where the loads of the fleet are
+    /// known, they tell of a shortage; refusals also follow from lost engines and from the level itself.
+    pub counts_refusals: bool,
 }
 
 impl Forecast {
@@ -97,6 +100,7 @@
             release_tokens_per_s: held_tokens / hold_time.max(HOLD_TIME_MIN).as_secs_f64(),
             capacity,
             demand,
+            counts_refusals: true,
         }
     }
 
--- a/crates/anvil_core/src/urgency/level.rs
+++ b/crates/anvil_core/src/urgency/level.rs
@@ -88,9 +88,10 @@
         if forecast.explains_refusals() {
             self.explained_at = Some(now);
         }
-        let counts_refusals = self
+        let is_unexplained = self
             .explained_at
             .is_none_or(|at| now.saturating_sub(at) >= REFUSALS_LIFETIME);
+        let counts_refusals = forecast.counts_refusals && is_unexplained;
         self.fractions.retain(|rank, _| ranks.contains(rank));
         // Refusals of more urgent requests count against the least urgent rank that is left. Against
         // all at once they would close ranks that have room once the least urgent one is closed.
--- a/crates/anvil_core/src/urgency/level/tests.rs
+++ b/crates/anvil_core/src/urgency/level/tests.rs
@@ -104,3 +104,15 @@
     expect_that!(level.may_admit_within(1, present + 0.1, within), eq(true));
     expect_that!(level.may_admit_within(1, present + 0.2, within), eq(false));
 }
+
+/// Load: engines refuse urgent requests although their memory has room, as after a loss. Guards against
+/// ranks that close because of refusals which capacity doesn't explain.
+#[gtest]
+fn update_ignores_refusals_where_loads_are_known() {
+    let mut level = Level::default();
+    let mut forecast = forecast(0.6, 500.0);
+    forecast.demand.get_mut(&0).unwrap().refused_per_s = 4.0;
+    forecast.counts_refusals = false;
+    let fractions = updates(&mut level, &forecast, 0, 30);
+    expect_that!(fractions, each(eq(&[1.0, 1.0, 1.0])));
+}
--- a/crates/anvil_gateway/src/urgency.rs
+++ b/crates/anvil_gateway/src/urgency.rs
@@ -174,7 +174,8 @@
             .get()
             .unwrap_or_else(|| idle_duration(engine));
         let demand = self.fleet_demand(gateway, service, view);
-        let forecast = Forecast::new(capacity, hold_time, demand);
+        let mut forecast = Forecast::new(capacity, hold_time, demand);
+        forecast.counts_refusals = matches!(self.knowledge(gateway, view), Knowledge::Alone(_));
         // A request that waits may have come under an older table.
         let table = gateway.table_cache.table();
         let ranks = (table.as_ref()).map_or(&[][..], |table| table.competing_ranks(service));
