--- a/crates/anvil_gateway/src/intake/tests.rs
+++ b/crates/anvil_gateway/src/intake/tests.rs
@@ -129,3 +129,16 @@
         expect_that!(intake.occurrences(Cause::Connections), eq(1));
     });
 }
+
+/// Guards against memory of an answer that stays counted after the answer has ended.
+#[gtest]
+fn drop_of_answer_frees_memory() {
+    let intake = Intake::new("callers", LIMITS);
+    let place = open(&intake);
+    let mut answer = place.begin_answer();
+    expect_that!(answer.resize(1000), ok(anything()));
+    expect_that!(answer.resize(400), ok(anything()));
+    expect_that!(intake.used_bytes(), eq(400));
+    drop(answer);
+    expect_that!(intake.used_bytes(), eq(0));
+}
