--- a/crates/anvil_core/src/urgency/forecast.rs
+++ b/crates/anvil_core/src/urgency/forecast.rs
@@ -26,8 +26,8 @@
 /// the same loads (docs/design/exchange.md).
 const RESERVE_TIME: Duration = Duration::from_millis(750);
 /// Standard deviations of these arrivals that are kept room for. With 2, more of the second rank's
-/// requests were refused in surges of the least urgent one (`urgency::tests`); memory that is kept empty
-/// serves nobody.
+/// requests were refused in a surge with engines lost (docs/design/urgency.md); memory that is kept
+/// empty serves nobody.
 const RESERVE_DEVIATIONS: f64 = 3.0;
 /// Largest share of the memory that is kept free for more urgent ranks.
 const RESERVE_SHARE_MAX: f64 = 0.35;
