Log how much of an answer had arrived when it was given up

No line told a silent connection from one on which an answer was arriving, nor how large tables are and how long a relay takes to send one. connection.given_up now states the bytes received, the length, and the age of the last part; connection.slow, table.answered and table.fetched are new. table.answered takes the place of table.answer_failed, which told failures alone. No decision changes.

--- a/crates/anvil_gateway/src/calls.rs
+++ b/crates/anvil_gateway/src/calls.rs
@@ -14,7 +14,10 @@
 };
 
 use anvil_core::freshness::Limits;
-use bytes::Bytes;
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
 use smol_str::{
     SmolStr,
     ToSmolStr, //
@@ -128,8 +131,8 @@
                 // The server closes idle connections, perhaps while a request is on its way.
                 Err(Failure::Closed(_)) if kind == CallKind::Read => {}
                 Err(Failure::Closed(message)) => return Err(answer_lost(call, message)),
-                Err(Failure::Silent) => {
-                    self.give_up(call, limit, Some(idle_time));
+                Err(Failure::Silent(progress)) => {
+                    self.give_up(call, limit, Some(idle_time), progress);
                     if kind != CallKind::Read {
                         return Err(answer_lost(call, SILENT));
                     }
@@ -147,8 +150,8 @@
         match self.exchange(connection, call, request, wait, limit).await {
             Ok(answer) => Ok(answer),
             Err(Failure::Closed(message)) => Err(answer_lost(call, message)),
-            Err(Failure::Silent) => {
-                self.give_up(call, limit, None);
+            Err(Failure::Silent(progress)) => {
+                self.give_up(call, limit, None, progress);
                 Err(answer_lost(call, SILENT))
             }
         }
@@ -170,6 +173,7 @@
         limit: Duration,
     ) -> Result<(ResponseHead, Bytes), Failure> {
         let sent_at = Instant::now();
+        let progress = Cell::new(Progress::default());
         let exchange = async {
             connection
                 .write_all(request)
@@ -180,12 +184,29 @@
                 .await
                 .map_err(|error| error.to_smolstr())?;
             let mut decoder = BodyDecoder::new(head.framing);
-            let body = connection
-                .read_whole_body(&mut decoder, ANSWER_LIMIT_BYTES)
+            let length_bytes = decoder.length_left();
+            progress.set(Progress {
+                received_bytes: 0,
+                length_bytes,
+                received_at: Some(Instant::now()),
+            });
+            let mut body = BytesMut::new();
+            while let Some(piece) = connection
+                .read_body(&mut decoder)
                 .await
                 .map_err(|error| error.to_smolstr())?
-                .ok_or(SmolStr::new_static("answer exceeds the size limit"))?;
-            Ok::<_, SmolStr>((head, body))
+            {
+                body.extend_from_slice(&piece);
+                if body.len() > ANSWER_LIMIT_BYTES {
+                    return Err(SmolStr::new_static("answer exceeds the size limit"));
+                }
+                progress.set(Progress {
+                    received_bytes: body.len(),
+                    length_bytes,
+                    received_at: Some(Instant::now()),
+                });
+            }
+            Ok::<_, SmolStr>((head, body.freeze()))
         };
         let (head, body) = match timeout(limit, exchange).await {
             Ok(Ok(answer)) => answer,
@@ -193,10 +214,18 @@
                 spdlog::debug!("connection.closed", kv: { role = self.role, call, error = message.as_str() });
                 return Err(Failure::Closed(message));
             }
-            Err(_) => return Err(Failure::Silent),
+            Err(_) => return Err(Failure::Silent(progress.get())),
         };
-        self.last_answer_time
-            .set(sent_at.elapsed().saturating_sub(wait));
+        let answer_time = sent_at.elapsed().saturating_sub(wait);
+        if answer_time >= self.limits.answer_doubt {
+            spdlog::info!("connection.slow", kv: {
+                role = self.role,
+                call,
+                received_bytes = body.len(),
+                took_ms = answer_time.as_millis() as u64,
+            });
+        }
+        self.last_answer_time.set(answer_time);
         if head.keep_alive {
             self.release(connection);
         }
@@ -204,7 +233,13 @@
     }
 
     /// Drops all kept connections after one was silent: whatever silenced it may have silenced them.
-    fn give_up(&self, call: &'static str, waited: Duration, idle_time: Option<Duration>) {
+    fn give_up(
+        &self,
+        call: &'static str,
+        waited: Duration,
+        idle_time: Option<Duration>,
+        progress: Progress,
+    ) {
         self.given_up_count.set(self.given_up_count.get() + 1);
         let doubted = std::mem::take(&mut *self.idle.borrow_mut()).len();
         spdlog::warn!("connection.given_up", kv: {
@@ -214,6 +249,9 @@
             is_new = idle_time.is_none(),
             last_answer_age_ms = (idle_time.unwrap_or_default() + waited).as_millis() as u64,
             doubted,
+            received_bytes = progress.received_bytes,
+            length_bytes = progress.length_bytes.unwrap_or(0),
+            received_age_ms = progress.age_ms(),
         });
     }
 
@@ -254,8 +292,27 @@
 enum Failure {
     /// The connection ended, or what came was no answer.
     Closed(SmolStr),
-    /// Nothing came in time.
-    Silent,
+    /// The answer was not complete in time.
+    Silent(Progress),
+}
+
+/// How much of an answer has arrived.
+#[derive(Clone, Copy, Debug, Default)]
+struct Progress {
+    received_bytes: usize,
+    /// Length of the body. `None` before the head arrived, or if it states none.
+    length_bytes: Option<u64>,
+    /// When a part last arrived. `None` before the head.
+    received_at: Option<Instant>,
+}
+
+impl Progress {
+    /// Returns the time since a part last arrived, in milliseconds, or -1 if none did.
+    fn age_ms(&self) -> i64 {
+        self.received_at.map_or(-1, |at| {
+            i64::try_from(at.elapsed().as_millis()).unwrap_or(i64::MAX)
+        })
+    }
 }
 
 fn answer_lost(call: &'static str, message: SmolStr) -> PlatformError {
--- a/crates/anvil_gateway/src/peers/table.rs
+++ b/crates/anvil_gateway/src/peers/table.rs
@@ -130,10 +130,16 @@
     if head.path() == tunnel::PATH {
         return tunnel::serve(&gateway, connection, place, &head).await;
     }
-    let written = connection.write_all(&answer(&gateway, &head)).await;
-    if let Err(error) = written {
-        spdlog::debug!("table.answer_failed", kv: { error: });
-    }
+    let answer = answer(&gateway, &head);
+    let began_at = BootTime::now();
+    let written = connection.write_all(&answer).await;
+    spdlog::info!("table.answered", kv: {
+        peer = head.headers.text(HOST_HEADER).unwrap_or_default(),
+        version = gateway.table_cache.version(),
+        answer_bytes = answer.len(),
+        took_ms = began_at.elapsed().as_millis() as u64,
+        error = written.err().map(|error| error.to_smolstr()).unwrap_or_default().as_str(),
+    });
     connection.close(QUESTION_TIMEOUT).await;
 }
 
@@ -215,15 +221,20 @@
         if gateway.table_cache.version() > version {
             return true;
         }
+        let asked_at = BootTime::now();
         let fetched = timeout(ANSWER_TIMEOUT, fetch(gateway, own_key, &relay, version)).await;
+        let took_ms = asked_at.elapsed().as_millis() as u64;
         let error = match fetched {
-            Ok(Ok(())) => return true,
+            Ok(Ok(())) => {
+                spdlog::info!("table.fetched", kv: { peer = relay.as_str(), before = version, took_ms });
+                return true;
+            }
             Ok(Err(error)) => error,
             Err(_) => FetchError::NoAnswer {
                 message: SmolStr::new_static("no answer within the timeout"),
             },
         };
-        spdlog::info!("table.fetch_failed", kv: { peer = relay.as_str(), version, error: });
+        spdlog::info!("table.fetch_failed", kv: { peer = relay.as_str(), version, took_ms, error: });
     }
     false
 }
