--- a/crates/anvil_gateway/src/follow/tests/fakes.rs
+++ b/crates/anvil_gateway/src/follow/tests/fakes.rs
@@ -23,6 +23,11 @@
     quarantine::Suspect,
 };
 use bytes::Bytes;
+use rand::{
+    RngExt,
+    SeedableRng,
+    rngs::SmallRng, //
+};
 use smol_str::SmolStr;
 use tokio::{
     sync::Notify,
@@ -100,6 +105,8 @@
     pub(super) wait_limit: Cell<Option<Duration>>,
     /// When each call for tables arrived.
     pub(super) table_calls: RefCell<Vec<Instant>>,
+    /// Size of an encoded table.
+    pub(super) table_bytes: Cell<usize>,
     hosts: RefCell<Vec<HostEntry>>,
 }
 
@@ -215,11 +222,17 @@
     }
 
     fn encoded_table(&self, version: Version) -> Option<Bytes> {
-        Some(version.to_string().into())
+        let mut encoded = format!("{version} ").into_bytes();
+        let mut rng = SmallRng::seed_from_u64(version);
+        while encoded.len() < self.table_bytes.get() {
+            encoded.push(rng.random());
+        }
+        Some(encoded.into())
     }
 
     fn decode_table(&self, encoded: Bytes) -> Result<Table, PlatformError> {
-        let text = std::str::from_utf8(&encoded).unwrap();
+        let version = encoded.split(|byte| *byte == b' ').next().unwrap();
+        let text = std::str::from_utf8(version).unwrap();
         Ok(table(text.parse().unwrap()))
     }
 
--- a/crates/anvil_gateway/src/follow/tests/fleet.rs
+++ b/crates/anvil_gateway/src/follow/tests/fleet.rs
@@ -20,7 +20,14 @@
     rngs::SmallRng, //
 };
 use tokio::{
-    net::TcpListener,
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
     task::spawn_local,
     time::{
         Instant,
@@ -62,6 +69,9 @@
 /// Time until all hosts know one another and the readers have polled more than once.
 const START_TIME: Duration = Duration::from_secs(5);
 
+/// Time between two pieces of an answer on a slow link.
+const PIECE_INTERVAL: Duration = Duration::from_millis(50);
+
 static FLEET_COUNT: AtomicU16 = AtomicU16::new(0);
 
 /// Returns the address of a host for the peers' datagrams, which no other test process uses.
@@ -77,6 +87,64 @@
     port: u16,
     data_centre: &str,
     seed: u64,
+) -> Rc<Gateway> {
+    let listener = TcpListener::bind(peer_address(index, port)).await.unwrap();
+    start_host_at(listener, store, index, port, data_centre, seed).await
+}
+
+/// Starts a host that peers reach over a link on which `piece_bytes` arrive every [`PIECE_INTERVAL`] on
+/// each connection.
+async fn start_host_behind_link(
+    piece_bytes: usize,
+    store: &Rc<FakeStore>,
+    index: usize,
+    port: u16,
+    data_centre: &str,
+    seed: u64,
+) -> Rc<Gateway> {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let inner_address = listener.local_addr().unwrap();
+    let link = TcpListener::bind(peer_address(index, port)).await.unwrap();
+    spawn_local(async move {
+        loop {
+            let (outer, _) = link.accept().await.unwrap();
+            let inner = TcpStream::connect(inner_address).await.unwrap();
+            spawn_local(carry(outer, inner, piece_bytes));
+        }
+    });
+    start_host_at(listener, store, index, port, data_centre, seed).await
+}
+
+/// Carries requests to `inner` at once, and its answers in pieces.
+async fn carry(outer: TcpStream, inner: TcpStream, piece_bytes: usize) {
+    let (mut outer_read, mut outer_write) = outer.into_split();
+    let (mut inner_read, mut inner_write) = inner.into_split();
+    let answers = async {
+        let mut piece = vec![0; piece_bytes];
+        loop {
+            let count = inner_read.read(&mut piece).await.unwrap_or(0);
+            if count == 0 || outer_write.write_all(&piece[..count]).await.is_err() {
+                return;
+            }
+            sleep(PIECE_INTERVAL).await;
+        }
+    };
+    tokio::select! {
+        () = answers => {}
+        () = async {
+            let _requests = tokio::io::copy(&mut outer_read, &mut inner_write).await;
+            std::future::pending().await
+        } => {}
+    }
+}
+
+async fn start_host_at(
+    listener: TcpListener,
+    store: &Rc<FakeStore>,
+    index: usize,
+    port: u16,
+    data_centre: &str,
+    seed: u64,
 ) -> Rc<Gateway> {
     let address = peer_address(index, port);
     let text = format!(
@@ -95,7 +163,6 @@
     spawn_local(Rc::clone(&peers).maintain_host_list());
     spawn_local(Rc::clone(&peers).send_digests());
     spawn_local(Rc::clone(&peers).receive());
-    let listener = TcpListener::bind(address).await.unwrap();
     spawn_local(table::serve(Rc::clone(&gateway), listener));
     spawn_local(follow_table(Rc::clone(&gateway)));
     spawn_local(follow_targets(Rc::clone(&gateway), peers));
@@ -201,3 +268,33 @@
         expect_that!(store.table_calls.borrow().len(), le(6));
     });
 }
+
+/// Guards against answers of relays that are given up while they arrive, so that all hosts read a large
+/// table from the store.
+#[gtest]
+fn follow_table_takes_large_table_from_relay_over_slow_link() {
+    const HOSTS: usize = 6;
+    const TABLE_BYTES: usize = 400 << 10;
+    /// The table takes one second.
+    const PIECE_BYTES: usize = TABLE_BYTES / 20;
+    for seed in 0..4 {
+        run_with_paused_clock(async {
+            let store = store();
+            store.table_bytes.set(TABLE_BYTES);
+            let port = PEER_PORT_MIN + FLEET_COUNT.fetch_add(1, Ordering::Relaxed);
+            let mut hosts = Vec::new();
+            for index in 0..HOSTS {
+                let host_seed = seed * 100 + index as u64;
+                let host = start_host_behind_link(PIECE_BYTES, &store, index, port, "a", host_seed);
+                hosts.push(host.await);
+            }
+            sleep(START_TIME).await;
+            store.table_calls.borrow_mut().clear();
+            store.write_table(NEW_VERSION);
+            let in_force = time_until_in_force(&hosts, NEW_VERSION, BOUND * 3).await;
+            expect_that!(in_force, some(le(BOUND)), "seed {seed}");
+            // Each of the two relays waits at the store again, once or twice.
+            expect_that!(store.table_calls.borrow().len(), le(4), "seed {seed}");
+        });
+    }
+}
