Keep what a relay confirms of a table that is still on its way

A host took a table from a relay, and read all of it from the store right afterwards: the age that the relay states is that of when it began to send, so that a table that takes a second to arrive was overdue on arrival (2,036 ms of a bound of 2,000 in the test of a fleet). Digests of the meantime named the newer version and were no confirmation for a host that lacked it. They are kept now, and apply once the host has that version, of the same era of the store.

--- a/crates/anvil_gateway/src/knowledge.rs
+++ b/crates/anvil_gateway/src/knowledge.rs
@@ -19,7 +19,10 @@
 };
 use derive_more::Display;
 
-use crate::clock::BootTime;
+use crate::{
+    clock::BootTime,
+    port::Era, //
+};
 
 /// How this host learned that a table is the newest.
 #[derive(Clone, Debug, PartialEq, Eq, Display)]
@@ -35,6 +38,14 @@
     Peer(HostId),
 }
 
+/// A peer's word that a table was the newest, for a table that this host doesn't have yet.
+#[derive(Clone, Copy, Debug)]
+struct EarlyConfirmation {
+    version: Version,
+    era: Era,
+    as_of: BootTime,
+}
+
 /// The operators' table in force.
 #[derive(Debug)]
 pub struct TableCache {
@@ -46,6 +57,8 @@
     /// Highest version of a peer for which the store was asked successfully. The store lacks it if it
     /// was restored from an older copy.
     checked_peer_version: Cell<Version>,
+    /// Latest confirmation of the newest table of a peer, while this host lacks it.
+    early: Cell<Option<EarlyConfirmation>>,
 }
 
 impl TableCache {
@@ -57,6 +70,7 @@
             current_as_of: Cell::new(None),
             late_age,
             checked_peer_version: Cell::new(0),
+            early: Cell::new(None),
         }
     }
 
@@ -105,6 +119,37 @@
         }
     }
 
+    /// Applies a peer's word that a table of an era was the newest at `as_of`. It is kept if this host
+    /// lacks that table, for [`Self::apply_early_confirmation`].
+    pub fn confirm(&self, version: Version, era: Era, as_of: BootTime, peer: &HostId) {
+        let held_version = self.version();
+        if version == held_version {
+            self.confirm_current(as_of, Source::Peer(peer.clone()));
+        } else if version > held_version {
+            let is_later = self.early.get().is_none_or(|early| {
+                (early.era, early.version, early.as_of) < (era, version, as_of)
+            });
+            if is_later {
+                self.early.set(Some(EarlyConfirmation {
+                    version,
+                    era,
+                    as_of,
+                }));
+            }
+        }
+    }
+
+    /// Applies what a peer said of the table in force before this host had it. A large table is on its
+    /// way for long, and its sender's word from before would make it look that old.
+    pub fn apply_early_confirmation(&self, era: Era, peer: &HostId) {
+        if let Some(early) = self.early.get()
+            && early.era == era
+            && early.version == self.version()
+        {
+            self.confirm_current(early.as_of, Source::Peer(peer.clone()));
+        }
+    }
+
     /// Records that the table in force was the newest at `as_of`.
     pub fn confirm_current(&self, as_of: BootTime, source: Source) {
         if let Some(previous) = self.current_as_of.get()
--- a/crates/anvil_gateway/src/peers.rs
+++ b/crates/anvil_gateway/src/peers.rs
@@ -48,7 +48,6 @@
 use crate::{
     clock::BootTime,
     gateway::Gateway,
-    knowledge::Source,
     port::{
         Era,
         HostEntry,
@@ -441,11 +440,13 @@
             // What a peer knows of an older era is no confirmation: the store may have other tables.
             if let Some(age) = digest.table_age
                 && digest.store_era == gateway.platform.store.era()
-                && digest.table_version == gateway.table_cache.version()
             {
-                gateway
-                    .table_cache
-                    .confirm_current(echo.earlier(age), Source::Peer(sender.clone()));
+                gateway.table_cache.confirm(
+                    digest.table_version,
+                    digest.store_era,
+                    echo.earlier(age),
+                    sender,
+                );
             }
             if let (Some(batch), Some(age)) = (&digest.target_changes, digest.targets_age) {
                 gateway.targets.apply_peer_changes(
--- a/crates/anvil_gateway/src/peers/table.rs
+++ b/crates/anvil_gateway/src/peers/table.rs
@@ -295,6 +295,7 @@
         requested_at.earlier(age),
         Source::Peer(relay.clone()),
     );
+    gateway.table_cache.apply_early_confirmation(era, relay);
     Ok(())
 }
 
