Pack tables on their way between hosts

The relay of a data centre sends each version to all hosts there over one link. With 47 hosts and 3,050 routes (577 kB) the middle answer took 0.5 s, with 5,850 routes 1.4 s, near the time after which the store is asked; and each answer was a copy in the relay's memory, which now lives until the host has read it. An asker that accepts it gets the table in zlib's form, packed once a version and shared by all answers. A host of the build before doesn't send the header and gets the table as it is; one that asks a relay of that build takes what comes.

--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -53,6 +53,7 @@
     metrics::Metrics,
     peers::{
         PeerRegistry,
+        table::packing::PackedTable,
         tunnel::Tunnels, //
     },
     port::{
@@ -89,6 +90,8 @@
     pub platform: Platform,
     /// Cache of the operators' table.
     pub table_cache: TableCache,
+    /// The table in the form in which hosts pass it on.
+    pub(crate) packed_table: PackedTable,
     /// Target list, with this host's load at each target.
     pub targets: Targets,
     /// What this host holds for callers.
@@ -156,6 +159,7 @@
         Self {
             peers: RefCell::new(PeerRegistry::new(&settings)),
             table_cache: TableCache::new(settings.bounds.config_apply),
+            packed_table: PackedTable::default(),
             targets: Targets::new(settings.heartbeat),
             intake: Intake::new("callers", budget.callers),
             budget,
--- a/crates/anvil_gateway/src/peers/table.rs
+++ b/crates/anvil_gateway/src/peers/table.rs
@@ -37,6 +37,7 @@
     gateway::Gateway,
     http1::{
         Connection,
+        Headers,
         RequestHead,
         ResponseHead, //
     },
@@ -50,6 +51,8 @@
     run,
 };
 
+use packing::PackedTable;
+
 use super::{
     DatagramKey,
     HOST_HEADER,
@@ -57,11 +60,20 @@
     tunnel, //
 };
 
+pub(crate) mod packing;
+
+#[cfg(test)]
+mod tests;
+
 /// Path of a question for a newer table, without its query.
 const PATH: &str = "/v1/table";
 const NONCE_HEADER: &str = "Anvil-Nonce";
 const AGE_HEADER: &str = "Anvil-Age-Ms";
 const ERA_HEADER: &str = "Anvil-Era";
+/// Encodings that the asker accepts. A release that doesn't know the header sends the table as it is.
+const ACCEPT_HEADER: &str = "Anvil-Accept";
+/// Encoding of the answer's body.
+const ENCODING_HEADER: &str = "Anvil-Encoding";
 /// Time within which a question must arrive.
 const QUESTION_TIMEOUT: Duration = Duration::from_secs(1);
 /// Largest head of a question.
@@ -128,32 +140,51 @@
     }
     let answer = answer(&gateway, &head);
     let began_at = BootTime::now();
-    let written = connection.write_all(&answer).await;
+    let written = answer.write(&connection).await;
     spdlog::info!("table.answered", kv: {
         peer = head.headers.text(HOST_HEADER).unwrap_or_default(),
         version = gateway.table_cache.version(),
-        answer_bytes = answer.len(),
+        answer_bytes = answer.body.len(),
         took_ms = began_at.elapsed().as_millis() as u64,
         error = written.err().map(|error| error.to_smolstr()).unwrap_or_default().as_str(),
     });
     connection.close(QUESTION_TIMEOUT).await;
 }
 
+/// The answer to a question.
+struct Answer {
+    head: String,
+    /// The table as the store or [`packing`] encoded it, which all answers share. Empty in a refusal.
+    body: Bytes,
+}
+
+impl Answer {
+    fn refusal(status: &str) -> Self {
+        Self {
+            head: format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"),
+            body: Bytes::new(),
+        }
+    }
+
+    async fn write(&self, connection: &Connection) -> std::io::Result<()> {
+        connection.write_all(self.head.as_bytes()).await?;
+        connection.write_all(&self.body).await
+    }
+}
+
 /// Returns the answer to a question.
-fn answer(gateway: &Gateway, head: &RequestHead) -> Vec<u8> {
-    let refused = |status: &str| {
-        format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n").into_bytes()
-    };
+fn answer(gateway: &Gateway, head: &RequestHead) -> Answer {
     let Some((key, nonce, held)) = authenticate(gateway, head) else {
         spdlog::warn!("peers.forged", kv: { reason = "question for the table" });
-        return refused("403 Forbidden");
+        return Answer::refusal("403 Forbidden");
     };
     let cache = &gateway.table_cache;
     let version = cache.version();
     let encoded = gateway.platform.store.encoded_table(version);
     let (Some(encoded), Some(age), true) = (encoded, cache.age(), version > held) else {
-        return refused("404 Not Found");
+        return Answer::refusal("404 Not Found");
     };
+    let (encoding, body) = choose_form(&head.headers, &gateway.packed_table, encoded);
     let age_ms = age.as_millis().to_smolstr();
     let era = gateway.platform.store.era().to_smolstr();
     let tag = key.tag(&[
@@ -161,16 +192,38 @@
         nonce.as_bytes(),
         age_ms.as_bytes(),
         era.as_bytes(),
-        &encoded,
+        &body,
     ]);
-    let mut out = format!(
-        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\nConnection: close\r\n\
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\nConnection: close\r\n{}\
          {AGE_HEADER}: {age_ms}\r\n{ERA_HEADER}: {era}\r\n{TAG_HEADER}: {tag}\r\n\r\n",
-        encoded.len()
-    )
-    .into_bytes();
-    out.extend_from_slice(&encoded);
-    out
+        body.len(),
+        encoding,
+    );
+    Answer { head, body }
+}
+
+/// Returns the header line and the body of a table in a form that the asker accepts.
+fn choose_form(asked: &Headers, packed: &PackedTable, encoded: Bytes) -> (String, Bytes) {
+    match asked.contains_token(ACCEPT_HEADER, packing::ENCODING) {
+        true => (
+            format!("{ENCODING_HEADER}: {}\r\n", packing::ENCODING),
+            packed.pack(&encoded),
+        ),
+        false => (String::new(), encoded),
+    }
+}
+
+/// Returns the table of an answer.
+///
+/// # Errors
+///
+/// Returns a description if the body is not in the form that the headers state.
+fn read_form(answered: &Headers, body: Bytes) -> Result<Bytes, SmolStr> {
+    match answered.contains_token(ENCODING_HEADER, packing::ENCODING) {
+        true => packing::unpack(&body),
+        false => Ok(body),
+    }
 }
 
 /// Returns this host's key, the nonce of a question, and the version that the peer has. Returns
@@ -255,8 +308,9 @@
     ]);
     let question = format!(
         "GET {PATH}{query} HTTP/1.1\r\nHost: {address}\r\n{HOST_HEADER}: {}\r\n\
-         {NONCE_HEADER}: {nonce}\r\n{TAG_HEADER}: {tag}\r\n\r\n",
-        gateway.settings.host_id
+         {NONCE_HEADER}: {nonce}\r\n{TAG_HEADER}: {tag}\r\n{ACCEPT_HEADER}: {}\r\n\r\n",
+        gateway.settings.host_id,
+        packing::ENCODING,
     );
     let bound = gateway.settings.bounds.config_apply;
     let pool = CallPool::with_alternatives(
@@ -279,6 +333,13 @@
         });
     }
     let (age, era) = read_head(&head, &body, &nonce, key).ok_or_else(|| invalid("wrong tag"))?;
+    let body = match head
+        .headers
+        .contains_token(ENCODING_HEADER, packing::ENCODING)
+    {
+        true => packing::unpack(&body).map_err(|error| invalid(&error))?,
+        false => body,
+    };
     let store = &gateway.platform.store;
     store.observe_era(era);
     if era != store.era() {
