--- a/crates/anvil_gateway/src/calls.rs
+++ b/crates/anvil_gateway/src/calls.rs
@@ -52,7 +52,7 @@
 const PROVEN_TIME: Duration = Duration::from_millis(300);
 /// Bytes of a body that must arrive, or its end, for an answer to count as arriving.
 const PROGRESS_MIN_BYTES: usize = 4 << 10;
-/// Ratio of the time after which an answer is doubted to the time in which the last one began.
+/// Ratio of the time after which an answer is doubted to the time that the last one took.
 const DOUBT_FACTOR: u32 = 3;
 /// Largest body of an answer.
 const ANSWER_LIMIT_BYTES: usize = 2 << 20;
@@ -83,7 +83,7 @@
     /// no other server to ask.
     completion_limit: Option<Duration>,
     idle: RefCell<Vec<IdleConnection>>,
-    /// Time in which the last answer began, beyond the wait that its call asked for.
+    /// Time that the last answer took, beyond the wait that its call asked for.
     last_answer_time: Cell<Duration>,
     given_up_count: Cell<u64>,
 }
@@ -216,9 +216,7 @@
                 took_ms = answer_time.as_millis() as u64,
             });
         }
-        let begun_at = progress.get().begun_at.unwrap_or(sent_at);
-        let begin_time = begun_at.saturating_duration_since(sent_at);
-        self.last_answer_time.set(begin_time.saturating_sub(wait));
+        self.last_answer_time.set(answer_time);
         if head.keep_alive {
             self.release(connection);
         }
