Read tables of more than two megabytes

A record of 1.5 MB, some 8,000 routes, is 2 MB in the store's encoding of newest records: the answer exceeded the limit of calls, on every host and at every repetition, and the table was never read. The limit is 8 MB now, far above the 4 MB that a body of the operators may have, and a fourteenth of a small host's memory.

newest_table_is_read_where_it_exceeds_two_megabytes fails with the former limit.

--- a/crates/anvil_gateway/src/calls.rs
+++ b/crates/anvil_gateway/src/calls.rs
@@ -55,7 +55,7 @@
 /// Ratio of the time after which an answer is doubted to the time that the last one took.
 const DOUBT_FACTOR: u32 = 3;
 /// Largest body of an answer.
-const ANSWER_LIMIT_BYTES: usize = 2 << 20;
+const ANSWER_LIMIT_BYTES: usize = 8 << 20;
 /// Largest number of idle connections that are kept.
 const IDLE_LIMIT_CONNECTIONS: usize = 3;
 
