Wait for a relay's connection no longer than for its answer

A relay that lost power cost 500 ms before the next one was asked, 400 ms before answers were read to their end. Read the form of an answer by the function that the tests check.

--- a/crates/anvil_gateway/src/calls.rs
+++ b/crates/anvil_gateway/src/calls.rs
@@ -169,7 +169,8 @@
                 }
             }
         }
-        let connection = Connection::open(self.address, CONNECT_TIMEOUT)
+        let connect_timeout = CONNECT_TIMEOUT.min(self.answer_timeout);
+        let connection = Connection::open(self.address, connect_timeout)
             .await
             .map_err(|error| PlatformError {
                 call,
--- a/crates/anvil_gateway/src/peers/table.rs
+++ b/crates/anvil_gateway/src/peers/table.rs
@@ -378,13 +378,7 @@
         });
     }
     let (age, era) = read_head(&head, &body, &nonce, key).ok_or_else(|| invalid("wrong tag"))?;
-    let body = match head
-        .headers
-        .contains_token(ENCODING_HEADER, packing::ENCODING)
-    {
-        true => packing::unpack(&body).map_err(|error| invalid(&error))?,
-        false => body,
-    };
+    let body = read_form(&head.headers, body).map_err(|error| invalid(&error))?;
     let store = &gateway.platform.store;
     store.observe_era(era);
     if era != store.era() {
