--- a/crates/anvil_core/src/freshness.rs
+++ b/crates/anvil_core/src/freshness.rs
@@ -40,7 +40,8 @@
     /// `overdue_age`, `overdue_delay_max` and this time together leave time for an answer within the
     /// bound.
     pub answer_doubt: Duration,
-    /// Largest such time, where the store is known to answer slowly.
+    /// Largest such time, where the store is known to answer slowly, and longest time between two parts of
+    /// an answer.
     pub answer_doubt_max: Duration,
 }
 
