--- a/crates/anvil_gateway/src/follow/tests/fleet.rs
+++ b/crates/anvil_gateway/src/follow/tests/fleet.rs
@@ -274,8 +274,7 @@
     });
 }
 
-/// Guards against answers of relays that are given up while they arrive, so that all hosts read a large
-/// table from the store.
+/// Guards against answers of relays that are given up while they arrive.
 #[gtest]
 fn follow_table_takes_large_table_from_relay_over_slow_link() {
     const HOSTS: usize = 6;
--- a/crates/anvil_gateway/src/knowledge.rs
+++ b/crates/anvil_gateway/src/knowledge.rs
@@ -41,7 +41,7 @@
     Peer(HostId),
 }
 
-/// A peer's word that a table was the newest, for a table that this host doesn't have yet.
+/// A peer's confirmation that a table was the newest, for a table that this host doesn't have yet.
 #[derive(Clone, Copy, Debug)]
 struct EarlyConfirmation {
     version: Version,
@@ -137,7 +137,7 @@
         }
     }
 
-    /// Applies a peer's word that a table of an era was the newest at `as_of`. It is kept if this host
+    /// Applies a peer's confirmation that a table of an era was the newest at `as_of`. It is kept if this host
     /// lacks that table, for [`Self::apply_early_confirmation`].
     pub fn confirm(&self, version: Version, era: Era, as_of: BootTime, peer: &HostId) {
         let held_version = self.version();
@@ -157,8 +157,8 @@
         }
     }
 
-    /// Applies what a peer said of the table in force before this host had it. A large table is on its
-    /// way for long, and its sender's word from before would make it look that old.
+    /// Applies what a peer said of the table in force before this host had it. The age that came with
+    /// the table is that of when its transfer began.
     pub fn apply_early_confirmation(&self, era: Era, peer: &HostId) {
         if let Some(early) = self.early.get()
             && early.era == era
