review: never offer a port of a case twice, and let its store come back from a copy

Cause: the harness of the cases 6 to 9 takes ports from the system, whose offer may repeat as soon as the probing listener is dropped. Change: ports are remembered within a run. The store of the harness can be away and come back from a copy in the next era, for case 10.

--- a/review/lib-2/harness.rs
+++ b/review/lib-2/harness.rs
@@ -260,6 +260,13 @@
     topics: HashMap<String, Vec<(String, Vec<u8>)>>,
     groups: HashMap<String, Group>,
     answer_time: Duration,
+    era: u64,
+    is_away: bool,
+}
+
+/// What the store held at a moment.
+pub struct StoreCopy {
+    topics: HashMap<String, Vec<(String, Vec<u8>)>>,
 }
 
 /// The platform's store: a log with keyed topics, and groups.
@@ -275,6 +282,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let state = StoreState {
             answer_time: Duration::from_millis(4),
+            era: 1,
             ..StoreState::default()
         };
         let store = Self {
@@ -296,6 +304,28 @@
         self.state.0.lock().unwrap().answer_time = time;
     }
 
+    pub fn copy(&self) -> StoreCopy {
+        let topics = self.state.0.lock().unwrap().topics.clone();
+        StoreCopy { topics }
+    }
+
+    /// Refuses all calls until the store is back.
+    pub fn set_away(&self) {
+        self.state.0.lock().unwrap().is_away = true;
+        self.state.1.notify_all();
+    }
+
+    /// Comes back from a copy, in the next era. Offsets and memberships are those of the copy's time.
+    pub fn come_back(&self, copy: StoreCopy) {
+        let mut state = self.state.0.lock().unwrap();
+        state.topics = copy.topics;
+        state.groups.clear();
+        state.era += 1;
+        state.is_away = false;
+        drop(state);
+        self.state.1.notify_all();
+    }
+
     /// Appends a record; an empty value drops the key.
     pub fn append(&self, topic: &str, key: &str, value: &[u8]) -> u64 {
         let mut state = self.state.0.lock().unwrap();
@@ -319,6 +349,22 @@
     }
 
     fn handle(&self, request: &Message) -> Vec<u8> {
+        let refusal = ("503 Service Unavailable", vec![], vec![]);
+        let is_away = || self.state.0.lock().unwrap().is_away;
+        let handled = match is_away() {
+            true => refusal.clone(),
+            false => self.handle_call(request),
+        };
+        // A call that waited for a record may end with the store's absence.
+        let (status, headers, body) = match is_away() {
+            true => refusal,
+            false => handled,
+        };
+        let era = self.state.0.lock().unwrap().era.to_string();
+        answer(status, &[headers, vec![("Store-Era", era.as_str())]].concat(), &body)
+    }
+
+    fn handle_call(&self, request: &Message) -> Handled {
         let target = request.target();
         let path = target.split('?').next().unwrap_or("");
         let topic = query(target, "Topic").unwrap_or("");
@@ -357,7 +403,10 @@
                 loop {
                     let end = state.topics.get(topic).map_or(0, Vec::len);
                     let now = Instant::now();
-                    if end > from || now >= deadline {
+                    if end < from {
+                        return ("410 Gone", JSON.to_vec(), b"{\"First\":0}".to_vec());
+                    }
+                    if end > from || now >= deadline || state.is_away {
                         break;
                     }
                     state = self.state.1.wait_timeout(state, deadline - now).unwrap().0;
@@ -371,7 +420,7 @@
                     body.extend_from_slice(key.as_bytes());
                     body.extend_from_slice(value);
                 }
-                answer("200 OK", &[("Store-Era", "1")], &body)
+                ("200 OK", vec![], body)
             }
             "/v1/log-append" => {
                 let mut rest = request.body.as_slice();
@@ -420,14 +469,18 @@
                     ttl.as_millis()
                 ))
             }
-            _ => answer("404 Not Found", &[("Store-Era", "1")], b""),
+            _ => ("404 Not Found", vec![], vec![]),
         }
     }
 }
 
-fn json(body: &str) -> Vec<u8> {
-    let headers = [("Content-Type", "application/json"), ("Store-Era", "1")];
-    answer("200 OK", &headers, body.as_bytes())
+/// Status, headers and body of an answer of the store.
+type Handled = (&'static str, Vec<(&'static str, &'static str)>, Vec<u8>);
+
+const JSON: [(&str, &str); 1] = [("Content-Type", "application/json")];
+
+fn json(body: &str) -> Handled {
+    ("200 OK", JSON.to_vec(), body.as_bytes().to_vec())
 }
 
 /// A host of the system: a process of the deploy file's command.
@@ -442,12 +495,16 @@
     child: Option<Child>,
 }
 
-/// Returns an address whose port is free for TCP and UDP at the moment.
+/// Returns an address whose port is free for TCP and UDP at the moment, another one in each call. The
+/// system may offer a port again as soon as its listener is dropped.
 pub fn free_address() -> SocketAddr {
+    static RETURNED: Mutex<Vec<SocketAddr>> = Mutex::new(Vec::new());
     loop {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().unwrap();
-        if std::net::UdpSocket::bind(address).is_ok() {
+        let mut returned = RETURNED.lock().unwrap();
+        if !returned.contains(&address) && std::net::UdpSocket::bind(address).is_ok() {
+            returned.push(address);
             return address;
         }
     }
