review: end the hosts of a case that is given up or stopped

Cause: a script that ended early, or by a signal, left its hosts running, review/10/run.sh had no run bit, and the restored store of case 10 had no memberships, not the copy's.

--- a/review/lib-2/harness.rs
+++ b/review/lib-2/harness.rs
@@ -230,7 +230,7 @@
     })
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Group {
     generation: u64,
     members: BTreeMap<String, (Instant, Duration)>,
@@ -267,6 +267,7 @@
 /// What the store held at a moment.
 pub struct StoreCopy {
     topics: HashMap<String, Vec<(String, Vec<u8>)>>,
+    groups: HashMap<String, Group>,
 }
 
 /// The platform's store: a log with keyed topics, and groups.
@@ -305,8 +306,11 @@
     }
 
     pub fn copy(&self) -> StoreCopy {
-        let topics = self.state.0.lock().unwrap().topics.clone();
-        StoreCopy { topics }
+        let state = self.state.0.lock().unwrap();
+        StoreCopy {
+            topics: state.topics.clone(),
+            groups: state.groups.clone(),
+        }
     }
 
     /// Refuses all calls until the store is back.
@@ -319,7 +323,7 @@
     pub fn come_back(&self, copy: StoreCopy) {
         let mut state = self.state.0.lock().unwrap();
         state.topics = copy.topics;
-        state.groups.clear();
+        state.groups = copy.groups;
         state.era += 1;
         state.is_away = false;
         drop(state);
@@ -559,9 +563,15 @@
             .stderr(log)
             .spawn()
             .expect("the deploy file's program is built");
+        // By this file run.sh ends the process if this program can't.
+        let _ = fs::write(self.pid_file(), child.id().to_string());
         self.child = Some(child);
     }
 
+    fn pid_file(&self) -> PathBuf {
+        self.settings.with_extension("pid")
+    }
+
     pub fn pid(&self) -> u32 {
         self.child.as_ref().map_or(0, Child::id)
     }
@@ -596,13 +606,18 @@
     /// Returns whether the process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
         let child = self.child.as_mut().expect("started");
-        matches!(child.try_wait(), Ok(Some(_)))
+        let has_ended = matches!(child.try_wait(), Ok(Some(_)));
+        if has_ended {
+            let _ = fs::remove_file(self.pid_file());
+        }
+        has_ended
     }
 
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
+            let _ = fs::remove_file(self.pid_file());
         }
     }
 
