Take answers with a status outside of 100 to 599 for broken

What callers saw: a target's answer with the status 000, passed on as `HTTP/1.1 0 ` with its seal and body, on safe, unsafe and streaming routes (MIXED). With a status 000 before a sound answer, 504 at the end of the request's time.

Cause: the head of an answer was parsed for three digits alone. 000 to 099 and 600 to 999 are no statuses of the protocol (RFC 9110, 15) and were taken as they came.

Change: ResponseHead::take, which all readers of answers in the gateway and the platform's folder go through, finds such a head malformed. An attempt is lost then as with other bytes that are no answer: a repeatable request goes to another target, any other gets 502, and the connection is not kept. Also for health checks, orders, the store, peers and tunnels: such an answer is no sign of life and no acknowledgement.

Evidence: on serve_withholds_answer_with_invalid_status failed with an unreadable answer for 000 and 099, 600 and 999 passed on, and 504 for 000 before a sound answer, on each of five paths; serve_repeats_safe_request_after_broken_answer failed too. Both pass now. serve_passes_on_every_status_of_protocol passed before and passes now: interim answers, an empty or missing reason, unknown statuses of the known classes.

--- a/crates/anvil_gateway/src/http1/head.rs
+++ b/crates/anvil_gateway/src/http1/head.rs
@@ -1,5 +1,7 @@
 //! Parses the heads of requests and answers.
 
+use std::ops::RangeInclusive;
+
 use bytes::{
     Buf,
     Bytes,
@@ -15,6 +17,8 @@
 
 /// Most headers in one head. Callers send far fewer.
 const HEADERS_MAX: usize = 64;
+/// Statuses of the protocol, of known and unknown meaning. Any other three digits are no status.
+const STATUSES: RangeInclusive<u16> = 100..=599;
 
 /// A header as received.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -139,7 +143,7 @@
 /// The head of an answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ResponseHead {
-    /// HTTP status.
+    /// HTTP status. Invariant: 100 to 599.
     pub status: u16,
     /// The headers in order.
     pub headers: Headers,
@@ -230,7 +234,8 @@
             Err(httparse::Error::TooManyHeaders) => return Err(HeadError::TooLarge),
             Err(_) => return Err(HeadError::Malformed),
         };
-        let status = response.code.unwrap_or(0);
+        let status = response.code.filter(|status| STATUSES.contains(status));
+        let status = status.ok_or(HeadError::Malformed)?;
         let minor_version = response.version.unwrap_or(0);
         let spans = value_spans(buffer, response.headers);
         let headers = split_off_headers(buffer, length, spans);
--- /dev/null
+++ b/crates/anvil_gateway/src/tests/broken_answers.rs
@@ -0,0 +1,132 @@
+//! Answers of targets that the protocol does not allow. None of them reaches a caller.
+
+use googletest::prelude::*;
+
+use super::fleet::{
+    Behaviour,
+    CallerResult,
+    EVENTS_ONCE_PATH,
+    EVENTS_PATH,
+    Fleet,
+    Host,
+    MODEL_PATH,
+    SAFE_PATH,
+    SOUND_KEY,
+    UNSAFE_PATH,
+    run, //
+};
+
+/// Writes an answer in which all is sound but what is given for the status line or the headers.
+macro_rules! answer {
+    (status $status_line:literal) => {
+        concat!(
+            $status_line,
+            "\r\nid: {id}\r\nsealed: 1\r\nContent-Length: 5\r\n\r\nwhole"
+        )
+    };
+}
+
+/// Returns the result of a request, for which the target is used although it failed before.
+async fn call(host: &Host, path: &str) -> CallerResult {
+    for target in host.gateway.targets.all() {
+        target.end_avoidance();
+    }
+    match path {
+        MODEL_PATH => host.call(&["part"]).await,
+        path => host.call_plain(path, SOUND_KEY, "").await,
+    }
+}
+
+/// Plays answers of the only target on some paths, each followed by a sound one.
+async fn expect_withheld(network: u8, paths: &[&str], answers: &[&'static str]) {
+    let fleet = Fleet::start_both(network, 1).await;
+    let target = &fleet.engines[0];
+    let host = fleet.start_host(0).await;
+    for path in paths {
+        for answer in answers {
+            target.behaviour.set(Behaviour::Raw(answer));
+            let result = call(&host, path).await;
+            expect_that!(result, eq(CallerResult::Status(502)), "{path}, {answer:?}");
+            if [UNSAFE_PATH, EVENTS_ONCE_PATH].contains(path) {
+                let run_count = fleet.run_count(&host.last_id());
+                expect_that!(run_count, eq(1), "{path}, {answer:?}");
+            }
+            target.behaviour.set(Behaviour::Sound);
+            let result = call(&host, path).await;
+            expect_that!(result, eq(CallerResult::Complete), "{path}, {answer:?}");
+        }
+    }
+}
+
+/// Guards against a status outside of the protocol that is passed on as an answer (MIXED).
+#[gtest]
+fn serve_withholds_answer_with_invalid_status() {
+    const ANSWERS: [&str; 7] = [
+        answer!(status "HTTP/1.1 000 OK"),
+        answer!(status "HTTP/1.1 099 OK"),
+        answer!(status "HTTP/1.1 600 OK"),
+        answer!(status "HTTP/1.1 999 OK"),
+        answer!(status "HTTP/1.1 20 OK"),
+        answer!(status "HTTP/1.1 2000 OK"),
+        concat!("HTTP/1.1 000 OK\r\n\r\n", answer!(status "HTTP/1.1 200 OK")),
+    ];
+    let paths = [SAFE_PATH, UNSAFE_PATH, EVENTS_PATH, EVENTS_ONCE_PATH];
+    run(expect_withheld(101, &paths, &ANSWERS));
+    run(expect_withheld(102, &[MODEL_PATH], &ANSWERS[..1]));
+}
+
+/// Guards against sound answers that are withheld with the broken ones.
+#[gtest]
+fn serve_passes_on_every_status_of_protocol() {
+    const ANSWERS: [(&str, u16); 9] = [
+        (answer!(status "HTTP/1.1 200 OK"), 200),
+        (answer!(status "HTTP/1.1 200 "), 200),
+        (answer!(status "HTTP/1.1 200"), 200),
+        (answer!(status "HTTP/1.0 200 OK"), 200),
+        (answer!(status "HTTP/1.1 299 Größe"), 299),
+        (answer!(status "HTTP/1.1 399 Unknown"), 399),
+        (answer!(status "HTTP/1.1 499 Unknown"), 499),
+        (answer!(status "HTTP/1.1 599 Unknown"), 599),
+        (
+            concat!(
+                "HTTP/1.1 100 \r\n\r\nHTTP/1.1 199 \r\nA: b\r\n\r\n",
+                answer!(status "HTTP/1.1 201 ")
+            ),
+            201,
+        ),
+    ];
+    run(async {
+        let fleet = Fleet::start_plain(105, 1, None).await;
+        let host = fleet.start_host(0).await;
+        for (answer, status) in ANSWERS {
+            fleet.engines[0].behaviour.set(Behaviour::Raw(answer));
+            let result = call(&host, UNSAFE_PATH).await;
+            let expected = match status {
+                200 => CallerResult::Complete,
+                status => CallerResult::Status(status),
+            };
+            expect_that!(result, eq(expected), "{answer:?}");
+        }
+    });
+}
+
+/// Guards against a request that may be repeated, and fails although another target can answer it.
+#[gtest]
+fn serve_repeats_safe_request_after_broken_answer() {
+    run(async {
+        let fleet = Fleet::start_plain(106, 2, None).await;
+        let host = fleet.start_host(0).await;
+        // The budget of retries is a share of the requests.
+        for _ in 0..100 {
+            host.answer_of(SAFE_PATH).await;
+        }
+        let broken = Behaviour::Raw(answer!(status "HTTP/1.1 000 OK"));
+        fleet.engines[0].behaviour.set(broken);
+        let mut repeated = 0;
+        for _ in 0..12 {
+            expect_that!(call(&host, SAFE_PATH).await, eq(CallerResult::Complete));
+            repeated += fleet.run_count(&host.last_id()) - 1;
+        }
+        expect_that!(repeated, gt(0));
+    });
+}
--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -258,6 +258,8 @@
     },
     /// A stream of one event and the start of a second one, of which a byte comes after each pause.
     Stalled { pause: Duration },
+    /// With certain bytes, in which `{id}` stands for the id of the request.
+    Raw(&'static str),
 }
 
 /// What a large body holds.
@@ -476,6 +478,13 @@
                 }
                 continue;
             }
+            if let Behaviour::Raw(answer) = self.behaviour.get() {
+                let answer = answer.replace("{id}", id);
+                if connection.write_all(answer.as_bytes()).await.is_err() {
+                    return;
+                }
+                continue;
+            }
             let is_stream = head.target.starts_with(MODEL_PATH)
                 || is_plain_stream(&head.target) && self.behaviour.get().is_stream();
             if !is_stream {
@@ -536,7 +545,8 @@
                     | Behaviour::Slow { .. }
                     | Behaviour::PausesOnce { .. }
                     | Behaviour::Large { .. }
-                    | Behaviour::Stalled { .. } => {
+                    | Behaviour::Stalled { .. }
+                    | Behaviour::Raw(_) => {
                         written.push_str(&answer);
                     }
                 }
@@ -663,7 +673,8 @@
         | Behaviour::Large { .. }
         | Behaviour::LosesAnswer
         | Behaviour::LosesAnswerLate
-        | Behaviour::Late(_) => {
+        | Behaviour::Late(_)
+        | Behaviour::Raw(_) => {
             connection
                 .write_all(b"f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n")
                 .await
