Test that answers with malformed names and lines are withheld

The other form of the incident, a name that holds a blank or a control byte, was handled already: the parser of heads refuses such a line, and callers get 502. Nothing else changes for it.

--- a/crates/anvil_gateway/src/http1/tests.rs
+++ b/crates/anvil_gateway/src/http1/tests.rs
@@ -110,6 +110,57 @@
     expect_that!(head.keep_alive, eq(false));
 }
 
+/// Guards against an answer that is taken although a part of its head breaks the protocol (MIXED).
+#[gtest]
+fn take_response_rejects_malformed_head() {
+    let cases = [
+        "HTTP/1.1 000 OK\r\n\r\n",
+        "HTTP/1.1 099 OK\r\n\r\n",
+        "HTTP/1.1 600 OK\r\n\r\n",
+        "HTTP/1.1 20 OK\r\n\r\n",
+        "HTTP/1.1 2000 OK\r\n\r\n",
+        "HTTP/1.1 -20 OK\r\n\r\n",
+        "HTTP/1.1 OK\r\n\r\n",
+        "HTTP/1.1  200 OK\r\n\r\n",
+        "HTTP/2.0 200 OK\r\n\r\n",
+        "HTTP/1.10 200 OK\r\n\r\n",
+        "HTTP/11 200 OK\r\n\r\n",
+        "http/1.1 200 OK\r\n\r\n",
+        "ICY 200 OK\r\n\r\n",
+        "HTTP/1.1 200 O\0K\r\n\r\n",
+        "HTTP/1.1 200 O\u{1b}K\r\n\r\n",
+        "HTTP/1.1 200 O\rK\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n A: 1\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nA: 1\r\n B: 2\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nA\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nA: 1\u{1}\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nA: 1\0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nA: 1\u{7f}\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nA: 1\rB: 2\r\n\r\n",
+    ];
+    for case in cases {
+        let head = ResponseHead::take(&mut BytesMut::from(case), HEAD_LIMIT_BYTES);
+        expect_that!(head, err(eq(&HeadError::Malformed)), "{case:?}");
+    }
+}
+
+/// The same for the bytes of a header's name.
+#[gtest]
+fn take_response_rejects_malformed_name() {
+    for byte in 0..=u8::MAX {
+        let is_token = byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte);
+        // A colon ends the name, and a line feed the line.
+        if is_token || [b':', b'\n'].contains(&byte) {
+            continue;
+        }
+        for name in [vec![byte], vec![b'A', byte], vec![b'A', byte, b'B']] {
+            let text = [b"HTTP/1.1 200 OK\r\n", name.as_slice(), b": 1\r\n\r\n"].concat();
+            let head = ResponseHead::take(&mut BytesMut::from(text.as_slice()), HEAD_LIMIT_BYTES);
+            expect_that!(head.is_err(), eq(true), "{}", text.escape_ascii());
+        }
+    }
+}
+
 #[gtest]
 fn next_decodes_chunks() {
     let text = "3\r\nabc\r\nA;x=y\r\n0123456789\r\n0\r\nTrailer: x\r\n\r\n";
--- a/crates/anvil_gateway/src/tests/broken_answers.rs
+++ b/crates/anvil_gateway/src/tests/broken_answers.rs
@@ -24,6 +24,13 @@
             "\r\nid: {id}\r\nsealed: 1\r\nContent-Length: 5\r\n\r\nwhole"
         )
     };
+    (header $line:literal) => {
+        concat!(
+            "HTTP/1.1 200 OK\r\nid: {id}\r\nsealed: 1\r\nContent-Length: 5\r\n",
+            $line,
+            "\r\n\r\nwhole"
+        )
+    };
 }
 
 /// Returns the result of a request, for which the target is used although it failed before.
@@ -75,6 +82,30 @@
     run(expect_withheld(102, &[MODEL_PATH], &ANSWERS[..1]));
 }
 
+/// Guards against a header that is passed on, or whose line hides another one, because its name is none
+/// (MIXED).
+#[gtest]
+fn serve_withholds_answer_with_invalid_header_name() {
+    const ANSWERS: [&str; 13] = [
+        answer!(header "A Name: 1"),
+        answer!(header "A\tName: 1"),
+        answer!(header "Name : 1"),
+        answer!(header "Na\u{1}me: 1"),
+        answer!(header "Na\0me: 1"),
+        answer!(header "Na\u{7f}me: 1"),
+        answer!(header "Na\rme: 1"),
+        answer!(header ": 1"),
+        answer!(header "Name"),
+        answer!(header " Name: 1"),
+        "HTTP/1.1 200 OK\r\nid: {id}\r\nsealed : 1\r\nContent-Length: 5\r\n\r\nwhole",
+        "HTTP/1.1 200 OK\r\nid: {id}\r\nsealed: 1\r\nContent-Length : 5\r\n\r\nwhole",
+        "HTTP/1.1 200 OK\r\nid: {id}\r\nsealed: 1\r\nTransfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+    ];
+    let paths = [SAFE_PATH, UNSAFE_PATH, EVENTS_PATH, EVENTS_ONCE_PATH];
+    run(expect_withheld(103, &paths, &ANSWERS));
+    run(expect_withheld(104, &[MODEL_PATH], &ANSWERS[..4]));
+}
+
 /// Guards against sound answers that are withheld with the broken ones.
 #[gtest]
 fn serve_passes_on_every_status_of_protocol() {
