Take answers whose head has mixed line ends for broken

What callers saw: a head whose lines end with CR LF and which holds one LF more, for instance as the first byte of a name, was passed on with the rest of the head as the body: "Name:" instead of "whole", sealed (MIXED). Elsewhere in the head, the rest of that line became a header of its own.

Cause: the parser of heads takes a single LF for the end of a line, as recipients may (RFC 9112, 2.2). In a head with other ends it is a byte within a line.

Change: ResponseHead::take finds a head malformed if some of its lines end with CR LF and others with LF alone. A head that ends all lines with LF is unambiguous, and passes as before.

Evidence: without the change serve_withholds_answer_with_line_feed_in_head got a complete answer in 17 of 17 cases (four forms on four paths, one on the engines'), where it expects 502; now it passes, and so does serve_passes_on_every_answer_of_protocol with a head that has LF alone.

--- a/crates/anvil_gateway/src/http1/head.rs
+++ b/crates/anvil_gateway/src/http1/head.rs
@@ -234,6 +234,9 @@
             Err(httparse::Error::TooManyHeaders) => return Err(HeadError::TooLarge),
             Err(_) => return Err(HeadError::Malformed),
         };
+        if has_mixed_line_ends(&buffer[..length]) {
+            return Err(HeadError::Malformed);
+        }
         let status = response.code.filter(|status| STATUSES.contains(status));
         let status = status.ok_or(HeadError::Malformed)?;
         let minor_version = response.version.unwrap_or(0);
@@ -261,6 +264,15 @@
     }
 }
 
+/// Returns whether some lines of a head end with CR LF and others with LF alone. To a sender that ends
+/// lines with both, a single LF is a byte within a line; taken for an end, it may turn the rest of the
+/// head into a body.
+fn has_mixed_line_ends(head: &[u8]) -> bool {
+    let mut ends = memchr::memchr_iter(b'\n', head).map(|end| head[..end].ends_with(b"\r"));
+    let first = ends.next();
+    ends.any(|end| Some(end) != first)
+}
+
 fn is_keep_alive(minor_version: u8, headers: &Headers) -> bool {
     if minor_version == 0 {
         headers.contains_token("connection", "keep-alive")
--- a/crates/anvil_gateway/src/tests/broken_answers.rs
+++ b/crates/anvil_gateway/src/tests/broken_answers.rs
@@ -106,14 +106,33 @@
     run(expect_withheld(104, &[MODEL_PATH], &ANSWERS[..4]));
 }
 
+/// Guards against a line feed that ends the head early for this host, so that the rest of the head is
+/// passed on as the body (MIXED).
+#[gtest]
+fn serve_withholds_answer_with_line_feed_in_head() {
+    const ANSWERS: [&str; 4] = [
+        answer!(header "\nName: 1"),
+        answer!(header "Name: 1\n"),
+        answer!(header "Name: 1\nOther: 2"),
+        answer!(status "HTTP/1.1 200 OK\nName: 1"),
+    ];
+    let paths = [SAFE_PATH, UNSAFE_PATH, EVENTS_PATH, EVENTS_ONCE_PATH];
+    run(expect_withheld(107, &paths, &ANSWERS));
+    run(expect_withheld(108, &[MODEL_PATH], &ANSWERS[..1]));
+}
+
 /// Guards against sound answers that are withheld with the broken ones.
 #[gtest]
-fn serve_passes_on_every_status_of_protocol() {
-    const ANSWERS: [(&str, u16); 9] = [
+fn serve_passes_on_every_answer_of_protocol() {
+    const ANSWERS: [(&str, u16); 10] = [
         (answer!(status "HTTP/1.1 200 OK"), 200),
         (answer!(status "HTTP/1.1 200 "), 200),
         (answer!(status "HTTP/1.1 200"), 200),
         (answer!(status "HTTP/1.0 200 OK"), 200),
+        (
+            "HTTP/1.1 200 OK\nid: {id}\nsealed: 1\nContent-Length: 5\n\nwhole",
+            200,
+        ),
         (answer!(status "HTTP/1.1 299 Größe"), 299),
         (answer!(status "HTTP/1.1 399 Unknown"), 399),
         (answer!(status "HTTP/1.1 499 Unknown"), 499),
