Keep connections whose idle timeout exceeds the clock

Cause: the stated time was added to the present moment when the connection was put back, before the answer was written. A sum beyond the range of the clock panics.

Change: such a timeout counts as none that is stated, so that the connection is kept for the default time.

--- a/crates/anvil_gateway/src/pool.rs
+++ b/crates/anvil_gateway/src/pool.rs
@@ -21,7 +21,8 @@
 const IDLE_LIMIT_CONNECTIONS: usize = 16;
 /// Most requests that were refused or failed on a connection which is kept.
 const UNANSWERED_MAX: usize = 8;
-/// Idle time after which a connection is not used again if the target states no timeout.
+/// Idle time after which a connection is not used again if the target states no timeout, or one that
+/// exceeds the range of the clock.
 const IDLE_TIMEOUT_DEFAULT: Duration = Duration::from_secs(10);
 /// Time before the end of the target's stated timeout from which a connection is not used again,
 /// because the target may close it while a request is on its way.
@@ -118,13 +119,18 @@
         let usable_for = idle_timeout
             .unwrap_or(IDLE_TIMEOUT_DEFAULT)
             .saturating_sub(IDLE_TIMEOUT_MARGIN);
+        let now = Instant::now();
+        // A target may state a time that ends beyond the range of the clock.
+        let usable_until = now
+            .checked_add(usable_for)
+            .unwrap_or(now + IDLE_TIMEOUT_DEFAULT);
         let mut idle = self.idle.borrow_mut();
         if idle.len() >= IDLE_LIMIT_CONNECTIONS {
             idle.pop_front();
         }
         idle.push_back(IdleConnection {
             connection: pooled,
-            usable_until: Instant::now() + usable_for,
+            usable_until,
         });
     }
 
--- a/crates/anvil_gateway/src/pool/tests.rs
+++ b/crates/anvil_gateway/src/pool/tests.rs
@@ -31,3 +31,19 @@
         expect_that!(pool.take_idle(&"a".into()).is_some(), eq(true));
     });
 }
+
+/// Guards against a panic at a stated timeout that no clock holds.
+#[gtest]
+fn release_keeps_connection_with_endless_idle_timeout() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let pool = ConnectionPool::default();
+        for idle_timeout in [Duration::from_secs(i64::MAX as u64), Duration::MAX] {
+            let connection = Connection::open(address, LIMIT).await.unwrap();
+            pool.release(PooledConnection::new(connection), Some(idle_timeout));
+            pool.drop_expired();
+            expect_that!(pool.take_idle(&"a".into()).is_some(), eq(true));
+        }
+    });
+}
--- a/crates/anvil_gateway/src/tests/broken_answers.rs
+++ b/crates/anvil_gateway/src/tests/broken_answers.rs
@@ -180,3 +180,24 @@
         expect_that!(repeated, gt(0));
     });
 }
+
+/// Guards against a panic at an idle timeout that no clock holds, which closes the caller's connection
+/// without the answer (LOST).
+#[gtest]
+fn serve_passes_on_answer_with_endless_idle_timeout() {
+    const ANSWERS: [&str; 2] = [
+        answer!(header "idle-s: 9223372036854775807"),
+        answer!(header "idle-s: 18446744073709551615"),
+    ];
+    run(async {
+        let fleet = Fleet::start_both(109, 1).await;
+        let host = fleet.start_host(0).await;
+        for path in [SAFE_PATH, UNSAFE_PATH, EVENTS_PATH, EVENTS_ONCE_PATH] {
+            for answer in ANSWERS {
+                fleet.engines[0].behaviour.set(Behaviour::Raw(answer));
+                let result = call(&host, path).await;
+                expect_that!(result, eq(CallerResult::Complete), "{path}, {answer:?}");
+            }
+        }
+    });
+}
--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -701,7 +701,7 @@
         .collect()
 }
 
-/// Headers `id` and `parts` of requests, and `id`, `sealed` and `limit` of answers.
+/// Headers `id` and `parts` of requests, and `id`, `sealed`, `limit` and `idle-s` of answers.
 struct TestHeaders;
 
 impl HeaderCodec for TestHeaders {
@@ -756,6 +756,7 @@
             is_sealed: head.headers.get("sealed").is_some(),
             did_not_run: head.headers.get("refused").is_some(),
             is_leaving: head.headers.get("leaving").is_some(),
+            idle_timeout: head.headers.number("idle-s").map(Duration::from_secs),
             limit_per_s: head
                 .headers
                 .text("limit")
