Take bodies with a malformed trailer for broken

What callers saw: an answer in chunks whose first size is lost ("0" for "5") was passed on as whole, without its body and with the seal (MIXED).

Cause: lines between the last chunk and the end of the body were skipped without a look at them, also those that are no trailers but chunks.

Change: BodyDecoder finds a body malformed if such a line is no header. The same holds for the bodies of requests.

Evidence: before, serve_withholds_answer_with_lost_chunk_size got a complete answer on each of five paths, and next_rejects_malformed_trailers got the end of the body in 10 of 10 cases. Both pass now. next_accepts_trailers_and_extensions passed before and passes now.

--- a/crates/anvil_gateway/src/http1/body.rs
+++ b/crates/anvil_gateway/src/http1/body.rs
@@ -40,7 +40,7 @@
 /// The error for a body that breaks the protocol.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
 pub enum BodyError {
-    /// A chunk-size line or the end of a chunk is malformed, or the trailers are too long.
+    /// A chunk-size line, the end of a chunk or a trailer is malformed, or the trailers are too long.
     #[display("malformed chunk")]
     MalformedChunk,
     /// The connection ended before the body was complete.
@@ -185,6 +185,9 @@
                         return Err(BodyError::MalformedChunk);
                     }
                     let is_last = end == 1;
+                    if !is_last && !is_header(&buffer[..=end]) {
+                        return Err(BodyError::MalformedChunk);
+                    }
                     buffer.advance(end + 1);
                     self.state = if is_last {
                         State::Done
@@ -225,6 +228,13 @@
     Some(buffer.split_to(length).freeze())
 }
 
+/// Returns whether a line is a header. Another line among the trailers may be a chunk whose size is lost, so
+/// that the body is not whole.
+fn is_header(line: &[u8]) -> bool {
+    let mut headers = [httparse::EMPTY_HEADER; 1];
+    httparse::parse_headers(line, &mut headers).is_ok()
+}
+
 /// Removes a chunk-size line from the buffer and returns the size; returns `None` if the line is
 /// incomplete.
 fn take_chunk_size(buffer: &mut BytesMut) -> Result<Option<u64>, BodyError> {
--- a/crates/anvil_gateway/src/http1/tests.rs
+++ b/crates/anvil_gateway/src/http1/tests.rs
@@ -183,6 +183,40 @@
     }
 }
 
+/// Guards against a body that lacks a part, and passes for whole because the rest of it is taken for
+/// trailers (MIXED).
+#[gtest]
+fn next_rejects_malformed_trailers() {
+    for text in [
+        // The size of the chunk is lost.
+        "0\r\nwhole\r\n0\r\n\r\n",
+        "0\r\nHTTP/1.1 200 OK\r\n\r\n",
+        "0\r\nA B: 1\r\n\r\n",
+        "0\r\nA : 1\r\n\r\n",
+        "0\r\n A: 1\r\n\r\n",
+        "0\r\n: 1\r\n\r\n",
+        "0\r\nA\u{1}: 1\r\n\r\n",
+        "0\r\nA: 1\u{1}\r\n\r\n",
+        "0\r\nA: 1\r\nB\r\n\r\n",
+        "0\r\nA: 1\rB: 2\r\n\r\n",
+    ] {
+        let (_, end) = decode(Framing::Chunked, text);
+        expect_that!(end, err(eq(&BodyError::MalformedChunk)), "{text:?}");
+    }
+}
+
+#[gtest]
+fn next_accepts_trailers_and_extensions() {
+    for text in [
+        "1 ;a=b\r\na\r\n0 ; c = \"d e\"\r\nA: 1\r\nB:\r\nC: \t ö \r\n\r\n",
+        "1  \r\na\r\n000;c\r\nA:1\r\n\r\n",
+    ] {
+        let (body, end) = decode(Framing::Chunked, text);
+        expect_that!(body, eq(b"a"), "{text:?}");
+        expect_that!(end, ok(eq(&Piece::End)), "{text:?}");
+    }
+}
+
 #[gtest]
 fn end_of_connection_detects_truncated_bodies() {
     for framing in [Framing::Length(3), Framing::Chunked] {
--- a/crates/anvil_gateway/src/tests/broken_answers.rs
+++ b/crates/anvil_gateway/src/tests/broken_answers.rs
@@ -16,7 +16,8 @@
     run, //
 };
 
-/// Writes an answer in which all is sound but what is given for the status line or the headers.
+/// Writes an answer in which all is sound but what is given for the status line, the headers or the
+/// chunks.
 macro_rules! answer {
     (status $status_line:literal) => {
         concat!(
@@ -31,6 +32,12 @@
             "\r\n\r\nwhole"
         )
     };
+    (chunks $chunks:literal) => {
+        concat!(
+            "HTTP/1.1 200 OK\r\nid: {id}\r\nsealed: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+            $chunks
+        )
+    };
 }
 
 /// Returns the result of a request, for which the target is used although it failed before.
@@ -121,6 +128,27 @@
     run(expect_withheld(108, &[MODEL_PATH], &ANSWERS[..1]));
 }
 
+/// Guards against an answer without its body, whose chunk was taken for a trailer because its size is lost
+/// (MIXED).
+#[gtest]
+fn serve_withholds_answer_with_lost_chunk_size() {
+    const ANSWER: &str = answer!(chunks "0\r\nwhole\r\n0\r\n\r\n");
+    run(async {
+        let fleet = Fleet::start_both(110, 1).await;
+        let host = fleet.start_host(0).await;
+        fleet.engines[0].behaviour.set(Behaviour::Raw(ANSWER));
+        for path in [SAFE_PATH, UNSAFE_PATH] {
+            let result = call(&host, path).await;
+            expect_that!(result, eq(CallerResult::Status(502)), "{path}");
+        }
+        // The head of a stream is passed on before its body has come.
+        for path in [EVENTS_PATH, EVENTS_ONCE_PATH, MODEL_PATH] {
+            let result = call(&host, path).await;
+            expect_that!(result, eq(CallerResult::Broken), "{path}");
+        }
+    });
+}
+
 /// Guards against sound answers that are withheld with the broken ones.
 #[gtest]
 fn serve_passes_on_every_answer_of_protocol() {
