Take chunks with control bytes in the line of their size for broken

What callers saw: nothing wrong that a test showed; a spoiled line was taken as it came, and the answer passed on (part of the check of what answers may hold).

Cause: the size was followed by white space of any kind, form feeds as well, and by an extension with any bytes but CR and LF.

Change: BodyDecoder finds a line with a control byte other than a tab malformed. Spaces, tabs and extensions of other bytes pass as before.

--- a/crates/anvil_gateway/src/http1/body.rs
+++ b/crates/anvil_gateway/src/http1/body.rs
@@ -248,9 +248,10 @@
         return Err(BodyError::MalformedChunk);
     }
     // Programs differ in what they take for the end of a line. A lone CR or LF could hide a chunk from one
-    // of them.
+    // of them. Other control bytes show that the line is spoiled.
+    let is_control = |byte: &u8| byte.is_ascii_control() && *byte != b'\t';
     let line = match buffer[..end].strip_suffix(b"\r") {
-        Some(line) if memchr::memchr(b'\r', line).is_none() => line,
+        Some(line) if !line.iter().any(is_control) => line,
         Some(_) | None => return Err(BodyError::MalformedChunk),
     };
     let digit_count = line
--- a/crates/anvil_gateway/src/http1/tests.rs
+++ b/crates/anvil_gateway/src/http1/tests.rs
@@ -205,6 +205,22 @@
     }
 }
 
+/// Guards against control bytes in the line of a chunk's size. What the line held is not known then.
+#[gtest]
+fn next_rejects_control_bytes_in_size_line() {
+    for text in [
+        "1;a\u{1}=b\r\na\r\n0\r\n\r\n",
+        "1;a=\0\r\na\r\n0\r\n\r\n",
+        "1;a=\u{7f}\r\na\r\n0\r\n\r\n",
+        "1\u{c}\r\na\r\n0\r\n\r\n",
+        "1\u{c};a\r\na\r\n0\r\n\r\n",
+        "1\u{7f}\r\na\r\n0\r\n\r\n",
+    ] {
+        let (_, end) = decode(Framing::Chunked, text);
+        expect_that!(end, err(eq(&BodyError::MalformedChunk)), "{text:?}");
+    }
+}
+
 #[gtest]
 fn next_accepts_trailers_and_extensions() {
     for text in [
