Take chunks in an answer of HTTP/1.0 for broken

What callers saw: an answer of HTTP/1.0 whose head names chunks was decoded as chunks and passed on. HTTP/1.0 has none, so that such a body may be what its sender means byte by byte; RFC 9112, 6.1 has recipients take its framing for faulty.

Cause: the check was made for requests alone.

Change: the check stands where both kinds of heads find their framing.

Evidence: before, take_response_rejects_chunks_in_former_version got a head in 2 of 2 cases; it passes now. Answers of HTTP/1.0 with a length or none pass as before (serve_passes_on_every_answer_of_protocol).

--- a/crates/anvil_gateway/src/http1/head.rs
+++ b/crates/anvil_gateway/src/http1/head.rs
@@ -82,7 +82,7 @@
     /// # Errors
     ///
     /// Returns an error if the length is ambiguous or the encoding is not `chunked`.
-    fn framing(&self) -> Result<Option<Framing>, HeadError> {
+    fn framing(&self, minor_version: u8) -> Result<Option<Framing>, HeadError> {
         let mut lengths = self.values("content-length");
         let length = match lengths.next() {
             None => None,
@@ -98,10 +98,13 @@
             (None, Some(length)) => Ok(Some(Framing::Length(length))),
             (Some(_), Some(_)) => Err(HeadError::AmbiguousLength),
             (Some(value), None) => {
-                if value.eq_ignore_ascii_case(b"chunked") && encodings.next().is_none() {
-                    Ok(Some(Framing::Chunked))
-                } else {
+                if !value.eq_ignore_ascii_case(b"chunked") || encodings.next().is_some() {
                     Err(HeadError::UnknownEncoding)
+                } else if minor_version == 0 {
+                    // A sender of HTTP/1.0 may not know chunks, so that the end of the body is unclear.
+                    Err(HeadError::AmbiguousLength)
+                } else {
+                    Ok(Some(Framing::Chunked))
                 }
             }
         }
@@ -200,11 +203,8 @@
         if headers.values("host").nth(1).is_some() {
             return Err(HeadError::Malformed);
         }
-        let framing = headers.framing()?.unwrap_or(Framing::Length(0));
-        if minor_version == 0 && framing == Framing::Chunked {
-            // A sender of HTTP/1.0 may not know chunks, so that the end of the body is unclear.
-            return Err(HeadError::AmbiguousLength);
-        }
+        let framing = headers.framing(minor_version)?;
+        let framing = framing.unwrap_or(Framing::Length(0));
         let keep_alive = is_keep_alive(minor_version, &headers);
         Ok(Some(Self {
             method,
@@ -242,7 +242,7 @@
         let minor_version = response.version.unwrap_or(0);
         let spans = value_spans(buffer, response.headers);
         let headers = split_off_headers(buffer, length, spans);
-        let framing = match (status, headers.framing()?) {
+        let framing = match (status, headers.framing(minor_version)?) {
             (100..=199 | 204 | 304, _) => Framing::Length(0),
             (_, Some(framing)) => framing,
             (_, None) => Framing::UntilClose,
--- a/crates/anvil_gateway/src/http1/tests.rs
+++ b/crates/anvil_gateway/src/http1/tests.rs
@@ -144,6 +144,17 @@
     }
 }
 
+/// The same for chunks from a sender of HTTP/1.0, whose protocol has none.
+#[gtest]
+fn take_response_rejects_chunks_in_former_version() {
+    for connection in ["", "Connection: keep-alive\r\n"] {
+        let text =
+            format!("HTTP/1.0 200 OK\r\n{connection}Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+        let head = ResponseHead::take(&mut BytesMut::from(text.as_str()), HEAD_LIMIT_BYTES);
+        expect_that!(head, err(eq(&HeadError::AmbiguousLength)), "{text:?}");
+    }
+}
+
 /// The same for the bytes of a header's name.
 #[gtest]
 fn take_response_rejects_malformed_name() {
