Write no chunks behind a stream's answer without a body

What callers saw: on a streaming route, an answer with status 204, or one to HEAD, was passed on with "Transfer-Encoding: chunked" and "0\r\n\r\n" behind its head. It has no body to its caller, so that on a kept connection these bytes stand before the next answer (MIXED). Found by a test of the statuses that targets may send.

Cause: the head and the end of a stream were written alike for all successes.

Change: an answer that has no body by its status or by the method of its request is passed on as its head alone.

--- a/crates/anvil_gateway/src/answer.rs
+++ b/crates/anvil_gateway/src/answer.rs
@@ -190,6 +190,8 @@
 /// How the body of a relayed answer is framed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RelayedBody {
+    /// There is none.
+    None,
     /// By a length in bytes.
     Length(usize),
     /// By chunked transfer encoding.
@@ -213,6 +215,7 @@
         out.extend_from_slice(b"\r\n");
     }
     match body {
+        RelayedBody::None => {}
         RelayedBody::Length(length) => {
             out.extend_from_slice(b"Content-Length: ");
             out.extend_from_slice(itoa::Buffer::new().format(length).as_bytes());
--- a/crates/anvil_gateway/src/http1/head.rs
+++ b/crates/anvil_gateway/src/http1/head.rs
@@ -217,6 +217,11 @@
 }
 
 impl ResponseHead {
+    /// Returns whether a body follows in the answer to a request with `method`, even if it is empty.
+    pub fn has_body(&self, method: &str) -> bool {
+        method != "HEAD" && !matches!(self.status, 100..=199 | 204 | 304)
+    }
+
     /// Removes a head from the front of `buffer`; returns `None` if it is incomplete.
     ///
     /// # Errors
--- a/crates/anvil_gateway/src/stream.rs
+++ b/crates/anvil_gateway/src/stream.rs
@@ -124,6 +124,8 @@
     engine: Option<&'a EngineProfile>,
     /// Whether the head of the answer was sent to the caller.
     is_head_sent: bool,
+    /// Whether a body follows that head, in chunks.
+    has_body: bool,
     /// Id of the last event sent to the caller. Before the first: the id after which the caller
     /// asked to resume, or `None`.
     last_event_id: Option<EventId>,
@@ -156,6 +158,7 @@
         request,
         engine: request.service.engine.as_ref(),
         is_head_sent: false,
+        has_body: true,
         has_unnumbered_bytes: false,
         reserved: None,
         last_event_id: match request.route.semantics {
@@ -533,7 +536,11 @@
     }
 
     async fn finish(&mut self, caller: &mut Connection) -> RequestOutcome {
-        match caller.write_all(LAST_CHUNK).await {
+        let end: &[u8] = match self.has_body {
+            true => LAST_CHUNK,
+            false => &[],
+        };
+        match caller.write_all(end).await {
             Ok(()) => RequestOutcome::Answered { status: 200 },
             Err(_) => RequestOutcome::CallerDisconnected,
         }
--- a/crates/anvil_gateway/src/stream/send.rs
+++ b/crates/anvil_gateway/src/stream/send.rs
@@ -299,11 +299,13 @@
             && !self.is_head_sent
         {
             self.request.is_answer_begun.set(true);
-            let out = render_head(
-                &begun.head,
-                RelayedBody::Chunked,
-                self.request.announce_keep_alive(gateway),
-            );
+            self.has_body = begun.head.has_body(&self.request.head.method);
+            let body = match self.has_body {
+                true => RelayedBody::Chunked,
+                false => RelayedBody::None,
+            };
+            let keep_alive = self.request.announce_keep_alive(gateway);
+            let out = render_head(&begun.head, body, keep_alive);
             if caller.write_all(&out).await.is_err() {
                 return AttemptResult::CallerDisconnected;
             }
--- a/crates/anvil_gateway/src/tests/broken_answers.rs
+++ b/crates/anvil_gateway/src/tests/broken_answers.rs
@@ -229,3 +229,33 @@
         }
     });
 }
+
+/// Guards against the end of a body behind an answer that has none. On a kept connection, its bytes come
+/// before the next answer (MIXED).
+#[gtest]
+fn serve_writes_no_body_behind_answer_without_one() {
+    const NO_CONTENT: &str = "HTTP/1.1 204 \r\nid: {id}\r\nsealed: 1\r\n\r\n";
+    const OK: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nsealed: 1\r\nContent-Length: 5\r\n\r\n";
+    const COUNT: usize = 3;
+    run(async {
+        let fleet = Fleet::start_both(111, 1).await;
+        let host = fleet.start_host(0).await;
+        for path in [SAFE_PATH, EVENTS_PATH, EVENTS_ONCE_PATH, MODEL_PATH] {
+            fleet.engines[0].behaviour.set(Behaviour::Raw(NO_CONTENT));
+            let answers = host.call_kept(path, COUNT).await;
+            let statuses: Vec<_> = answers.iter().map(|(status, _)| *status).collect();
+            expect_that!(statuses, eq(&vec![204; COUNT]), "{path}");
+
+            fleet.engines[0].behaviour.set(Behaviour::Raw(OK));
+            let mut connection = host.open_silent_connection(b"").await;
+            for index in 0..COUNT {
+                let request = format!(
+                    "HEAD {path} HTTP/1.1\r\nHost: test\r\nid: head-{index}\r\nkey: {SOUND_KEY}\r\n\r\n"
+                );
+                connection.write_all(request.as_bytes()).await.unwrap();
+                let status = connection.read_response().await.map(|head| head.status);
+                expect_that!(status, ok(eq(&200)), "{path}, {index}");
+            }
+        }
+    });
+}
