Take service answers with a status outside of 200 to 599 for lost

What callers of the daemon without the platform would see: an answer of a plain service with the status 600, 999 or 101, passed on as an answer.

Cause: the HTTP library takes 100 to 999, and ends a call at 101 although no upgrade was asked for.

Change: the adapter of plain services counts such an answer as lost, so that the call's outcome is unknown.

Evidence: before, call_loses_broken_answer got an answer in 3 of its 17 cases; all are lost now. The others were handled already: the status 000, names and values with blanks or control bytes, lost chunk sizes, chunks in HTTP/1.0, two lengths. call_returns_every_status_of_protocol passed before and passes now.

--- a/crates/anvil_adapters/src/service.rs
+++ b/crates/anvil_adapters/src/service.rs
@@ -4,7 +4,10 @@
 //! call ran. On a connection of its own, a call fails with `NotSent` only if none of it was
 //! written.
 
-use std::time::Duration;
+use std::{
+    ops::RangeInclusive,
+    time::Duration, //
+};
 
 use anvil_host::port::{
     CallError,
@@ -42,6 +45,9 @@
     Context, //
 };
 
+/// Statuses of the protocol with which a call may end.
+const STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Implements the port of the plain services.
 pub(crate) struct Services;
 
@@ -126,6 +132,10 @@
     response: Response<Incoming>,
 ) -> Result<ServiceAnswer, CallError> {
     let status = response.status().as_u16();
+    if !STATUSES.contains(&status) {
+        let message = format!("invalid status {status}");
+        return Err(context.error(CallErrorKind::AnswerLost, message));
+    }
     let content_type = response
         .headers()
         .get(CONTENT_TYPE)
--- a/crates/anvil_adapters/src/service/tests.rs
+++ b/crates/anvil_adapters/src/service/tests.rs
@@ -7,6 +7,13 @@
     },
 };
 use googletest::prelude::*;
+use tokio::{
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
+    net::TcpListener, //
+};
 
 use super::*;
 
@@ -90,3 +97,70 @@
     expect_that!(refused, err(eq(&CallErrorKind::NotSent)));
     service.close().await;
 }
+
+/// Starts a service that sends `answer` to each call, and returns its address.
+async fn start_raw(answer: &'static str) -> std::net::SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut received = Vec::new();
+            while !received.ends_with(BODY) {
+                if stream.read_buf(&mut received).await.unwrap() == 0 {
+                    break;
+                }
+            }
+            stream.write_all(answer.as_bytes()).await.unwrap();
+        }
+    });
+    address
+}
+
+/// Guards against bytes that are no answer, passed on as one.
+#[gtest]
+#[tokio::test]
+async fn call_loses_broken_answer() {
+    for answer in [
+        "HTTP/1.1 000 OK\r\nContent-Length: 5\r\n\r\nwhole",
+        "HTTP/1.1 099 OK\r\nContent-Length: 5\r\n\r\nwhole",
+        "HTTP/1.1 600 OK\r\nContent-Length: 5\r\n\r\nwhole",
+        "HTTP/1.1 999 OK\r\nContent-Length: 5\r\n\r\nwhole",
+        "HTTP/1.1 101 OK\r\nContent-Length: 5\r\n\r\nwhole",
+        "HTTP/1.1 20 OK\r\nContent-Length: 5\r\n\r\nwhole",
+        "HTTP/2.0 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
+        "HTTP/1.1 200 OK\r\nA B: 1\r\nContent-Length: 5\r\n\r\nwhole",
+        "HTTP/1.1 200 OK\r\nA : 1\r\nContent-Length: 5\r\n\r\nwhole",
+        "HTTP/1.1 200 OK\r\nA\u{1}: 1\r\nContent-Length: 5\r\n\r\nwhole",
+        "HTTP/1.1 200 OK\r\nA: \u{1}\r\nContent-Length: 5\r\n\r\nwhole",
+        "HTTP/1.1 200 OK\r\nA\r\nContent-Length: 5\r\n\r\nwhole",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nwhole\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\u{c}\r\nwhole\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nwhole",
+    ] {
+        let lost = call(start_raw(answer).await, TIMEOUT).await;
+        expect_that!(lost, err(eq(&CallErrorKind::AnswerLost)), "{answer:?}");
+    }
+}
+
+/// Guards against sound answers that are lost with the broken ones.
+#[gtest]
+#[tokio::test]
+async fn call_returns_every_status_of_protocol() {
+    for (answer, status) in [
+        ("HTTP/1.1 200\r\nContent-Length: 5\r\n\r\nwhole", 200),
+        ("HTTP/1.1 299 \r\nContent-Length: 5\r\n\r\nwhole", 299),
+        ("HTTP/1.1 499 A\r\nContent-Length: 5\r\n\r\nwhole", 499),
+        ("HTTP/1.1 599 A\r\nContent-Length: 5\r\n\r\nwhole", 599),
+        (
+            "HTTP/1.1 100 \r\n\r\nHTTP/1.1 103 \r\nA: b\r\n\r\nHTTP/1.0 201 A\r\nContent-Length: 5\r\n\r\nwhole",
+            201,
+        ),
+    ] {
+        let returned = call(start_raw(answer).await, TIMEOUT).await.unwrap();
+        expect_that!(returned.status, eq(status), "{answer:?}");
+        expect_that!(returned.body.as_ref(), eq(b"whole"), "{answer:?}");
+    }
+}
