--- a/crates/anvil_gateway/src/tests/broken_answers.rs
+++ b/crates/anvil_gateway/src/tests/broken_answers.rs
@@ -259,3 +259,70 @@
         }
     });
 }
+
+/// Guards against a health check that counts as answered by bytes that are no answer.
+#[gtest]
+fn serve_sends_nothing_after_broken_answer_to_health_check() {
+    run(async {
+        let fleet = Fleet::start_plain(112, 1, None).await;
+        let target = &fleet.engines[0];
+        let host = fleet.start_host(0).await;
+        for answer in [
+            "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+            "HTTP/1.1 600 OK\r\nContent-Length: 0\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nA Name: 1\r\nContent-Length: 0\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\nName: 1\r\n\r\n",
+        ] {
+            target.health_answer.set(answer);
+            for path in [SAFE_PATH, UNSAFE_PATH] {
+                let result = call(&host, path).await;
+                expect_that!(result, eq(CallerResult::Status(503)), "{path}, {answer:?}");
+                expect_that!(
+                    fleet.run_count(&host.last_id()),
+                    eq(0),
+                    "{path}, {answer:?}"
+                );
+            }
+        }
+        for listed in host.gateway.targets.all() {
+            expect_that!(listed.last_heard_at(), none());
+        }
+    });
+}
+
+/// Guards against a stream that ends as whole, or holds another head, because the target that was to
+/// resume it sends no answer.
+#[gtest]
+fn serve_cuts_stream_that_is_resumed_with_broken_answer() {
+    const ANSWERS: [&str; 3] = [
+        answer!(status "HTTP/1.1 000 OK"),
+        answer!(header "A Name: 1"),
+        answer!(header "\nName: 1"),
+    ];
+    run(async {
+        let fleet = Fleet::start_plain(113, 2, None).await;
+        let host = fleet.start_host(0).await;
+        // The budget of retries is a share of the requests.
+        for _ in 0..200 {
+            host.answer_of(SAFE_PATH).await;
+        }
+        fleet.engines[0].behaviour.set(Behaviour::BreaksOff);
+        let mut resumed = 0;
+        for answer in ANSWERS {
+            fleet.engines[1].behaviour.set(Behaviour::Raw(answer));
+            for _ in 0..6 {
+                for target in host.gateway.targets.all() {
+                    target.end_avoidance();
+                }
+                let answer = host.call_raw(EVENTS_PATH).await;
+                expect_that!(answer, not(ends_with("0\r\n\r\n")));
+                expect_that!(answer, not(contains_substring("whole")));
+                let heads = answer.matches("HTTP/1.1 ").count();
+                let events = answer.matches("id: 1\n").count();
+                expect_that!((heads, events), any![eq((1, 0)), eq((1, 1))], "{answer}");
+                resumed += fleet.run_count(&host.last_id()) - 1;
+            }
+        }
+        expect_that!(resumed, gt(0));
+    });
+}
--- a/crates/anvil_gateway/src/tests/fleet.rs
+++ b/crates/anvil_gateway/src/tests/fleet.rs
@@ -193,6 +193,8 @@
     pub(crate) says_leaving: Cell<bool>,
     /// How it answers requests that don't end it.
     pub(crate) behaviour: Cell<Behaviour>,
+    /// Its answer to health checks.
+    pub(crate) health_answer: Cell<&'static str>,
     /// Time before the head of a stream.
     pub(crate) head_delay: Cell<Duration>,
     /// Event that it wrote last, of any stream.
@@ -321,6 +323,7 @@
             is_stopped: Cell::new(false),
             says_leaving: Cell::new(false),
             behaviour: Cell::default(),
+            health_answer: Cell::new("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
             head_delay: Cell::default(),
             last_event: Cell::default(),
             success_bytes: Cell::default(),
@@ -435,7 +438,7 @@
                 continue;
             }
             if head.target == HEALTH_PATH {
-                let answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+                let answer = self.health_answer.get();
                 if connection.write_all(answer.as_bytes()).await.is_err() {
                     return;
                 }
