Name answers that break the protocol in the log

Cause: a head or chunk that breaks the protocol was logged as a connection that ended, so that `failures` of a request did not lead to the target that sends such answers.

Nothing else depends on the text.

--- a/crates/anvil_gateway/src/http1/connection.rs
+++ b/crates/anvil_gateway/src/http1/connection.rs
@@ -131,6 +131,18 @@
     Shortage(Shortage),
 }
 
+impl ReadError {
+    /// Returns why an answer is lost, for the log: it breaks the protocol, or `ended` if nothing tells that.
+    pub fn loss(&self, ended: &'static str) -> &'static str {
+        match self {
+            Self::Head(_) | Self::Body(BodyError::MalformedChunk) => "answer breaks the protocol",
+            Self::Io(_) | Self::Closed | Self::Body(BodyError::Truncated) | Self::Shortage(_) => {
+                ended
+            }
+        }
+    }
+}
+
 /// The size of a body that is being read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BodySize {
--- a/crates/anvil_gateway/src/http1/tests.rs
+++ b/crates/anvil_gateway/src/http1/tests.rs
@@ -331,6 +331,24 @@
     }
 }
 
+#[gtest]
+fn loss_tells_broken_answer_from_lost_connection() {
+    for (error, is_broken) in [
+        (ReadError::Head(HeadError::Malformed), true),
+        (ReadError::Head(HeadError::TooLarge), true),
+        (ReadError::Body(BodyError::MalformedChunk), true),
+        (ReadError::Body(BodyError::Truncated), false),
+        (ReadError::Closed, false),
+    ] {
+        let loss = error.loss("ended");
+        let expected = match is_broken {
+            true => "answer breaks the protocol",
+            false => "ended",
+        };
+        expect_that!(loss, eq(expected), "{error}");
+    }
+}
+
 /// Guards against a connection that the system gives up while a sound target is silent for a second:
 /// with a user timeout, one unanswered keepalive probe ends it when the next one is due.
 #[gtest]
--- a/crates/anvil_gateway/src/plain.rs
+++ b/crates/anvil_gateway/src/plain.rs
@@ -723,7 +723,7 @@
         let head = connection
             .read_response()
             .await
-            .map_err(|_| "connection ended before the answer")?;
+            .map_err(|error| error.loss("connection ended before the answer"))?;
         let metadata = gateway.parse_answer(target, &head);
         has_begun.set(is_response_to(&metadata, &request.metadata.id));
         let mut decoder = match request.head.method.as_str() {
@@ -741,7 +741,7 @@
         let body = HeldBody {
             body: body
                 .await
-                .map_err(|_| "connection ended within the answer")??,
+                .map_err(|error| error.loss("connection ended within the answer"))??,
             _memory: memory,
         };
         if metadata.id.is_none() && is_reused {
--- a/crates/anvil_gateway/src/stream/send.rs
+++ b/crates/anvil_gateway/src/stream/send.rs
@@ -234,9 +234,9 @@
             self.kept = kept;
             let head = match step {
                 Step::Read(Err(_)) => return AttemptResult::DeadlineExceeded,
-                Step::Read(Ok(Err(_))) => {
+                Step::Read(Ok(Err(error))) => {
                     first.record_failure(Instant::now());
-                    return AttemptResult::Lost("connection ended before the answer");
+                    return AttemptResult::Lost(error.loss("connection ended before the answer"));
                 }
                 Step::Read(Ok(Ok(head))) => head,
                 Step::CallerDisconnected => return AttemptResult::CallerDisconnected,
@@ -387,7 +387,9 @@
                 self.kept = kept;
                 let piece = match step {
                     Step::Read(Err(_)) => return AttemptResult::DeadlineExceeded,
-                    Step::Read(Ok(Err(_))) => return AttemptResult::Lost("stream broke off"),
+                    Step::Read(Ok(Err(error))) => {
+                        return AttemptResult::Lost(error.loss("stream broke off"));
+                    }
                     Step::Read(Ok(Ok(piece))) => piece,
                     Step::CallerDisconnected => return AttemptResult::CallerDisconnected,
                     Step::Kept(index, KeptResult::Progressed) => {
