Count operators' calls as refused after client errors alone

What operators would see: "refused", so not carried out, after an answer with the status 101, 302, 600 or 999, which says nothing of that.

Cause: every status that was neither a success nor a server error counted as the host's refusal.

Change: only 400 to 499 do; after any other, the call failed and may have been carried out.

Evidence: before, get_is_refused_by_client_errors_alone failed for 4 of 8 statuses; it passes now.

--- a/crates/anvilctl/src/client.rs
+++ b/crates/anvilctl/src/client.rs
@@ -120,7 +120,7 @@
             Ok(answer) => answer.message,
             Err(_) => format!("{status}: {}", String::from_utf8_lossy(&body).trim()).into(),
         };
-        if status.is_server_error() {
+        if !status.is_client_error() {
             return Err(self.call_failure(operation, message));
         }
         Err(Failure::Refused {
@@ -158,3 +158,6 @@
 pub fn percent_encode(text: &str) -> String {
     utf8_percent_encode(text, ENCODED_CHARACTERS).to_string()
 }
+
+#[cfg(test)]
+mod tests;
