Bound the delay of late ranks before it becomes a duration

Of the class of the panic at a target's idle timeout: the number of ranks, which follows from the operators' priorities, is multiplied into a time.

Cause: the shortest delay grows by half with each more urgent rank and exceeded the range of durations before the minimum with the caller's time was taken.

Change: a delay beyond that range counts as the longest one, and the minimum bounds it as before. Delays of earlier ranks are the same.

--- a/crates/anvil_core/src/urgency.rs
+++ b/crates/anvil_core/src/urgency.rs
@@ -81,8 +81,11 @@
     time_left: Duration,
     draw: f64,
 ) -> Duration {
-    let more_urgent_ranks = ranks.iter().filter(|other| **other < rank).count() as i32;
-    let shortest = RETRY_AFTER_MIN.mul_f64((1.0 + RETRY_AFTER_SPREAD).powi(more_urgent_ranks));
+    let more_urgent_ranks = ranks.iter().filter(|other| **other < rank).count() as f64;
+    // The delay of a late rank exceeds the range of durations.
+    let shortest_s =
+        RETRY_AFTER_MIN.as_secs_f64() * (1.0 + RETRY_AFTER_SPREAD).powf(more_urgent_ranks);
+    let shortest = Duration::try_from_secs_f64(shortest_s).unwrap_or(Duration::MAX);
     let longest = time_left.mul_f64(HONOURED_SHARE / (1.0 + RETRY_AFTER_SPREAD));
     let expected = forecast.time_to_capacity(rank).max(shortest).min(longest);
     expected.mul_f64(1.0 + RETRY_AFTER_SPREAD * draw)
--- a/crates/anvil_core/src/urgency/tests.rs
+++ b/crates/anvil_core/src/urgency/tests.rs
@@ -95,6 +95,19 @@
 }
 
 /// Load: calm, at three fifths and at four fifths of the capacity. Nothing is held back.
+/// Guards against a panic where ranks are so many that the delay of the last one exceeds all durations.
+#[gtest]
+fn retry_after_is_within_time_left_for_many_ranks() {
+    const TIME_LEFT: Duration = Duration::from_secs(20);
+    let forecast = Forecast::default();
+    let ranks: Vec<Rank> = (0..5000).collect();
+    for rank in [112, 113, 120, 4999] {
+        let delay = retry_after(&forecast, &ranks, rank, TIME_LEFT, 1.0);
+        expect_that!(delay, le(TIME_LEFT / 3), "{rank}");
+        expect_that!(delay, gt(TIME_LEFT / 4), "{rank}");
+    }
+}
+
 #[gtest]
 fn play_calm_serves_all() {
     for per_s in [60.0, 80.0] {
