Rely on nothing that a broken refusal of a stream states

What callers saw: on a streaming route whose requests may run once, 503 after a target's refusal whose body breaks the protocol. That promises that the request did not run, on the word of an answer that is none; plain routes gave 502 already.

Cause: an error answer was judged by its head alone, whatever came of its body.

Change: an error answer with a malformed body is lost. One whose connection ends within the body is judged by its head as before.

--- a/crates/anvil_gateway/src/http1/connection.rs
+++ b/crates/anvil_gateway/src/http1/connection.rs
@@ -132,15 +132,23 @@
 }
 
 impl ReadError {
-    /// Returns why an answer is lost, for the log: it breaks the protocol, or `ended` if nothing tells that.
-    pub fn loss(&self, ended: &'static str) -> &'static str {
+    /// Returns whether what arrived breaks the protocol.
+    pub fn is_malformed(&self) -> bool {
         match self {
-            Self::Head(_) | Self::Body(BodyError::MalformedChunk) => "answer breaks the protocol",
+            Self::Head(_) | Self::Body(BodyError::MalformedChunk) => true,
             Self::Io(_) | Self::Closed | Self::Body(BodyError::Truncated) | Self::Shortage(_) => {
-                ended
+                false
             }
         }
     }
+
+    /// Returns why an answer is lost, for the log: it breaks the protocol, or `ended` if nothing tells that.
+    pub fn loss(&self, ended: &'static str) -> &'static str {
+        match self.is_malformed() {
+            true => "answer breaks the protocol",
+            false => ended,
+        }
+    }
 }
 
 /// The size of a body that is being read.
--- a/crates/anvil_gateway/src/stream/send.rs
+++ b/crates/anvil_gateway/src/stream/send.rs
@@ -338,8 +338,12 @@
         )
         .await;
         let complete_body = match body {
-            Ok(Ok(Some(body))) => Some(body),
-            _ => None,
+            Ok(Ok(body)) => body,
+            // Nothing that such an answer states is relied on, also not that the request did not run.
+            Ok(Err(error)) if error.is_malformed() => {
+                return AttemptResult::Lost(error.loss("connection ended within the answer"));
+            }
+            Ok(Err(_)) | Err(_) => None,
         };
         if complete_body.is_some() && head.keep_alive {
             acquired.record_unanswered(&self.request.metadata.id);
--- a/crates/anvil_gateway/src/tests/broken_answers.rs
+++ b/crates/anvil_gateway/src/tests/broken_answers.rs
@@ -331,3 +331,22 @@
         expect_that!(resumed, gt(0));
     });
 }
+
+/// Guards against a request that counts as not run by a refusal that breaks the protocol (TWICE).
+#[gtest]
+fn serve_promises_nothing_after_refusal_with_broken_body() {
+    const ANSWER: &str = concat!(
+        "HTTP/1.1 503 Full\r\nid: {id}\r\nrefused: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "0\r\nwhole\r\n0\r\n\r\n"
+    );
+    run(async {
+        let fleet = Fleet::start_plain(114, 1, None).await;
+        let host = fleet.start_host(0).await;
+        fleet.engines[0].behaviour.set(Behaviour::Raw(ANSWER));
+        for path in [UNSAFE_PATH, EVENTS_ONCE_PATH] {
+            let result = call(&host, path).await;
+            expect_that!(result, eq(CallerResult::Status(502)), "{path}");
+            expect_that!(fleet.run_count(&host.last_id()), eq(1), "{path}");
+        }
+    });
+}
