Encode names that continue a list of the store

What callers saw: after a restart of all hosts almost no request was served, as long as an entry of another writer stood in the list of targets. Its name held characters such as &, +, #, % or a blank, and the list was longer than a page.

Cause: the last name of a page was put into the next call's query as it is. The store refused the query, or read another name from it and answered with the same page again, without an end. The host stayed without a list, and asked for it again all the time.

Change: one function percent-encodes values of queries.

--- a/crates/anvil_gateway/src/http1.rs
+++ b/crates/anvil_gateway/src/http1.rs
@@ -10,6 +10,7 @@
 mod connection;
 mod head;
 mod segments;
+mod text;
 
 #[cfg(test)]
 mod fuzz;
@@ -40,3 +41,4 @@
     ResponseHead, //
 };
 pub use segments::Body;
+pub use text::encode_query_value;
