Keep the other items of a list when one can't be read

Cause: a page was decoded as a whole, so that an item with another value, of another type or without a key hid all items of the list.

Change: items are decoded one by one. A target whose value can't be read is listed as unreadable, as one with an odd entry is already; an operators' table that can't be read fails as before; other items are left out and logged as store.item_unreadable. A page without a readable key still fails where more follow, since nothing names its end.

--- a/crates/anvil_observe/src/events.rs
+++ b/crates/anvil_observe/src/events.rs
@@ -138,6 +138,7 @@
     "store.era": "The store, or a peer, named a newer era than before: the store was restored from an older copy. What was read before is read again from the start.",
     "store.era_unreadable": "An answer of the store names no era, or one that is no number, although an era is known. The known era stays.",
     "store.forgot": "The store doesn't have the records that follow the last ones read. The list is read completely again.",
+    "store.item_unreadable": "An item of a list of the store can't be read and was left out; the others hold. The line names the call and the item's key (empty where the key can't be read).",
     "store.lost": "A read from the store failed. Further failures are not logged until a read succeeds.",
     "store.regained": "A read from the store succeeded after one or more failures.",
     "store.wait_abandoned": "A call that waited at the store for changes was abandoned, and the table is read instead. The line gives the reason.",
