Use no target whose name no header can hold

What callers could see: an entry of another writer whose value reads like a target's was used whatever its name. With a line break in the name, each request and order to it had further lines in its head, which the entry's writer chose. With an empty name, or a blank at an end, the target was asked under another name than its own.

Cause: the name of a target goes into a header of each request and order as it is, and names were taken from the store, and from peers, unchecked.

Change: a change of a target whose name is empty, begins or ends with a blank, or holds a control character or a replacement character is unreadable, as one with an odd value is. Other names are used as before.

--- a/crates/anvil_gateway/src/http1.rs
+++ b/crates/anvil_gateway/src/http1.rs
@@ -41,4 +41,7 @@
     ResponseHead, //
 };
 pub use segments::Body;
-pub use text::encode_query_value;
+pub use text::{
+    encode_query_value,
+    is_header_value, //
+};
--- a/crates/anvil_gateway/src/http1/text.rs
+++ b/crates/anvil_gateway/src/http1/text.rs
@@ -19,3 +19,11 @@
 pub fn encode_query_value(value: impl AsRef<[u8]>) -> String {
     percent_encode(value.as_ref(), QUERY_VALUE_ESCAPES).to_string()
 }
+
+/// Returns whether a header can hold a text as its value, and its receiver reads the same text from it.
+pub fn is_header_value(text: &str) -> bool {
+    let is_trimmed = !text.is_empty() && !text.starts_with(' ') && !text.ends_with(' ');
+    // The replacement character stands for bytes that are no UTF-8.
+    let is_faithful = |char: char| !char.is_control() && char != char::REPLACEMENT_CHARACTER;
+    is_trimmed && text.chars().all(is_faithful)
+}
--- a/crates/anvil_gateway/src/peers/message.rs
+++ b/crates/anvil_gateway/src/peers/message.rs
@@ -419,7 +419,7 @@
         return TargetChange::Removed(change.target);
     };
     match entry_from_wire(entry) {
-        Ok(entry) => TargetChange::Put(change.target, entry),
+        Ok(entry) => TargetChange::put(change.target, entry),
         Err(error) => TargetChange::Unreadable(change.target, error),
     }
 }
--- a/crates/anvil_gateway/src/peers/tests.rs
+++ b/crates/anvil_gateway/src/peers/tests.rs
@@ -168,6 +168,19 @@
     }
 }
 
+/// Guards against the same names of targets from a peer of another release.
+#[gtest]
+fn from_wire_reports_name_that_no_header_holds_as_unreadable() {
+    let mut digest = message::to_wire(&digest("host"));
+    let news = digest.news.iter_mut().find(|news| news.entry.is_some());
+    news.unwrap().target = "new\r\nX: 1".into();
+    let changes = message::from_wire(digest).unwrap().target_changes.unwrap();
+    expect_that!(
+        changes.changes[1],
+        matches_pattern!(TargetChange::Unreadable(eq("new\r\nX: 1"), _))
+    );
+}
+
 /// Guards against builds side by side that can't read one another: the datagram is of 7f27459.
 #[gtest]
 fn decode_authenticated_reads_datagram_of_former_build() {
--- a/crates/anvil_gateway/src/port.rs
+++ b/crates/anvil_gateway/src/port.rs
@@ -33,7 +33,8 @@
 
 use crate::http1::{
     RequestHead,
-    ResponseHead, //
+    ResponseHead,
+    is_header_value, //
 };
 
 /// Number of an event in its stream; grows along the stream.
@@ -220,6 +221,17 @@
     Unreadable(TargetId, SmolStr),
 }
 
+impl TargetChange {
+    /// Creates the change for an entry. Requests name their target in a header, so that a name which no
+    /// header can hold describes no target.
+    pub fn put(id: TargetId, entry: TargetEntry) -> Self {
+        match is_header_value(&id) {
+            true => Self::Put(id, entry),
+            false => Self::Unreadable(id, SmolStr::new_static("no header can hold the name")),
+        }
+    }
+}
+
 /// Number of the store's current history. It rises when the store is restored from an older copy,
 /// which reuses offsets for other records; 0 while the store names none.
 pub type Era = u64;
