Encode the name of a target in a request for a tunnel

What callers could see: a host that is cut off from the targets got no tunnel to one with a blank in its name; the other host refused the request as forged or unreadable.

Cause: the name went into a query as it is, as in calls to the store.

Change: both ends use the functions for values of queries. Names of letters, digits and - . / : _ ~ look the same as before, so that hosts of the former release understand them.

Evidence: with the name as it is, authenticate_returns_odd_name_of_target got no target for "i 1"; it passes now for that name, and for names with #, &, %41, + and a letter that is not Latin, most of which went through before as well.

--- a/crates/anvil_gateway/src/http1.rs
+++ b/crates/anvil_gateway/src/http1.rs
@@ -42,6 +42,7 @@
 };
 pub use segments::Body;
 pub use text::{
+    decode_query_value,
     encode_query_value,
     is_header_value, //
 };
--- a/crates/anvil_gateway/src/http1/text.rs
+++ b/crates/anvil_gateway/src/http1/text.rs
@@ -3,8 +3,10 @@
 use percent_encoding::{
     AsciiSet,
     NON_ALPHANUMERIC,
+    percent_decode_str,
     percent_encode, //
 };
+use smol_str::SmolStr;
 
 /// Bytes that a value of a query can't hold as they are, or that some servers split a query at.
 const QUERY_VALUE_ESCAPES: &AsciiSet = &NON_ALPHANUMERIC
@@ -20,6 +22,12 @@
     percent_encode(value.as_ref(), QUERY_VALUE_ESCAPES).to_string()
 }
 
+/// Decodes a value of a query. Returns `None` if the text that it stands for is no UTF-8.
+pub fn decode_query_value(value: &str) -> Option<SmolStr> {
+    let decoded = percent_decode_str(value).decode_utf8().ok()?;
+    Some(decoded.as_ref().into())
+}
+
 /// Returns whether a header can hold a text as its value, and its receiver reads the same text from it.
 pub fn is_header_value(text: &str) -> bool {
     let is_trimmed = !text.is_empty() && !text.starts_with(' ') && !text.ends_with(' ');
--- a/crates/anvil_gateway/src/peers/tunnel.rs
+++ b/crates/anvil_gateway/src/peers/tunnel.rs
@@ -62,7 +62,9 @@
     http1::{
         ConnectError,
         Connection,
-        RequestHead, //
+        RequestHead,
+        decode_query_value,
+        encode_query_value, //
     },
     intake::Place,
     link,
@@ -379,7 +381,7 @@
     };
     let sequence = gateway.tunnels.last_sequence.get() + 1;
     gateway.tunnels.last_sequence.set(sequence);
-    let query = format_smolstr!("?sequence={sequence}&target={}", target.id);
+    let query = render_query(sequence, &target.id);
     let tag = own_key.tag(&[LABEL.as_bytes(), peer.as_bytes(), query.as_bytes()]);
     let request = format!(
         "POST {PATH}{query} HTTP/1.1\r\nHost: {address}\r\n{HOST_HEADER}: {}\r\n\
@@ -492,6 +494,12 @@
     }
 }
 
+/// Renders the query of a request for a tunnel.
+fn render_query(sequence: u64, target: &TargetId) -> SmolStr {
+    let target = encode_query_value(target);
+    format_smolstr!("?sequence={sequence}&target={target}")
+}
+
 /// Returns the target that a request for a tunnel names. Returns `None` if the request isn't one of a
 /// known host to this one, or came before.
 fn authenticate(gateway: &Gateway, head: &RequestHead) -> Option<TargetId> {
@@ -499,6 +507,7 @@
     let query = head.target.strip_prefix(PATH)?;
     let (sequence, target) = query.strip_prefix("?sequence=")?.split_once("&target=")?;
     let sequence = sequence.parse().ok()?;
+    let target = decode_query_value(target)?;
     let key = gateway.peers.borrow().key_of(&host)?;
     let own_id = gateway.settings.host_id.as_bytes();
     let parts = [LABEL.as_bytes(), own_id, query.as_bytes()];
@@ -512,7 +521,7 @@
     if *seen_key != key {
         (*seen_key, *window) = (key, replay::Window::default());
     }
-    window.accept(sequence).then(|| target.into())
+    window.accept(sequence).then_some(target)
 }
 
 /// Passes bytes on between a cut-off host and a target until one of them closes its connection.
--- a/crates/anvil_gateway/src/peers/tunnel/tests.rs
+++ b/crates/anvil_gateway/src/peers/tunnel/tests.rs
@@ -1,3 +1,4 @@
+use bytes::BytesMut;
 use googletest::prelude::*;
 
 use super::*;
@@ -99,3 +100,30 @@
         expect_that!(status, eq(503));
     });
 }
+
+/// Guards against targets that a cut-off host can't reach because a query can't hold their names.
+#[gtest]
+fn authenticate_returns_odd_name_of_target() {
+    run(async {
+        let fleet = Fleet::start(208, 1).await;
+        let host = fleet.start_host(0).await;
+        let other = fleet.start_host(1).await;
+        wait_for_peers(&[&host, &other]).await;
+        let key = host.gateway.peers.borrow().own_key().unwrap();
+        let to_id = &other.gateway.settings.host_id;
+        for (sequence, name) in (1..).zip(["i-1", "i 1", "i-1#", "i&target=i", "i%41", "i+\u{e9}"])
+        {
+            let query = render_query(sequence, &name.into());
+            let tag = key.tag(&[LABEL.as_bytes(), to_id.as_bytes(), query.as_bytes()]);
+            let request = format!(
+                "POST {PATH}{query} HTTP/1.1\r\n{HOST_HEADER}: {}\r\n{TAG_HEADER}: {tag}\r\n\r\n",
+                host.gateway.settings.host_id
+            );
+            let limit_bytes = request.len();
+            let mut request = BytesMut::from(request.as_bytes());
+            let head = RequestHead::take(&mut request, limit_bytes).ok().flatten();
+            let target = head.and_then(|head| authenticate(&other.gateway, &head));
+            expect_that!(target.as_deref(), some(eq(name)));
+        }
+    });
+}
