Keep the other entries of the platform's list when one can't be read

What callers could see, in the daemon without the users' platform: while one entry of the list of hosts and targets had an address that can't be parsed, or a role or state of no known name, no host got a list at all. One that started then had no targets.

Cause: the list was decoded as a whole.

Change: entries are decoded one by one. One that can't be read is left out and logged as listing.entry_unreadable, with its name where that can be read.

Evidence: list_holds_other_entries_when_some_cannot_be_read failed before (unknown variant `odd`, so that the whole list was lost), and passes now for five odd entries beside a good one.

--- a/crates/anvil_adapters/src/host_list.rs
+++ b/crates/anvil_adapters/src/host_list.rs
@@ -9,7 +9,6 @@
 use anvil_host::port::{
     self,
     CallError,
-    CallErrorKind,
     ListEntry,
     ListRole,
     ListState,
@@ -19,6 +18,7 @@
 use arc_swap::ArcSwapOption;
 use futures::future::BoxFuture;
 use http::HeaderValue;
+use serde::Deserialize;
 use smol_str::SmolStr;
 
 use crate::call::{
@@ -27,6 +27,9 @@
     Context, //
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Time limit for fetching the list.
 const TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -61,13 +64,12 @@
             .client
             .get_if_changed(context, self.address, "/v1/hosts", known_tag.as_deref())
             .await?;
-        let (message, tag): (wire::ListAnswer, _) = match answer {
+        let (message, tag): (ListAnswer, _) = match answer {
             ConditionalResponse::Unchanged => return Ok(Listing::Unchanged),
             ConditionalResponse::Changed { message, tag } => (message, tag),
         };
-        let wire_entries = message.entries.into_iter();
-        let entries = wire_entries.map(|wire_entry| decode_entry(context, wire_entry));
-        let entries = entries.collect::<Result<_, _>>()?;
+        let entries = message.entries.into_iter().filter_map(decode_entry);
+        let entries = entries.collect();
         self.tag.store(tag.map(Arc::new));
         Ok(Listing::Entries(entries))
     }
@@ -79,11 +81,35 @@
     }
 }
 
-fn decode_entry(context: Context<'_>, entry: wire::ListEntry) -> Result<ListEntry, CallError> {
-    let address = entry.address.parse().map_err(|error| {
-        let message = format!("address {} of {}: {error}", entry.address, entry.name);
-        context.error(CallErrorKind::AnswerLost, message)
-    })?;
+/// A [`wire::ListAnswer`] whose entries can be read each for itself.
+#[derive(Deserialize)]
+struct ListAnswer {
+    entries: Vec<serde_json::Value>,
+}
+
+/// Decodes an entry. One that can't be read hides no other: it is left out and logged.
+fn decode_entry(entry: serde_json::Value) -> Option<ListEntry> {
+    let name = entry["name"].as_str().unwrap_or_default().to_owned();
+    let decoded = serde_json::from_value(entry)
+        .map_err(|error| error.to_string())
+        .and_then(convert_entry);
+    match decoded {
+        Ok(entry) => Some(entry),
+        Err(error) => {
+            spdlog::warn!("listing.entry_unreadable", kv: {
+                entry = name.as_str(),
+                error = error.as_str(),
+            });
+            None
+        }
+    }
+}
+
+fn convert_entry(entry: wire::ListEntry) -> Result<ListEntry, String> {
+    let address = entry
+        .address
+        .parse()
+        .map_err(|error| format!("address {}: {error}", entry.address))?;
     Ok(ListEntry {
         name: entry.name,
         address,
--- a/crates/anvil_observe/src/events.rs
+++ b/crates/anvil_observe/src/events.rs
@@ -80,6 +80,7 @@
     "listener.accept_failed": "A connection could not be accepted.",
     "listener.failed": "A listener stopped because of an error.",
     "listing.ask_failed": "A reader of the platform's list did not return it, or returned a stale one. The next reader, or this host, takes its place.",
+    "listing.entry_unreadable": "An entry of the platform's list can't be read and was left out; the others hold.",
     "listing.read_failed": "The platform's list could not be read. The known list stays in use, and the list is read again after a pause.",
     "membership.changed": "The state of another host changed, as seen by this host. The line gives the reason.",
     "operators.drain": "An operator requested a graceful shutdown.",
