--- a/review/lib-3/lib.rs
+++ b/review/lib-3/lib.rs
@@ -460,9 +460,9 @@
     format!(
         r#"host_id = "{name}"
 data_centre = "muc-a"
-processor_share = 0.5
-memory_megabytes = 512
-descriptors = 8192
+processor_share = 0.17
+memory_megabytes = 182
+descriptors = 2870
 
 [listen]
 callers = "127.0.0.1:{}"
