Review case 12: a drill of the store sends streams to a leaving worker

A host that has read that a worker is draining takes the restored entry, in state ready, for the truth, although it is of the same run. Streams that may not be resumed reach the worker 3.4 s after the acknowledgement, and are lost when it exits.

--- a/review/lib-3/lib.rs
+++ b/review/lib-3/lib.rs
@@ -11,7 +11,10 @@
     os::fd::AsRawFd,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -42,8 +45,17 @@
     assert_eq!(result, 0, "SO_RCVBUF");
 }
 
+/// Returns a port that nobody listens on, below those that the system gives to outgoing connections. No port is
+/// returned twice in a run.
 pub fn free_port() -> u16 {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
+    static OFFERED: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let number = std::process::id().wrapping_mul(61) + OFFERED.fetch_add(1, Ordering::SeqCst);
+        let port = 18_000 + (number % 14_000) as u16;
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
 }
 
 pub fn unix_ms() -> u64 {
@@ -125,7 +137,7 @@
 
 // ---------------------------------------------------------------- the store
 
-type Record = (String, Vec<u8>);
+pub type Record = (String, Vec<u8>);
 
 #[derive(Default)]
 struct Topics {
@@ -135,6 +147,12 @@
     generation: u64,
     /// When each worker last wrote its entry.
     beats: HashMap<String, Instant>,
+    /// When the store first accepted that a worker is draining.
+    draining_at: HashMap<String, Instant>,
+    /// Whether the store is away: it answers nothing.
+    is_away: bool,
+    /// Number of restores from an older copy.
+    restores: u64,
 }
 
 /// The platform's store: keyed topics, reads that wait, and one group.
@@ -171,6 +189,29 @@
         changed.notify_all();
     }
 
+    /// Returns a copy of all topics.
+    pub fn copy(&self) -> HashMap<String, Vec<Record>> {
+        self.topics.0.lock().unwrap().records.clone()
+    }
+
+    /// Goes away for a time, and comes back with a copy.
+    pub fn restore(&self, copy: HashMap<String, Vec<Record>>, away: Duration) {
+        let (topics, changed) = &*self.topics;
+        topics.lock().unwrap().is_away = true;
+        thread::sleep(away);
+        let mut topics = topics.lock().unwrap();
+        topics.records = copy;
+        topics.members.clear();
+        topics.restores += 1;
+        topics.is_away = false;
+        changed.notify_all();
+    }
+
+    /// Returns when the store accepted that a worker is draining.
+    pub fn draining_at(&self, id: &str) -> Option<Instant> {
+        self.topics.0.lock().unwrap().draining_at.get(id).copied()
+    }
+
     /// Removes the entries of workers after three heartbeats of silence.
     fn expire(&self) {
         loop {
@@ -199,9 +240,19 @@
             if read_body(&mut reader, &mut request).is_err() {
                 return;
             }
+            if self.topics.0.lock().unwrap().is_away {
+                return;
+            }
             let (status, kind, body) = self.answer(&request);
+            let (is_away, era) = {
+                let topics = self.topics.0.lock().unwrap();
+                (topics.is_away, 1 + topics.restores)
+            };
+            if is_away {
+                return;
+            }
             let head = format!(
-                "HTTP/1.1 {status} X\r\nContent-Type: {kind}\r\nContent-Length: {}\r\n\r\n",
+                "HTTP/1.1 {status} X\r\nStore-Era: {era}\r\nContent-Type: {kind}\r\nContent-Length: {}\r\n\r\n",
                 body.len()
             );
             let out = [head.as_bytes(), &body].concat();
@@ -276,8 +327,11 @@
                     added.push((String::from_utf8_lossy(key).into_owned(), value.to_vec()));
                 }
                 if topic == "keyed.servers" {
-                    for (id, _) in &added {
+                    for (id, value) in &added {
                         topics.beats.insert(id.clone(), Instant::now());
+                        if String::from_utf8_lossy(value).contains("draining") {
+                            topics.draining_at.entry(id.clone()).or_insert(Instant::now());
+                        }
                     }
                 }
                 let records = topics.records.entry(topic).or_default();
@@ -352,24 +406,28 @@
 pub fn beat(store: SocketAddr, id: String, entry: impl Fn(u64) -> String + Send + 'static) {
     thread::spawn(move || {
         for sequence in 1.. {
-            let value = entry(sequence);
-            let mut record = ((1 + id.len() + value.len()) as u32).to_be_bytes().to_vec();
-            record.push(id.len() as u8);
-            record.extend_from_slice(id.as_bytes());
-            record.extend_from_slice(value.as_bytes());
-            let head = format!(
-                "POST /v1/log-append?Topic=keyed.servers&part=0 HTTP/1.1\r\nHost: {store}\r\nContent-Length: {}\r\n\r\n",
-                record.len()
-            );
-            if let Ok(mut stream) = TcpStream::connect(store) {
-                let _ = stream.write_all(&[head.as_bytes(), &record].concat());
-                let _ = read_head(&mut BufReader::new(stream));
-            }
+            write_entry(store, &id, &entry(sequence));
             thread::sleep(HEARTBEAT);
         }
     });
 }
 
+/// Writes a worker's entry to the store. Does nothing if the store is away.
+pub fn write_entry(store: SocketAddr, id: &str, value: &str) {
+    let mut record = ((1 + id.len() + value.len()) as u32).to_be_bytes().to_vec();
+    record.push(id.len() as u8);
+    record.extend_from_slice(id.as_bytes());
+    record.extend_from_slice(value.as_bytes());
+    let head = format!(
+        "POST /v1/log-append?Topic=keyed.servers&part=0 HTTP/1.1\r\nHost: {store}\r\nContent-Length: {}\r\n\r\n",
+        record.len()
+    );
+    if let Ok(mut stream) = TcpStream::connect(store) {
+        let _ = stream.write_all(&[head.as_bytes(), &record].concat());
+        let _ = read_head(&mut BufReader::new(stream));
+    }
+}
+
 // ---------------------------------------------------------------- processes
 
 /// A folder that is deleted with its content, and the processes that are ended with it.
